--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# The commands of the project; CMake and Ninja do the building.
+BUILD ?= build
+EXAMPLE ?= northern-spain
+SUDO := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
+
+.PHONY: all deps build run test test-asan test-tsan bench format lint
+
+all: build
+
+deps:
+	@dpkg -s $$(cat packages.txt) >/dev/null 2>&1 || \
+	  { $(SUDO) apt-get update && \
+	    DEBIAN_FRONTEND=noninteractive $(SUDO) apt-get install -y \
+	    --no-install-recommends $$(cat packages.txt); }
+
+build: deps
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD)
+
+run: build
+	python3 examples/run.py --build $(BUILD) --example examples/$(EXAMPLE)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 6
+
+test-asan: deps
+	cmake -S . -B build-asan -G Ninja -DGALENARUDDER_SANITIZE=address,undefined
+	cmake --build build-asan
+	ctest --test-dir build-asan --output-on-failure -j 4
+
+test-tsan: deps
+	cmake -S . -B build-tsan -G Ninja -DGALENARUDDER_SANITIZE=thread
+	cmake --build build-tsan
+	ctest --test-dir build-tsan --output-on-failure -j 4
+
+bench: build
+	python3 benchmarks/run.py --build $(BUILD)
+
+format:
+	git ls-files '*.cpp' '*.hpp' | xargs clang-format -i
+
+lint: build
+	.ci/lint $(BUILD)
--- /dev/null
+++ b/examples/run.py
@@ -0,0 +1,260 @@
+#!/usr/bin/env python3
+"""Starts one example on loopback with stand-ins, sends calls of every rank to
+every service, prints the status and what each rank saw, and ends cleanly."""
+
+import argparse
+import concurrent.futures
+import http.client
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+START_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 15
+CALLS_PER_ROUTE = 20
+PARALLEL_CALLS = 16
+
+
+class Fleet:
+    """The processes of one example; each VM has its own loopback address."""
+
+    def __init__(self, build, example):
+        self.build = pathlib.Path(build).resolve()
+        self.example = pathlib.Path(example).resolve()
+        self.topology = json.loads((self.example / "topology.json").read_text())
+        self.folder = tempfile.TemporaryDirectory(prefix="galenarudder-")
+        self.store = self.topology["store"]
+        self.daemons = {}
+        self.standins = []
+        self.vms = []
+        self._lay_out()
+
+    def _lay_out(self):
+        prefix = self.topology["address_prefix"]
+        number = 0
+        domains = self.topology["domains"]
+        for service in self.topology["services"]:
+            for index in range(service["upstreams"]):
+                number += 1
+                self.vms.append({
+                    "member": f"{service['name']}-{index + 1}",
+                    "service": service["name"],
+                    "domain": domains[(number - 1) % len(domains)],
+                    "address": f"{prefix}.{number}",
+                })
+
+    def settings(self, vm):
+        address = vm["address"]
+        return {
+            "member": vm["member"],
+            "domain": vm["domain"],
+            "callers": f"{address}:7100",
+            "announcements": f"{address}:7101",
+            "link": f"{address}:7102",
+            "gossip": f"{address}:7103",
+            "operators": f"{address}:7105",
+            "store": self.store,
+            "introducers": [f"{other['address']}:7103"
+                            for other in self.vms[:3]],
+            "threads": 2,
+            "keys": [{"id": "example", "secret": "an-example-secret-only"}],
+        }
+
+    def _spawn(self, name, *arguments):
+        log = open(pathlib.Path(self.folder.name) / f"{name}.log", "ab")
+        return subprocess.Popen([str(part) for part in arguments],
+                                stdout=log, stderr=log)
+
+    def log_of(self, name):
+        return (pathlib.Path(self.folder.name) / f"{name}.log").read_text()
+
+    def start_store(self):
+        self.standins.append(self._spawn(
+            "store", self.build / "standin_store", "--listen", self.store))
+        wait_for(lambda: port_is_open(self.store), "the store stand-in")
+
+    def start_daemon(self, vm):
+        path = pathlib.Path(self.folder.name) / f"{vm['member']}.json"
+        path.write_text(json.dumps(self.settings(vm), indent=2))
+        self.daemons[vm["member"]] = self._spawn(
+            vm["member"], self.build / "galenarudderd", "--settings", path)
+
+    def start_upstream(self, vm):
+        self.standins.append(self._spawn(
+            f"upstream-{vm['member']}", self.build / "standin_upstream",
+            "--listen", f"{vm['address']}:8080",
+            "--announce", f"{vm['address']}:7101",
+            "--service", vm["service"],
+            "--slots", self.topology["slots"],
+            "--connections", self.topology["connections"],
+            "--probe_ms", self.topology["probe_ms"]))
+
+    def apply(self):
+        return self.ctl("apply", "--store", self.store,
+                        "--base", self.example / "base.json",
+                        "--overlays", self.example / "overlays",
+                        "--author", "example", "--note", "first")
+
+    def ctl(self, command, *arguments):
+        return subprocess.run(
+            [str(part) for part in
+             (self.build / "galenarudderctl", command, *arguments,
+              "--daemon", f"{self.vms[0]['address']}:7105")],
+            capture_output=True, text=True, timeout=30, check=False)
+
+    def start(self):
+        self.start_store()
+        done = self.apply()
+        if done.returncode != 0:
+            raise RuntimeError(f"apply failed: {done.stderr}")
+        for vm in self.vms:
+            self.start_daemon(vm)
+        for vm in self.vms:
+            self.start_upstream(vm)
+        wait_for(self.is_ready, "every member to serve the same configuration")
+
+    def is_ready(self):
+        for vm in self.vms:
+            members = get_json(f"{vm['address']}:7105", "/v1/members")
+            if members is None or len(members) != len(self.vms):
+                return False
+            for member in members:
+                if not member["service"]:
+                    return False
+                if member["configuration_version"] < 1:
+                    return False
+        return True
+
+    def stop(self):
+        """Ends every process; returns the daemons' exit codes by member."""
+        for process in self.daemons.values():
+            if process.poll() is None:
+                process.terminate()
+        codes = {}
+        deadline = time.monotonic() + STOP_TIMEOUT_S
+        for member, process in self.daemons.items():
+            try:
+                codes[member] = process.wait(
+                    max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                codes[member] = process.wait()
+        for process in self.standins:
+            process.terminate()
+            process.wait()
+        self.folder.cleanup()
+        return codes
+
+
+def port_is_open(where):
+    host, port = where.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=1)
+    try:
+        connection.connect()
+        return True
+    except OSError:
+        return False
+    finally:
+        connection.close()
+
+
+def get_json(where, path):
+    host, port = where.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=2)
+    try:
+        connection.request("GET", path)
+        return json.loads(connection.getresponse().read())
+    except (OSError, ValueError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+def wait_for(condition, what, timeout_s=START_TIMEOUT_S):
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise TimeoutError(f"waited {timeout_s} s for {what}")
+
+
+def call(address, service, route, number):
+    """Sends one call; returns its rank, milliseconds and whether it came
+    back whole."""
+    nonce = f"{service}-{route['prefix']}-{number}"
+    body = (nonce + "\n") * 20
+    method = route.get("method") or "POST"
+    payload = body if method in ("POST", "PUT") else None
+    started = time.monotonic()
+    connection = http.client.HTTPConnection(address, 7100, timeout=20)
+    try:
+        connection.request(method, f"/{service}{route['prefix']}",
+                           body=payload, headers={"X-Nonce": nonce})
+        answer = connection.getresponse()
+        received = answer.read().decode()
+        whole = (answer.status == 200
+                 and answer.getheader("X-Nonce") == nonce
+                 and received == (payload or ""))
+    except (OSError, http.client.HTTPException):
+        whole = False
+    finally:
+        connection.close()
+    return route["rank"], (time.monotonic() - started) * 1000, whole
+
+
+def send_calls(fleet):
+    base = json.loads((fleet.example / "base.json").read_text())
+    ranks = {}
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_CALLS) as pool:
+        jobs = []
+        for service in base["services"]:
+            for route in service["routes"]:
+                for number in range(CALLS_PER_ROUTE):
+                    vm = fleet.vms[len(jobs) % len(fleet.vms)]
+                    jobs.append(pool.submit(call, vm["address"],
+                                            service["name"], route, number))
+        for job in jobs:
+            rank, took_ms, whole = job.result()
+            ranks.setdefault(rank, []).append((took_ms, whole))
+    return ranks
+
+
+def print_ranks(ranks):
+    print(f"\n{'rank':<10}{'calls':>7}{'whole':>7}{'p50 ms':>9}{'worst ms':>10}")
+    for rank, seen in ranks.items():
+        times = sorted(took for took, _ in seen)
+        whole = sum(1 for _, was_whole in seen if was_whole)
+        print(f"{rank:<10}{len(seen):>7}{whole:>7}"
+              f"{times[len(times) // 2]:>9.1f}{times[-1]:>10.1f}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--example", default="examples/northern-spain")
+    arguments = parser.parse_args()
+    fleet = Fleet(arguments.build, arguments.example)
+    print(f"starting {len(fleet.vms)} upstreams, as many daemons, one store")
+    try:
+        fleet.start()
+        ranks = send_calls(fleet)
+        status = fleet.ctl("status")
+        print(status.stdout, end="")
+        print_ranks(ranks)
+    finally:
+        codes = fleet.stop()
+    cut = sum(1 for seen in ranks.values() for _, whole in seen if not whole)
+    unclean = {member: code for member, code in codes.items() if code != 0}
+    if cut or status.returncode != 0 or unclean:
+        print(f"failed: {cut} calls not whole, unclean exits {unclean}")
+        return 1
+    print("\nevery call was answered whole; every daemon left cleanly")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/include/galenarudder/proxy/entry.hpp
@@ -0,0 +1,67 @@
+/// \file
+/// What all calls that enter at this daemon share.
+#pragma once
+
+#include "galenarudder/config/configuration.hpp"
+#include "galenarudder/link/exchange.hpp"
+#include "galenarudder/proxy/call_flow.hpp"
+#include "galenarudder/routing/router.hpp"
+#include "galenarudder/support/call.hpp"
+#include "galenarudder/support/rcu_cell.hpp"
+#include "galenarudder/support/refusal.hpp"
+#include "galenarudder/telemetry/metrics.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace galenarudder::proxy {
+
+/// The route's terms and the head to send, or why the call is refused.
+struct classified_call
+{
+    call_terms terms;
+    support::call_head head;
+    std::uint64_t body_limit_bytes = 0;
+};
+
+using classification = std::variant<classified_call, support::refusal>;
+
+/// Safe from any thread.
+class entry
+{
+public:
+    using gate_lookup = std::function<std::shared_ptr<link::gate_port>(
+        const routing::choice& target)>;
+
+    entry(const routing::router& router,
+          const support::rcu_cell<config::configuration>& in_force,
+          telemetry::metrics& metrics,
+          gate_lookup find_gate);
+
+    /// Finds service, route, rank and deadline of a request. \p head holds
+    /// method, target and fields as received; \p host the Host field.
+    classification classify(support::call_head head,
+                            std::string_view host,
+                            support::time_point now) const;
+
+    support::call_id next_call_id();
+    std::shared_ptr<link::gate_port> gate(const routing::choice& target) const
+    {
+        return find_gate_(target);
+    }
+    const routing::router& router() const { return router_; }
+    telemetry::metrics& metrics() const { return metrics_; }
+
+private:
+    const routing::router& router_;
+    const support::rcu_cell<config::configuration>& in_force_;
+    telemetry::metrics& metrics_;
+    gate_lookup find_gate_;
+    std::atomic<std::uint64_t> last_call_id_{0};
+};
+
+} // namespace galenarudder::proxy
--- /dev/null
+++ b/include/galenarudder/proxy/upstream_client.hpp
@@ -0,0 +1,68 @@
+/// \file
+/// Sends attempts to the daemon's own upstream over warm keep-alive
+/// connections.
+#pragma once
+
+#include "galenarudder/config/settings.hpp"
+#include "galenarudder/link/exchange.hpp"
+#include "galenarudder/support/refusal.hpp"
+#include "galenarudder/support/time.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace galenarudder::proxy {
+
+/// How one attempt at the upstream ended.
+enum class upstream_result
+{
+    answered,
+    failed,
+    shed
+};
+
+/// One attempt that runs; abort closes its connection.
+class upstream_call
+{
+public:
+    virtual ~upstream_call() = default;
+    virtual void abort() = 0;
+};
+
+/// Runs on one executor that must serialize its work.
+class upstream_client
+{
+public:
+    upstream_client(boost::asio::any_io_executor executor,
+                    config::endpoint upstream);
+    ~upstream_client();
+    upstream_client(const upstream_client&) = delete;
+    upstream_client& operator=(const upstream_client&) = delete;
+
+    /// Bounds the connections kept open.
+    void set_max_connections(std::size_t count);
+
+    /// Called before deliver, to state the load with the answer.
+    using load_source = std::function<support::load_report()>;
+    /// Called once when the attempt has ended.
+    using finished =
+        std::function<void(upstream_result how, support::duration took)>;
+
+    /// Sends the attempt and delivers its answer or refusal.
+    std::shared_ptr<upstream_call> run(link::exchange_ptr attempt,
+                                       support::time_point deadline,
+                                       load_source load,
+                                       finished done);
+
+    /// Closes idle connections.
+    void close();
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace galenarudder::proxy
--- /dev/null
+++ b/include/galenarudder/routing/router.hpp
@@ -0,0 +1,89 @@
+/// \file
+/// Chooses an upstream for each attempt of a call. Changes of membership and
+/// configuration come from the control thread; picks and results come from
+/// any thread and take no lock to read.
+#pragma once
+
+#include "galenarudder/config/configuration.hpp"
+#include "galenarudder/membership/record.hpp"
+#include "galenarudder/routing/pick_strategy.hpp"
+#include "galenarudder/support/call.hpp"
+#include "galenarudder/support/random.hpp"
+#include "galenarudder/support/time.hpp"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace galenarudder::telemetry {
+class decision_log;
+} // namespace galenarudder::telemetry
+
+namespace galenarudder::routing {
+
+/// The upstream chosen for one attempt.
+struct choice
+{
+    support::member_id member;
+    config::endpoint link;
+    std::shared_ptr<upstream_state> state;
+};
+
+struct pick_request
+{
+    std::string_view service;
+    std::size_t rank = 0;
+    /// Members that this call has tried already.
+    std::span<const support::member_id> tried;
+};
+
+/// How an attempt ended, as far as routing cares.
+enum class attempt_result
+{
+    answered,
+    refused,
+    failed
+};
+
+class router
+{
+public:
+    explicit router(std::string own_domain);
+    ~router();
+    router(const router&) = delete;
+    router& operator=(const router&) = delete;
+
+    /// Control thread: a member's record changed.
+    void on_record(const membership::member_record& record,
+                   support::time_point now);
+    /// Control thread: another configuration is in force.
+    void on_configuration(const config::configuration& in_force);
+
+    /// Records ejections and reroutes; call it before any other thread.
+    void set_decision_log(telemetry::decision_log& log);
+
+    /// Chooses an upstream, or nothing when the service has none left.
+    std::optional<choice> pick(const pick_request& request,
+                               support::time_point now,
+                               support::random_engine& random) const;
+
+    /// An attempt was sent to \p chosen.
+    void on_sent(const choice& chosen) const;
+    /// An attempt ended after \p latency.
+    void on_ended(const choice& chosen,
+                  attempt_result how,
+                  support::duration latency,
+                  support::time_point now) const;
+    /// A gate's load report arrived.
+    void on_report(const choice& chosen,
+                   const support::load_report& report,
+                   support::time_point now) const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace galenarudder::routing
--- /dev/null
+++ b/include/galenarudder/store/consul_store.hpp
@@ -0,0 +1,49 @@
+/// \file
+/// The platform's service over HTTP, shaped after Consul's published KV API.
+#pragma once
+
+#include "galenarudder/config/settings.hpp"
+#include "galenarudder/store/platform_store.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+
+namespace galenarudder::store {
+
+class consul_store final : public platform_store
+{
+public:
+    /// Callbacks run on \p executor.
+    consul_store(boost::asio::any_io_executor executor, config::endpoint where);
+    ~consul_store() override;
+
+    void get(const std::string& key,
+             support::duration timeout,
+             callback<versioned_value> done) override;
+    void compare_and_swap(const std::string& key,
+                          std::string value,
+                          std::uint64_t expected_index,
+                          const std::string& lease,
+                          support::duration timeout,
+                          callback<swap_outcome> done) override;
+    void watch(const std::string& key,
+               std::uint64_t known_index,
+               support::duration wait,
+               callback<versioned_value> done) override;
+    void grant_lease(support::duration ttl,
+                     support::duration timeout,
+                     callback<std::string> done) override;
+    void renew_lease(const std::string& lease,
+                     support::duration timeout,
+                     callback<void> done) override;
+    void revoke_lease(const std::string& lease,
+                      support::duration timeout,
+                      callback<void> done) override;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace galenarudder::store
--- /dev/null
+++ b/lib/config/schema.cpp
@@ -0,0 +1,81 @@
+// Schema checks by valijson; the only source that includes it.
+#include "galenarudder/config/schema.hpp"
+
+#include <nlohmann/json.hpp>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include <algorithm>
+
+namespace galenarudder::config {
+
+using support::error;
+using support::error_kind;
+
+namespace {
+
+std::string line_of(std::string_view text, std::size_t byte)
+{
+    const std::size_t end = std::min(byte, text.size());
+    const auto newlines = std::count(text.begin(), text.begin() + end, '\n');
+    return std::to_string(newlines + 1);
+}
+
+/// Joins valijson's context ("<root>", "[keys]", "[0]") to a JSON pointer.
+std::string pointer_of(const std::vector<std::string>& context)
+{
+    std::string pointer;
+    for (const std::string& part : context) {
+        if (part.size() < 2 || part.front() != '[')
+            continue;
+        pointer += "/" + part.substr(1, part.size() - 2);
+    }
+    return pointer.empty() ? "/" : pointer;
+}
+
+error first_finding(valijson::ValidationResults& results, std::string_view file)
+{
+    valijson::ValidationResults::Error deepest;
+    valijson::ValidationResults::Error finding;
+    while (results.popError(finding)) {
+        if (finding.context.size() >= deepest.context.size())
+            deepest = finding;
+    }
+    return {error_kind::invalid_document,
+            std::string(file) + ": " + pointer_of(deepest.context) + ": " +
+                deepest.description,
+            "correct the value at this path; unknown fields are rejected"};
+}
+
+} // namespace
+
+support::result<nlohmann::json> parse_and_check(std::string_view text,
+                                                std::string_view file,
+                                                const char* schema)
+{
+    nlohmann::json document;
+    try {
+        document = nlohmann::json::parse(text);
+    } catch (const nlohmann::json::parse_error& failure) {
+        return error{error_kind::invalid_document,
+                     std::string(file) + ": line " +
+                         line_of(text, failure.byte) + ": is not JSON",
+                     "correct the syntax at this line"};
+    }
+    const nlohmann::json schema_document = nlohmann::json::parse(schema);
+    valijson::Schema rules;
+    valijson::SchemaParser parser;
+    parser.populateSchema(
+        valijson::adapters::NlohmannJsonAdapter(schema_document), rules);
+    valijson::Validator validator;
+    valijson::ValidationResults results;
+    const valijson::adapters::NlohmannJsonAdapter adapted(document);
+    if (!validator.validate(rules, adapted, &results))
+        return first_finding(results, file);
+    return document;
+}
+
+} // namespace galenarudder::config
--- /dev/null
+++ b/lib/config/settings.cpp
@@ -0,0 +1,161 @@
+// Reads and checks the settings of one daemon.
+#include "galenarudder/config/settings.hpp"
+
+#include "galenarudder/config/schema.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace galenarudder::config {
+
+using support::error;
+using support::error_kind;
+
+namespace {
+
+constexpr const char* settings_schema = R"({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["member", "domain", "callers", "announcements", "link",
+               "gossip", "operators", "store", "keys"],
+  "properties": {
+    "member": {"type": "string", "minLength": 1, "maxLength": 64},
+    "domain": {"type": "string", "minLength": 1, "maxLength": 64},
+    "callers": {"type": "string"},
+    "announcements": {"type": "string"},
+    "link": {"type": "string"},
+    "gossip": {"type": "string"},
+    "operators": {"type": "string"},
+    "store": {"type": "string"},
+    "introducers": {"type": "array", "items": {"type": "string"}},
+    "threads": {"type": "integer", "minimum": 1, "maximum": 64},
+    "keys": {"type": "array", "minItems": 1, "items": {
+      "type": "object", "additionalProperties": false,
+      "required": ["id", "secret"],
+      "properties": {
+        "id": {"type": "string", "minLength": 1, "maxLength": 32},
+        "secret": {"type": "string", "minLength": 16}}}}
+  }
+})";
+
+support::result<void> read_endpoint(const nlohmann::json& document,
+                                    const char* field,
+                                    endpoint& into,
+                                    std::string_view file)
+{
+    support::result<endpoint> parsed =
+        parse_endpoint(document.at(field).get_ref<const std::string&>());
+    if (!parsed) {
+        error failure = std::move(parsed).error();
+        failure.message =
+            std::string(file) + ": /" + field + ": " + failure.message;
+        return failure;
+    }
+    into = std::move(parsed).value();
+    return boost::outcome_v2::success();
+}
+
+struct endpoint_field
+{
+    const char* name;
+    endpoint daemon_settings::*member;
+};
+
+constexpr endpoint_field endpoint_fields[] = {
+    {"callers", &daemon_settings::callers},
+    {"announcements", &daemon_settings::announcements},
+    {"link", &daemon_settings::link},
+    {"gossip", &daemon_settings::gossip},
+    {"operators", &daemon_settings::operators},
+    {"store", &daemon_settings::store},
+};
+
+} // namespace
+
+std::string to_string(const endpoint& where)
+{
+    const bool ipv6 = where.address.find(':') != std::string::npos;
+    const std::string host = ipv6 ? "[" + where.address + "]" : where.address;
+    return host + ":" + std::to_string(where.port);
+}
+
+support::result<endpoint> parse_endpoint(std::string_view text)
+{
+    const error malformed{error_kind::invalid_document,
+                          "\"" + std::string(text) +
+                              "\" is not an IP address with a port",
+                          "write it as 127.0.0.1:7100 or [::1]:7100"};
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return malformed;
+    std::string_view host = text.substr(0, colon);
+    const std::string_view port_text = text.substr(colon + 1);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    boost::system::error_code failure;
+    boost::asio::ip::make_address(std::string(host), failure);
+    if (failure)
+        return malformed;
+    std::uint16_t port = 0;
+    const auto [end, status] = std::from_chars(
+        port_text.data(), port_text.data() + port_text.size(), port);
+    if (status != std::errc() || end != port_text.data() + port_text.size())
+        return malformed;
+    return endpoint{std::string(host), port};
+}
+
+support::result<daemon_settings> parse_settings(std::string_view text,
+                                                std::string_view file)
+{
+    support::result<nlohmann::json> parsed =
+        parse_and_check(text, file, settings_schema);
+    if (!parsed)
+        return std::move(parsed).error();
+    const nlohmann::json& document = parsed.value();
+    daemon_settings settings;
+    settings.member = document.at("member").get<std::string>();
+    settings.domain = document.at("domain").get<std::string>();
+    settings.threads = document.value("threads", settings.threads);
+    for (const endpoint_field& field : endpoint_fields) {
+        auto read =
+            read_endpoint(document, field.name, settings.*field.member, file);
+        if (!read)
+            return std::move(read).error();
+    }
+    for (const auto& text_form :
+         document.value("introducers", nlohmann::json::array())) {
+        auto where = parse_endpoint(text_form.get<std::string>());
+        if (!where)
+            return std::move(where).error();
+        settings.introducers.push_back(std::move(where).value());
+    }
+    for (const auto& key : document.at("keys"))
+        settings.keys.push_back({key.at("id"), key.at("secret")});
+    return settings;
+}
+
+support::result<std::string> read_file(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return error{error_kind::not_found, path + ": cannot be opened",
+                     "check the path and its permissions"};
+    }
+    std::ostringstream whole;
+    whole << file.rdbuf();
+    return whole.str();
+}
+
+support::result<daemon_settings> load_settings(const std::string& path)
+{
+    support::result<std::string> text = read_file(path);
+    if (!text)
+        return std::move(text).error();
+    return parse_settings(text.value(), path);
+}
+
+} // namespace galenarudder::config
--- /dev/null
+++ b/lib/daemon/node.cpp
@@ -0,0 +1,147 @@
+// Passes events to the parts and turns their actions into the daemon's.
+#include "galenarudder/daemon/node.hpp"
+
+namespace galenarudder::daemon {
+
+namespace {
+
+membership::member_record own_record(const config::daemon_settings& settings,
+                                     std::uint64_t incarnation)
+{
+    membership::member_record self;
+    self.id = settings.member;
+    self.incarnation = incarnation;
+    self.state = membership::member_state::alive;
+    self.gossip = settings.gossip;
+    self.link = settings.link;
+    self.domain = settings.domain;
+    return self;
+}
+
+void append(std::vector<node_action>& to, std::vector<node_action> more)
+{
+    for (node_action& action : more)
+        to.push_back(std::move(action));
+}
+
+} // namespace
+
+node::node(const config::daemon_settings& settings,
+           std::uint64_t incarnation,
+           std::uint64_t seed)
+    : domain_(settings.domain), router_(settings.domain),
+      configuration_(std::make_unique<config::configuration>(
+          config::default_configuration())),
+      member_(own_record(settings, incarnation),
+              settings.introducers,
+              settings.keys,
+              seed),
+      rollout_(settings.member, seed)
+{
+    router_.set_decision_log(decisions_);
+}
+
+std::vector<node_action> node::take(std::vector<membership::action> actions,
+                                    support::time_point now)
+{
+    std::vector<node_action> taken;
+    for (membership::action& action : actions) {
+        if (auto* datagram = std::get_if<membership::send_datagram>(&action)) {
+            taken.emplace_back(std::move(*datagram));
+            continue;
+        }
+        router_.on_record(std::get<membership::record_changed>(action).record,
+                          now);
+    }
+    return taken;
+}
+
+std::vector<node_action> node::take(std::vector<rollout::action> actions,
+                                    support::time_point now)
+{
+    std::vector<node_action> taken;
+    for (rollout::action& action : actions) {
+        const auto* adopted = std::get_if<rollout::adopt>(&action);
+        if (adopted == nullptr) {
+            taken.emplace_back(std::get<rollout::read_store>(action));
+            continue;
+        }
+        auto effective = config::effective_for(adopted->whole, domain_);
+        if (!effective)
+            continue;
+        router_.on_configuration(effective.value());
+        configuration_.replace(std::make_unique<config::configuration>(
+            std::move(effective).value()));
+        taken.emplace_back(configure_gate{});
+        membership::member_record self = member_.self();
+        self.configuration_version = adopted->whole.version;
+        append(taken, change_self(self, now));
+    }
+    return taken;
+}
+
+std::vector<node_action>
+node::change_self(const membership::member_record& self,
+                  support::time_point now)
+{
+    return take(member_.update_self(self, now), now);
+}
+
+std::vector<node_action> node::on_tick(support::time_point now)
+{
+    std::vector<node_action> actions = take(member_.on_tick(now), now);
+    append(actions, take(rollout_.on_tick(now), now));
+    return actions;
+}
+
+std::vector<node_action> node::on_datagram(const config::endpoint& from,
+                                           std::string_view payload,
+                                           support::time_point now)
+{
+    return take(member_.on_datagram(from, payload, now), now);
+}
+
+std::vector<node_action> node::on_document(std::string_view text,
+                                           support::time_point now)
+{
+    return take(rollout_.on_document(text, now), now);
+}
+
+std::vector<node_action> node::on_store_unavailable(support::time_point now)
+{
+    return take(rollout_.on_store_unavailable(now), now);
+}
+
+std::vector<node_action> node::on_announcement(const std::string& service,
+                                               std::uint32_t slots,
+                                               support::time_point now)
+{
+    membership::member_record self = member_.self();
+    const bool known = self.service == service && self.slots == slots;
+    if (known)
+        return {};
+    self.service = service;
+    self.slots = slots;
+    return change_self(self, now);
+}
+
+std::vector<node_action> node::on_upstream_gone(support::time_point now)
+{
+    membership::member_record self = member_.self();
+    if (self.service.empty())
+        return {};
+    self.service.clear();
+    self.slots = 0;
+    return change_self(self, now);
+}
+
+std::vector<node_action> node::on_drain(support::time_point now)
+{
+    membership::member_record self = member_.self();
+    if (self.state == membership::member_state::draining)
+        return {};
+    self.state = membership::member_state::draining;
+    return change_self(self, now);
+}
+
+} // namespace galenarudder::daemon
--- /dev/null
+++ b/lib/daemon/runtime.cpp
@@ -0,0 +1,366 @@
+// Wires the parts together. Control events run on one strand; calls run on
+// all threads.
+#include "galenarudder/daemon/runtime.hpp"
+
+#include "galenarudder/daemon/announcement_port.hpp"
+#include "galenarudder/daemon/node.hpp"
+#include "galenarudder/daemon/operator_port.hpp"
+#include "galenarudder/link/hub.hpp"
+#include "galenarudder/proxy/caller_server.hpp"
+#include "galenarudder/proxy/entry.hpp"
+#include "galenarudder/proxy/gate_runtime.hpp"
+#include "galenarudder/store/consul_store.hpp"
+#include "galenarudder/telemetry/log.hpp"
+#include "galenarudder/telemetry/metrics.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
+#include <csignal>
+#include <random>
+#include <thread>
+
+namespace galenarudder::daemon {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using support::monotonic_clock;
+
+namespace {
+
+constexpr auto awaiting = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t max_datagram_bytes = 64 * 1024;
+constexpr support::milliseconds store_timeout{1000};
+/// Time for the drain notice to spread before the daemon leaves.
+constexpr auto leave_delay = std::chrono::milliseconds(500);
+
+std::uint64_t wall_clock_ms()
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+}
+
+} // namespace
+
+class runtime::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    explicit impl(config::daemon_settings settings);
+
+    support::result<void> start();
+    void run();
+
+private:
+    support::result<void> open_gossip();
+    asio::awaitable<void> receive_datagrams();
+    void tick();
+    void perform(const std::vector<node_action>& actions);
+    void execute(const membership::send_datagram& datagram);
+    void execute(const rollout::read_store&);
+    void execute(const configure_gate&);
+    void drain(std::string_view asked_by);
+    void leave();
+    void part_drained();
+    std::shared_ptr<link::gate_port> gate_of(const routing::choice& target);
+    link::hub_handlers hub_handlers();
+    announcement_handlers announcement_events();
+    operator_handlers operator_events();
+    template <typename Work>
+    void on_control(Work work)
+    {
+        asio::dispatch(control_,
+                       [self = shared_from_this(),
+                        work = std::move(work)]() mutable { work(*self); });
+    }
+
+    config::daemon_settings settings_;
+    asio::io_context io_;
+    asio::strand<asio::io_context::executor_type> control_;
+    node node_;
+    telemetry::metrics metrics_;
+    std::shared_ptr<proxy::gate_runtime> gate_;
+    proxy::entry entry_;
+    std::unique_ptr<link::hub> hub_;
+    proxy::caller_server callers_;
+    std::unique_ptr<announcement_port> announcements_;
+    std::unique_ptr<operator_port> operators_;
+    store::consul_store store_;
+    udp::socket gossip_;
+    asio::steady_timer timer_;
+    asio::signal_set signals_;
+    bool draining_ = false;
+    unsigned parts_to_drain_ = 0;
+};
+
+runtime::impl::impl(config::daemon_settings settings)
+    : settings_(std::move(settings)), control_(asio::make_strand(io_)),
+      node_(settings_, wall_clock_ms(), std::random_device{}()),
+      gate_(std::make_shared<proxy::gate_runtime>(
+          io_, *node_.configuration().read())),
+      entry_(node_.router(),
+             node_.configuration(),
+             metrics_,
+             [this](const routing::choice& target) { return gate_of(target); }),
+      callers_(io_, entry_), store_(control_, settings_.store),
+      gossip_(control_), timer_(control_), signals_(control_, SIGTERM, SIGINT)
+{
+}
+
+std::shared_ptr<link::gate_port>
+runtime::impl::gate_of(const routing::choice& target)
+{
+    if (target.member == settings_.member)
+        return gate_;
+    return hub_->gate_of(target.member, target.link);
+}
+
+link::hub_handlers runtime::impl::hub_handlers()
+{
+    link::hub_handlers handlers;
+    handlers.call_arrived = [gate = gate_](link::connection_id from,
+                                           link::exchange_ptr attempt) {
+        gate->submit_from(from, std::move(attempt));
+    };
+    handlers.call_canceled = [gate = gate_](link::connection_id from,
+                                            support::call_id id) {
+        gate->cancel_from(from, id);
+    };
+    handlers.link_closed = [gate = gate_](link::connection_id from) {
+        gate->link_closed(from);
+    };
+    handlers.gate_draining = [](const support::member_id&) {};
+    return handlers;
+}
+
+announcement_handlers runtime::impl::announcement_events()
+{
+    announcement_handlers handlers;
+    handlers.announced = [weak = weak_from_this()](const announcement& what) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->on_control([what](impl& own) {
+            own.gate_->set_upstream(what.address, what.slots, what.connections);
+            own.perform(own.node_.on_announcement(what.service, what.slots,
+                                                  monotonic_clock::now()));
+        });
+    };
+    handlers.gone = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->on_control([](impl& own) {
+            telemetry::log_change("upstream gone");
+            own.gate_->upstream_gone();
+            own.perform(own.node_.on_upstream_gone(monotonic_clock::now()));
+        });
+    };
+    handlers.drain = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self)
+            self->on_control([](impl& own) { own.drain("upstream"); });
+    };
+    return handlers;
+}
+
+operator_handlers runtime::impl::operator_events()
+{
+    operator_handlers handlers;
+    handlers.executor = control_;
+    handlers.metrics = [this] { return metrics_.render(); };
+    handlers.node = &node_;
+    handlers.settings = &settings_;
+    handlers.drain = [this] { drain("operator"); };
+    handlers.document = [this](const std::string& text) {
+        perform(node_.on_document(text, monotonic_clock::now()));
+    };
+    return handlers;
+}
+
+support::result<void> runtime::impl::start()
+{
+    hub_ = std::make_unique<link::hub>(io_, settings_.member, hub_handlers());
+    announcements_ =
+        std::make_unique<announcement_port>(io_, announcement_events());
+    operators_ = std::make_unique<operator_port>(io_, operator_events());
+    BOOST_OUTCOME_TRYV(hub_->listen(settings_.link));
+    BOOST_OUTCOME_TRYV(open_gossip());
+    BOOST_OUTCOME_TRYV(announcements_->listen(settings_.announcements));
+    BOOST_OUTCOME_TRYV(operators_->listen(settings_.operators));
+    BOOST_OUTCOME_TRYV(callers_.listen(settings_.callers));
+    asio::co_spawn(
+        control_,
+        [self = shared_from_this()]() -> asio::awaitable<void> {
+            co_await self->receive_datagrams();
+        },
+        asio::detached);
+    signals_.async_wait(
+        [weak = weak_from_this()](boost::system::error_code canceled, int) {
+            const auto self = weak.lock();
+            if (self && !canceled)
+                self->drain("signal");
+        });
+    on_control([](impl& self) { self.tick(); });
+    return boost::outcome_v2::success();
+}
+
+support::result<void> runtime::impl::open_gossip()
+{
+    boost::system::error_code failed;
+    const udp::endpoint local(asio::ip::make_address(settings_.gossip.address),
+                              settings_.gossip.port);
+    gossip_.open(local.protocol(), failed);
+    if (!failed)
+        gossip_.bind(local, failed);
+    if (!failed)
+        return boost::outcome_v2::success();
+    return support::error{support::error_kind::connection_failed,
+                          "cannot bind " + to_string(settings_.gossip) + ": " +
+                              failed.message(),
+                          "free the port or change gossip in the settings"};
+}
+
+asio::awaitable<void> runtime::impl::receive_datagrams()
+{
+    std::string buffer(max_datagram_bytes, '\0');
+    for (;;) {
+        udp::endpoint from;
+        const auto [failed, size] = co_await gossip_.async_receive_from(
+            asio::buffer(buffer), from, awaiting);
+        if (failed == asio::error::operation_aborted)
+            co_return;
+        if (failed)
+            continue;
+        const config::endpoint sender{from.address().to_string(), from.port()};
+        perform(node_.on_datagram(sender,
+                                  std::string_view(buffer).substr(0, size),
+                                  monotonic_clock::now()));
+    }
+}
+
+void runtime::impl::tick()
+{
+    perform(node_.on_tick(monotonic_clock::now()));
+    timer_.expires_after(membership::member::tick_interval);
+    timer_.async_wait(
+        [weak = weak_from_this()](boost::system::error_code canceled) {
+            const auto self = weak.lock();
+            if (self && !canceled)
+                self->tick();
+        });
+}
+
+void runtime::impl::perform(const std::vector<node_action>& actions)
+{
+    for (const node_action& action : actions)
+        std::visit([this](const auto& what) { execute(what); }, action);
+}
+
+void runtime::impl::execute(const membership::send_datagram& datagram)
+{
+    const udp::endpoint to(asio::ip::make_address(datagram.to.address),
+                           datagram.to.port);
+    boost::system::error_code ignored;
+    gossip_.send_to(asio::buffer(datagram.payload), to, 0, ignored);
+}
+
+void runtime::impl::execute(const rollout::read_store&)
+{
+    store_.get(store::configuration_key, store_timeout,
+               [weak = weak_from_this()](
+                   support::result<store::versioned_value> found) {
+                   const auto self = weak.lock();
+                   if (!self)
+                       return;
+                   const support::time_point now = monotonic_clock::now();
+                   const bool present = found && found.value().index != 0;
+                   self->perform(
+                       present
+                           ? self->node_.on_document(found.value().value, now)
+                           : self->node_.on_store_unavailable(now));
+               });
+}
+
+void runtime::impl::execute(const configure_gate&)
+{
+    const auto in_force = node_.configuration().read();
+    telemetry::log_change("configuration version=" +
+                          std::to_string(in_force->version));
+    gate_->configure(*in_force);
+}
+
+void runtime::impl::drain(std::string_view asked_by)
+{
+    if (draining_)
+        return;
+    draining_ = true;
+    telemetry::log_change("draining asked_by=" + std::string(asked_by));
+    perform(node_.on_drain(monotonic_clock::now()));
+    hub_->announce_drain();
+    const bool leaves = asked_by == "signal";
+    parts_to_drain_ = 2;
+    const auto drained = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self)
+            self->on_control([](impl& own) { own.part_drained(); });
+    };
+    gate_->drain(drained);
+    if (leaves)
+        callers_.drain(drained);
+}
+
+void runtime::impl::part_drained()
+{
+    --parts_to_drain_;
+    if (parts_to_drain_ == 0)
+        leave();
+}
+
+void runtime::impl::leave()
+{
+    telemetry::log_change("left");
+    timer_.expires_after(leave_delay);
+    timer_.async_wait([self = shared_from_this()](boost::system::error_code) {
+        self->hub_->stop();
+        self->io_.stop();
+    });
+}
+
+void runtime::impl::run()
+{
+    std::vector<std::thread> others;
+    for (unsigned count = 1; count < settings_.threads; ++count)
+        others.emplace_back([this] { io_.run(); });
+    io_.run();
+    for (std::thread& other : others)
+        other.join();
+}
+
+runtime::runtime(config::daemon_settings settings)
+    : impl_(std::make_shared<impl>(std::move(settings)))
+{
+}
+
+runtime::~runtime() = default;
+
+support::result<void> runtime::start()
+{
+    return impl_->start();
+}
+
+void runtime::run()
+{
+    impl_->run();
+}
+
+} // namespace galenarudder::daemon
--- /dev/null
+++ b/lib/http/service.cpp
@@ -0,0 +1,209 @@
+// Small server over Beast: whole bodies, keep-alive, one coroutine for each
+// connection.
+#include "galenarudder/http/service.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace galenarudder::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto idle_timeout = std::chrono::seconds(120);
+
+std::string percent_decode(std::string_view text)
+{
+    std::string plain;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        if (text[at] != '%' || at + 2 >= text.size()) {
+            plain += text[at] == '+' ? ' ' : text[at];
+            continue;
+        }
+        const std::string digits(text.substr(at + 1, 2));
+        plain += static_cast<char>(std::strtol(digits.c_str(), nullptr, 16));
+        at += 2;
+    }
+    return plain;
+}
+
+std::vector<field> parse_query(std::string_view query)
+{
+    std::vector<field> parameters;
+    while (!query.empty()) {
+        const std::size_t end = std::min(query.find('&'), query.size());
+        const std::string_view one = query.substr(0, end);
+        const std::size_t equals = std::min(one.find('='), one.size());
+        const std::string_view value =
+            equals < one.size() ? one.substr(equals + 1) : std::string_view();
+        parameters.push_back(
+            {percent_decode(one.substr(0, equals)), percent_decode(value)});
+        query.remove_prefix(std::min(end + 1, query.size()));
+    }
+    return parameters;
+}
+
+request convert(beast::http::request<beast::http::string_body>& received)
+{
+    request converted;
+    converted.method = std::string(received.method_string());
+    const std::string_view target(received.target().data(),
+                                  received.target().size());
+    const std::size_t mark = std::min(target.find('?'), target.size());
+    converted.path = percent_decode(target.substr(0, mark));
+    if (mark < target.size())
+        converted.query = parse_query(target.substr(mark + 1));
+    for (const auto& sent : received) {
+        converted.fields.push_back(
+            {std::string(sent.name_string()), std::string(sent.value())});
+    }
+    converted.body = std::move(received.body());
+    return converted;
+}
+
+beast::http::response<beast::http::string_body> convert(const response& answer,
+                                                        bool keep_alive)
+{
+    beast::http::response<beast::http::string_body> converted;
+    converted.version(11);
+    converted.result(answer.status);
+    converted.set(beast::http::field::content_type, answer.content_type);
+    for (const field& sent : answer.fields)
+        converted.set(sent.name, sent.value);
+    converted.keep_alive(keep_alive);
+    converted.body() = answer.body;
+    converted.prepare_payload();
+    return converted;
+}
+
+asio::awaitable<void> serve(tcp::socket socket,
+                            std::shared_ptr<const handler> handle,
+                            std::uint64_t max_body_bytes)
+{
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    constexpr auto awaiting = asio::as_tuple(asio::use_awaitable);
+    for (;;) {
+        beast::http::request_parser<beast::http::string_body> parser;
+        parser.body_limit(max_body_bytes);
+        stream.expires_after(idle_timeout);
+        const auto [failure, size] =
+            co_await beast::http::async_read(stream, buffer, parser, awaiting);
+        if (failure)
+            co_return;
+        stream.expires_never();
+        const bool keep_alive = parser.get().keep_alive();
+        const response answer = co_await (*handle)(convert(parser.get()));
+        if (answer.withheld)
+            co_return;
+        auto converted = convert(answer, keep_alive);
+        const auto [write_failure, written] =
+            co_await beast::http::async_write(stream, converted, awaiting);
+        if (write_failure || !keep_alive)
+            co_return;
+    }
+}
+
+} // namespace
+
+const std::string* request::parameter(std::string_view name) const
+{
+    for (const field& sent : query) {
+        if (sent.name == name)
+            return &sent.value;
+    }
+    return nullptr;
+}
+
+struct service::state
+{
+    state(asio::io_context& context,
+          handler handle_request,
+          std::uint64_t body_limit)
+        : io(context), acceptor(context), max_body_bytes(body_limit),
+          handle(std::make_shared<const handler>(std::move(handle_request)))
+    {
+    }
+
+    asio::awaitable<void> accept_all();
+
+    asio::io_context& io;
+    tcp::acceptor acceptor;
+    std::uint64_t max_body_bytes;
+    std::shared_ptr<const handler> handle;
+};
+
+asio::awaitable<void> service::state::accept_all()
+{
+    for (;;) {
+        auto strand = asio::make_strand(io);
+        auto [failure, socket] = co_await acceptor.async_accept(
+            strand, asio::as_tuple(asio::use_awaitable));
+        if (failure == asio::error::operation_aborted)
+            co_return;
+        if (failure)
+            continue;
+        asio::co_spawn(strand, serve(std::move(socket), handle, max_body_bytes),
+                       asio::detached);
+    }
+}
+
+service::service(asio::io_context& io,
+                 handler handle,
+                 std::uint64_t max_body_bytes)
+    : state_(std::make_shared<state>(io, std::move(handle), max_body_bytes))
+{
+}
+
+service::~service()
+{
+    stop();
+}
+
+support::result<void> service::listen(const config::endpoint& where)
+{
+    boost::system::error_code failure;
+    const tcp::endpoint local(asio::ip::make_address(where.address),
+                              where.port);
+    state_->acceptor.open(local.protocol(), failure);
+    if (!failure)
+        state_->acceptor.set_option(tcp::acceptor::reuse_address(true),
+                                    failure);
+    if (!failure)
+        state_->acceptor.bind(local, failure);
+    if (!failure)
+        state_->acceptor.listen(tcp::acceptor::max_listen_connections, failure);
+    if (failure) {
+        return support::error{support::error_kind::connection_failed,
+                              "cannot listen on " + to_string(where) + ": " +
+                                  failure.message(),
+                              "free the port or change it in the settings"};
+    }
+    asio::co_spawn(
+        state_->io,
+        [kept = state_]() -> asio::awaitable<void> {
+            co_await kept->accept_all();
+        },
+        asio::detached);
+    return boost::outcome_v2::success();
+}
+
+void service::stop()
+{
+    asio::post(state_->io, [kept = state_] {
+        boost::system::error_code ignored;
+        kept->acceptor.close(ignored);
+    });
+}
+
+} // namespace galenarudder::http
--- /dev/null
+++ b/lib/link/body_pipe.cpp
@@ -0,0 +1,56 @@
+// The pipe is a bounded channel; cutting it closes the channel.
+#include "galenarudder/link/body_pipe.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace galenarudder::link {
+
+namespace asio = boost::asio;
+
+body_chunk make_chunk(std::string data, bool last)
+{
+    return {std::move(data), last};
+}
+
+body_pipe::body_pipe(asio::any_io_executor executor,
+                     std::size_t capacity_chunks)
+    : channel_(executor, capacity_chunks)
+{
+}
+
+asio::awaitable<bool> body_pipe::write(body_chunk chunk)
+{
+    const auto [failure] = co_await channel_.async_send(
+        boost::system::error_code(), std::move(chunk),
+        asio::as_tuple(asio::use_awaitable));
+    co_return !failure;
+}
+
+bool body_pipe::try_write(body_chunk chunk)
+{
+    return channel_.try_send(boost::system::error_code(), std::move(chunk));
+}
+
+asio::awaitable<std::optional<body_chunk>> body_pipe::read()
+{
+    auto [failure, chunk] =
+        co_await channel_.async_receive(asio::as_tuple(asio::use_awaitable));
+    if (failure)
+        co_return std::nullopt;
+    if (consumed_)
+        consumed_(chunk.data.size());
+    co_return std::move(chunk);
+}
+
+void body_pipe::cut()
+{
+    channel_.close();
+}
+
+void body_pipe::on_consumed(std::function<void(std::size_t)> notify)
+{
+    consumed_ = std::move(notify);
+}
+
+} // namespace galenarudder::link
--- /dev/null
+++ b/lib/link/websocket_endpoint.cpp
@@ -0,0 +1,223 @@
+// The only source that includes websocketpp; compiled as C++17.
+#include "galenarudder/link/websocket_endpoint.hpp"
+
+#if defined(__GNUC__)
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wpedantic"
+#pragma GCC diagnostic ignored "-Wextra"
+#endif
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+#if defined(__GNUC__)
+#pragma GCC diagnostic pop
+#endif
+
+#include <atomic>
+#include <map>
+#include <thread>
+#include <utility>
+
+namespace galenarudder::link {
+
+namespace {
+
+using server = websocketpp::server<websocketpp::config::asio>;
+using client = websocketpp::client<websocketpp::config::asio_client>;
+using websocketpp::connection_hdl;
+
+constexpr std::size_t max_message_bytes = 1 << 20;
+
+template <typename Endpoint>
+void configure(Endpoint& endpoint, boost::asio::io_context& io)
+{
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.init_asio(&io);
+    endpoint.set_max_message_size(max_message_bytes);
+    endpoint.set_tcp_post_init_handler([&endpoint](connection_hdl handle) {
+        websocketpp::lib::error_code failure;
+        auto connection = endpoint.get_con_from_hdl(handle, failure);
+        if (failure)
+            return;
+        boost::system::error_code ignored;
+        connection->get_raw_socket().set_option(
+            boost::asio::ip::tcp::no_delay(true), ignored);
+    });
+}
+
+} // namespace
+
+struct websocket_endpoint::state
+{
+    websocket_handlers handlers;
+    boost::asio::io_context io{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        work{io.get_executor()};
+    server acceptor;
+    client connector;
+    std::atomic<connection_id> next{1};
+    // Touched on the endpoint's thread only.
+    std::map<connection_id, std::pair<connection_hdl, bool>> connections;
+    std::thread thread;
+
+    template <typename Endpoint>
+    void install_handlers(Endpoint& endpoint,
+                          connection_id id,
+                          bool inbound,
+                          typename Endpoint::connection_ptr connection);
+    void open_outbound(connection_id id, const std::string& uri);
+    void send_now(connection_id id, const std::string& payload);
+    void close_now(connection_id id);
+    void close_all();
+    void forget(connection_id id);
+};
+
+void websocket_endpoint::state::forget(connection_id id)
+{
+    if (connections.erase(id) != 0)
+        handlers.closed(id);
+}
+
+template <typename Endpoint>
+void websocket_endpoint::state::install_handlers(
+    Endpoint&,
+    connection_id id,
+    bool inbound,
+    typename Endpoint::connection_ptr connection)
+{
+    connections[id] = {connection->get_handle(), inbound};
+    connection->set_open_handler(
+        [this, id, inbound](connection_hdl) { handlers.opened(id, inbound); });
+    connection->set_close_handler([this, id](connection_hdl) { forget(id); });
+    connection->set_fail_handler([this, id](connection_hdl) { forget(id); });
+    connection->set_message_handler(
+        [this, id](connection_hdl, typename Endpoint::message_ptr message) {
+            handlers.received(id, std::move(message->get_raw_payload()));
+        });
+}
+
+void websocket_endpoint::state::open_outbound(connection_id id,
+                                              const std::string& uri)
+{
+    websocketpp::lib::error_code failure;
+    client::connection_ptr connection = connector.get_connection(uri, failure);
+    if (failure) {
+        handlers.closed(id);
+        return;
+    }
+    install_handlers(connector, id, false, connection);
+    connector.connect(connection);
+}
+
+void websocket_endpoint::state::send_now(connection_id id,
+                                         const std::string& payload)
+{
+    const auto found = connections.find(id);
+    if (found == connections.end())
+        return;
+    const auto& [handle, inbound] = found->second;
+    constexpr auto binary = websocketpp::frame::opcode::binary;
+    websocketpp::lib::error_code failure;
+    if (inbound)
+        acceptor.send(handle, payload, binary, failure);
+    else
+        connector.send(handle, payload, binary, failure);
+    // A failed send is followed by the connection's close handler.
+}
+
+void websocket_endpoint::state::close_now(connection_id id)
+{
+    const auto found = connections.find(id);
+    if (found == connections.end())
+        return;
+    const auto& [handle, inbound] = found->second;
+    constexpr auto normal = websocketpp::close::status::normal;
+    websocketpp::lib::error_code failure;
+    if (inbound)
+        acceptor.close(handle, normal, "", failure);
+    else
+        connector.close(handle, normal, "", failure);
+}
+
+void websocket_endpoint::state::close_all()
+{
+    websocketpp::lib::error_code failure;
+    if (acceptor.is_listening())
+        acceptor.stop_listening(failure);
+    const auto open = connections;
+    for (const auto& [id, connection] : open)
+        close_now(id);
+}
+
+websocket_endpoint::websocket_endpoint(websocket_handlers handlers)
+    : state_(std::make_unique<state>())
+{
+    state_->handlers = std::move(handlers);
+    configure(state_->acceptor, state_->io);
+    configure(state_->connector, state_->io);
+    state_->acceptor.set_reuse_addr(true);
+    state_->acceptor.set_validate_handler([this](connection_hdl handle) {
+        state& own = *state_;
+        auto connection = own.acceptor.get_con_from_hdl(handle);
+        own.install_handlers(own.acceptor, own.next++, true, connection);
+        return true;
+    });
+    state_->thread = std::thread([this] { state_->io.run(); });
+}
+
+websocket_endpoint::~websocket_endpoint()
+{
+    stop();
+}
+
+std::string websocket_endpoint::listen(const std::string& address,
+                                       std::uint16_t port)
+{
+    websocketpp::lib::error_code failure;
+    state_->acceptor.listen(address, std::to_string(port), failure);
+    if (failure)
+        return failure.message();
+    state_->acceptor.start_accept(failure);
+    return failure ? failure.message() : std::string();
+}
+
+connection_id websocket_endpoint::connect(const std::string& address,
+                                          std::uint16_t port)
+{
+    const connection_id id = state_->next++;
+    const bool ipv6 = address.find(':') != std::string::npos;
+    const std::string host = ipv6 ? "[" + address + "]" : address;
+    const std::string uri = "ws://" + host + ":" + std::to_string(port) + "/";
+    boost::asio::post(state_->io,
+                      [this, id, uri] { state_->open_outbound(id, uri); });
+    return id;
+}
+
+void websocket_endpoint::send(connection_id connection, std::string payload)
+{
+    boost::asio::post(state_->io,
+                      [this, connection, payload = std::move(payload)] {
+                          state_->send_now(connection, payload);
+                      });
+}
+
+void websocket_endpoint::close(connection_id connection)
+{
+    boost::asio::post(state_->io,
+                      [this, connection] { state_->close_now(connection); });
+}
+
+void websocket_endpoint::stop()
+{
+    if (!state_->thread.joinable())
+        return;
+    constexpr auto close_grace = std::chrono::milliseconds(200);
+    boost::asio::post(state_->io, [this] { state_->close_all(); });
+    boost::asio::steady_timer grace(state_->io, close_grace);
+    grace.async_wait([this](boost::system::error_code) { state_->io.stop(); });
+    state_->thread.join();
+}
+
+} // namespace galenarudder::link
--- /dev/null
+++ b/lib/proxy/entry.cpp
@@ -0,0 +1,160 @@
+// Classifies requests by the configuration in force.
+#include "galenarudder/proxy/entry.hpp"
+
+#include "galenarudder/proxy/http_fields.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace galenarudder::proxy {
+
+using support::call_head;
+using support::refusal;
+using support::refusal_kind;
+using support::run_outcome;
+
+namespace {
+
+refusal refused_before(refusal_kind kind, std::string detail)
+{
+    return {kind, run_outcome::not_run, true, support::milliseconds(0),
+            std::move(detail)};
+}
+
+/// The name before the first dot or colon of a Host field.
+std::string_view host_label(std::string_view host)
+{
+    return host.substr(0, host.find_first_of(".:"));
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string_view first_segment(std::string_view path)
+{
+    if (!path.starts_with('/'))
+        return {};
+    path.remove_prefix(1);
+    return path.substr(0, path.find('/'));
+}
+
+/// Finds the service by Host, or by the first path segment, which is then
+/// taken off the target.
+const config::service_policy*
+find_service(const config::configuration& in_force,
+             std::string_view host,
+             call_head& head)
+{
+    const config::service_policy* by_host =
+        in_force.find_service(host_label(host));
+    if (by_host != nullptr)
+        return by_host;
+    const std::string segment(first_segment(path_of(head.target)));
+    const config::service_policy* by_path = in_force.find_service(segment);
+    if (by_path == nullptr)
+        return nullptr;
+    head.target.erase(0, segment.size() + 1);
+    if (!head.target.starts_with('/'))
+        head.target.insert(0, "/");
+    return by_path;
+}
+
+std::optional<std::int64_t> read_number(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto [end, status] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (status != std::errc() || end != text.data() + text.size() || value < 0)
+        return std::nullopt;
+    return value;
+}
+
+/// A caller may lower the route's rank, not raise it.
+std::size_t lowered_rank(const config::configuration& in_force,
+                         std::size_t of_route,
+                         std::string_view asked)
+{
+    const auto wanted = in_force.rank_index(asked);
+    return wanted ? std::max(of_route, *wanted) : of_route;
+}
+
+void drop_own_fields(std::vector<support::header_field>& fields)
+{
+    std::erase_if(fields, [](const support::header_field& field) {
+        return is_hop_by_hop(field.name) ||
+               same_field(field.name, rank_field) ||
+               same_field(field.name, deadline_field) ||
+               same_field(field.name, depth_field);
+    });
+}
+
+} // namespace
+
+entry::entry(const routing::router& router,
+             const support::rcu_cell<config::configuration>& in_force,
+             telemetry::metrics& metrics,
+             gate_lookup find_gate)
+    : router_(router), in_force_(in_force), metrics_(metrics),
+      find_gate_(std::move(find_gate))
+{
+}
+
+support::call_id entry::next_call_id()
+{
+    return static_cast<support::call_id>(++last_call_id_);
+}
+
+classification entry::classify(call_head head,
+                               std::string_view host,
+                               support::time_point now) const
+{
+    const auto in_force = in_force_.read();
+    const config::service_policy* service = find_service(*in_force, host, head);
+    if (service == nullptr) {
+        return refused_before(refusal_kind::no_such_service,
+                              "no service of the configuration is named");
+    }
+    const config::route_policy* route =
+        config::find_route(*service, head.method, path_of(head.target));
+    if (route == nullptr) {
+        return refused_before(refusal_kind::no_such_service,
+                              "service " + service->name +
+                                  " has no route for " + head.method + " " +
+                                  head.target);
+    }
+    if (head.content_length && *head.content_length > route->body_limit_bytes) {
+        return refused_before(refusal_kind::body_too_large,
+                              "the route takes at most " +
+                                  std::to_string(route->body_limit_bytes) +
+                                  " bytes");
+    }
+    const auto depth =
+        read_number(find_field(head.fields, depth_field)).value_or(0);
+    if (depth >= support::max_call_depth) {
+        return refused_before(refusal_kind::too_deep,
+                              "the call is nested too deeply");
+    }
+    const std::size_t route_rank =
+        in_force->rank_index(route->rank).value_or(in_force->ranks.size() - 1);
+    const std::size_t rank = lowered_rank(*in_force, route_rank,
+                                          find_field(head.fields, rank_field));
+    const auto asked_ms = read_number(find_field(head.fields, deadline_field));
+    head.remaining = route->deadline;
+    if (asked_ms)
+        head.remaining =
+            std::min(head.remaining, support::milliseconds(*asked_ms));
+    head.service = service->name;
+    head.rank = in_force->ranks[rank].name;
+    head.repeatable = route->repeatable;
+    head.key = std::string(find_field(head.fields, key_field));
+    head.depth = static_cast<unsigned>(depth) + 1;
+    drop_own_fields(head.fields);
+    call_terms terms{service->name, rank, now + head.remaining, head.repeatable,
+                     true};
+    return classified_call{std::move(terms), std::move(head),
+                           route->body_limit_bytes};
+}
+
+} // namespace galenarudder::proxy
--- /dev/null
+++ b/lib/proxy/gate_runtime.cpp
@@ -0,0 +1,255 @@
+// Executes the gate's actions.
+#include "galenarudder/proxy/gate_runtime.hpp"
+
+#include "galenarudder/proxy/upstream_client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <map>
+
+namespace galenarudder::proxy {
+
+namespace asio = boost::asio;
+using admission::attempt_key;
+using support::monotonic_clock;
+
+namespace {
+
+constexpr auto tick_interval = std::chrono::milliseconds(5);
+/// Connections kept beyond the slots, so that one may be renewed.
+constexpr std::uint32_t spare_connections = 2;
+constexpr std::uint64_t own_entry_link = 0;
+
+} // namespace
+
+class gate_runtime::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(asio::io_context& io, const config::configuration& in_force)
+        : strand_(asio::make_strand(io)), timer_(strand_), gate_(in_force)
+    {
+    }
+
+    template <typename Work>
+    void on_strand(Work work)
+    {
+        asio::post(strand_,
+                   [self = shared_from_this(),
+                    work = std::move(work)]() mutable { work(*self); });
+    }
+
+    void tick();
+    void submit(std::uint64_t link, link::exchange_ptr attempt);
+    void perform(const std::vector<admission::action>& actions);
+    void set_upstream(const config::endpoint& where,
+                      std::uint32_t slots,
+                      std::uint32_t connections);
+    void drain(std::function<void()> drained);
+    void check_drained();
+
+    admission::gate& machine() { return gate_; }
+
+private:
+    struct open_attempt
+    {
+        link::exchange_ptr exchange;
+        support::time_point deadline;
+        std::shared_ptr<upstream_call> running;
+    };
+
+    void execute(const admission::start& begun);
+    void execute(const admission::refuse& ended);
+    void execute(const admission::abort_running& aborted);
+    void finished(const attempt_key& key,
+                  upstream_result how,
+                  support::duration took);
+
+    asio::strand<asio::io_context::executor_type> strand_;
+    asio::steady_timer timer_;
+    admission::gate gate_;
+    config::endpoint upstream_;
+    std::shared_ptr<upstream_client> client_;
+    std::map<attempt_key, open_attempt> attempts_;
+    std::function<void()> drained_;
+};
+
+void gate_runtime::impl::tick()
+{
+    perform(gate_.on_tick(monotonic_clock::now()));
+    timer_.expires_after(tick_interval);
+    timer_.async_wait([weak = weak_from_this()](boost::system::error_code) {
+        if (const auto self = weak.lock())
+            self->tick();
+    });
+}
+
+void gate_runtime::impl::submit(std::uint64_t link, link::exchange_ptr attempt)
+{
+    const support::time_point now = monotonic_clock::now();
+    const attempt_key key{link, attempt->head.id};
+    const support::time_point deadline = now + attempt->head.remaining;
+    admission::attempt arrived{key, attempt->head.rank, deadline,
+                               attempt->head.repeatable};
+    attempts_[key] = {std::move(attempt), deadline, nullptr};
+    perform(gate_.offer(arrived, now));
+}
+
+void gate_runtime::impl::perform(const std::vector<admission::action>& actions)
+{
+    for (const admission::action& next : actions)
+        std::visit([this](const auto& what) { execute(what); }, next);
+}
+
+void gate_runtime::impl::execute(const admission::start& begun)
+{
+    const attempt_key key = begun.key;
+    open_attempt& attempt = attempts_.at(key);
+    const std::weak_ptr<impl> weak = weak_from_this();
+    auto load = [weak]() -> support::load_report {
+        const auto self = weak.lock();
+        return self ? self->gate_.report(monotonic_clock::now())
+                    : support::load_report{};
+    };
+    auto done = [weak, key](upstream_result how, support::duration took) {
+        if (const auto self = weak.lock())
+            self->finished(key, how, took);
+    };
+    attempt.running = client_->run(attempt.exchange, attempt.deadline,
+                                   std::move(load), std::move(done));
+}
+
+void gate_runtime::impl::execute(const admission::refuse& ended)
+{
+    const auto found = attempts_.find(ended.key);
+    if (found == attempts_.end())
+        return;
+    const link::exchange_ptr exchange = found->second.exchange;
+    attempts_.erase(found);
+    exchange->request.cut();
+    exchange->deliver(
+        link::refused{ended.why, gate_.report(monotonic_clock::now())});
+}
+
+void gate_runtime::impl::execute(const admission::abort_running& aborted)
+{
+    const auto found = attempts_.find(aborted.key);
+    if (found != attempts_.end() && found->second.running)
+        found->second.running->abort();
+}
+
+void gate_runtime::impl::finished(const attempt_key& key,
+                                  upstream_result how,
+                                  support::duration took)
+{
+    static constexpr admission::run_result results[] = {
+        admission::run_result::answered, admission::run_result::failed,
+        admission::run_result::shed};
+    attempts_.erase(key);
+    perform(gate_.on_ended(key, results[static_cast<std::size_t>(how)], took,
+                           monotonic_clock::now()));
+    check_drained();
+}
+
+void gate_runtime::impl::set_upstream(const config::endpoint& where,
+                                      std::uint32_t slots,
+                                      std::uint32_t connections)
+{
+    if (!client_ || upstream_ != where) {
+        upstream_ = where;
+        client_ = std::make_shared<upstream_client>(strand_, where);
+    }
+    client_->set_max_connections(
+        std::min(slots + spare_connections, connections));
+    perform(gate_.on_upstream(slots, monotonic_clock::now()));
+}
+
+void gate_runtime::impl::drain(std::function<void()> drained)
+{
+    drained_ = std::move(drained);
+    perform(gate_.drain(monotonic_clock::now()));
+    check_drained();
+}
+
+void gate_runtime::impl::check_drained()
+{
+    if (!drained_ || gate_.busy())
+        return;
+    const std::function<void()> drained = std::move(drained_);
+    drained_ = nullptr;
+    drained();
+}
+
+gate_runtime::gate_runtime(asio::io_context& io,
+                           const config::configuration& in_force)
+    : impl_(std::make_shared<impl>(io, in_force))
+{
+    impl_->on_strand([](impl& self) { self.tick(); });
+}
+
+gate_runtime::~gate_runtime() = default;
+
+void gate_runtime::submit(link::exchange_ptr attempt)
+{
+    submit_from(own_entry_link, std::move(attempt));
+}
+
+void gate_runtime::cancel(link::exchange_ptr attempt)
+{
+    cancel_from(own_entry_link, attempt->head.id);
+}
+
+void gate_runtime::submit_from(std::uint64_t link, link::exchange_ptr attempt)
+{
+    impl_->on_strand([link, attempt = std::move(attempt)](impl& self) {
+        self.submit(link, attempt);
+    });
+}
+
+void gate_runtime::cancel_from(std::uint64_t link, support::call_id id)
+{
+    impl_->on_strand([link, id](impl& self) {
+        self.perform(self.machine().cancel({link, id}, monotonic_clock::now()));
+    });
+}
+
+void gate_runtime::link_closed(std::uint64_t link)
+{
+    impl_->on_strand([link](impl& self) {
+        self.perform(
+            self.machine().on_link_closed(link, monotonic_clock::now()));
+    });
+}
+
+void gate_runtime::configure(const config::configuration& in_force)
+{
+    impl_->on_strand([in_force](impl& self) {
+        self.machine().on_configuration(in_force, monotonic_clock::now());
+    });
+}
+
+void gate_runtime::set_upstream(const config::endpoint& where,
+                                std::uint32_t slots,
+                                std::uint32_t connections)
+{
+    impl_->on_strand(
+        [=](impl& self) { self.set_upstream(where, slots, connections); });
+}
+
+void gate_runtime::upstream_gone()
+{
+    impl_->on_strand([](impl& self) {
+        self.perform(self.machine().on_upstream_gone(monotonic_clock::now()));
+    });
+}
+
+void gate_runtime::drain(std::function<void()> drained)
+{
+    impl_->on_strand([drained = std::move(drained)](impl& self) mutable {
+        self.drain(std::move(drained));
+    });
+}
+
+} // namespace galenarudder::proxy
--- /dev/null
+++ b/lib/proxy/http_fields.cpp
@@ -0,0 +1,37 @@
+// Field comparison and the list of hop-by-hop fields (RFC 9110, 7.6.1).
+#include "galenarudder/proxy/http_fields.hpp"
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace galenarudder::proxy {
+
+bool same_field(std::string_view left, std::string_view right)
+{
+    return boost::algorithm::iequals(left, right);
+}
+
+bool is_hop_by_hop(std::string_view name)
+{
+    static constexpr std::string_view names[] = {
+        "Connection",          "Keep-Alive", "Proxy-Authenticate",
+        "Proxy-Authorization", "TE",         "Trailer",
+        "Transfer-Encoding",   "Upgrade",    "Proxy-Connection",
+        "Content-Length",      "Expect"};
+    for (const std::string_view hop : names) {
+        if (same_field(hop, name))
+            return true;
+    }
+    return false;
+}
+
+std::string_view find_field(const std::vector<support::header_field>& fields,
+                            std::string_view name)
+{
+    for (const support::header_field& field : fields) {
+        if (same_field(field.name, name))
+            return field.value;
+    }
+    return {};
+}
+
+} // namespace galenarudder::proxy
--- /dev/null
+++ b/lib/proxy/problem.cpp
@@ -0,0 +1,22 @@
+// Problem documents.
+#include "galenarudder/proxy/problem.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace galenarudder::proxy {
+
+std::string problem_json(const support::refusal& why)
+{
+    const std::string kind(to_string(why.kind));
+    const nlohmann::json document = {
+        {"type", "urn:galenarudder:refusal:" + kind},
+        {"title", kind},
+        {"status", http_status(why.kind)},
+        {"detail", why.detail},
+        {"kind", kind},
+        {"outcome", to_string(why.outcome)},
+        {"remedy", remedy(why.kind)}};
+    return document.dump();
+}
+
+} // namespace galenarudder::proxy
--- /dev/null
+++ b/lib/proxy/upstream_client.cpp
@@ -0,0 +1,407 @@
+// One coroutine for each attempt; a second one sends the request's body so
+// that an early answer is seen.
+#include "galenarudder/proxy/upstream_client.hpp"
+
+#include "galenarudder/link/message.hpp"
+#include "galenarudder/proxy/http_fields.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <deque>
+
+namespace galenarudder::proxy {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using asio::ip::tcp;
+using support::refusal;
+using support::refusal_kind;
+using support::run_outcome;
+
+namespace {
+
+constexpr auto awaiting = asio::as_tuple(asio::use_awaitable);
+constexpr auto connect_timeout = std::chrono::seconds(1);
+constexpr unsigned status_unavailable = 503;
+constexpr support::milliseconds shed_retry_after{1000};
+
+/// One connection to the upstream with what was read ahead on it.
+struct connection
+{
+    explicit connection(const asio::any_io_executor& executor)
+        : stream(executor)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+using connection_ptr = std::shared_ptr<connection>;
+
+/// Whether the upstream has neither closed an idle connection nor sent
+/// anything on it.
+bool is_quiet(connection& idle)
+{
+    boost::system::error_code failure;
+    tcp::socket& socket = idle.stream.socket();
+    socket.non_blocking(true, failure);
+    std::array<char, 1> byte{};
+    socket.receive(asio::buffer(byte), tcp::socket::message_peek, failure);
+    return failure == asio::error::would_block;
+}
+
+bool has_body(const support::call_head& head)
+{
+    return !head.content_length || *head.content_length != 0;
+}
+
+bhttp::request<bhttp::buffer_body> build_request(const support::call_head& head,
+                                                 const std::string& host,
+                                                 support::duration remaining)
+{
+    bhttp::request<bhttp::buffer_body> request;
+    request.version(11);
+    request.method_string(head.method);
+    request.target(head.target);
+    for (const support::header_field& field : head.fields)
+        request.insert(field.name, field.value);
+    if (request.find(bhttp::field::host) == request.end())
+        request.set(bhttp::field::host, host);
+    const auto remaining_ms =
+        std::chrono::duration_cast<support::milliseconds>(remaining).count();
+    const auto set = [&](std::string_view name, std::string_view value) {
+        request.set(beast::string_view(name.data(), name.size()),
+                    beast::string_view(value.data(), value.size()));
+    };
+    set(deadline_field, std::to_string(std::max<long>(0, remaining_ms)));
+    set(rank_field, head.rank);
+    set(depth_field, std::to_string(head.depth));
+    if (head.content_length && *head.content_length != 0)
+        request.content_length(*head.content_length);
+    if (!head.content_length)
+        request.chunked(true);
+    request.body().data = nullptr;
+    request.body().more = has_body(head);
+    return request;
+}
+
+support::answer_head
+convert(const bhttp::response_parser<bhttp::buffer_body>& parser)
+{
+    const auto& received = parser.get();
+    support::answer_head head;
+    head.status = received.result_int();
+    head.reason = std::string(received.reason());
+    for (const auto& field : received) {
+        const std::string name(field.name_string());
+        if (!is_hop_by_hop(name))
+            head.fields.push_back({name, std::string(field.value())});
+    }
+    if (parser.content_length())
+        head.content_length = *parser.content_length();
+    else if (!parser.chunked() && !parser.need_eof())
+        head.content_length = 0;
+    return head;
+}
+
+bool is_shed(const support::answer_head& head)
+{
+    return head.status == status_unavailable &&
+           find_field(head.fields, outcome_field) ==
+               to_string(run_outcome::not_run);
+}
+
+refusal canceled_before_start()
+{
+    return {refusal_kind::canceled, run_outcome::not_run};
+}
+
+refusal shed_by_upstream()
+{
+    return {refusal_kind::upstream_shed, run_outcome::not_run, false,
+            shed_retry_after, "the upstream shed the call"};
+}
+
+refusal failure(run_outcome outcome, std::string detail)
+{
+    return {refusal_kind::upstream_failed, outcome, false,
+            support::milliseconds(0), std::move(detail)};
+}
+
+} // namespace
+
+struct upstream_client::state
+    : public std::enable_shared_from_this<upstream_client::state>
+{
+    state(asio::any_io_executor run_on, config::endpoint where)
+        : executor(std::move(run_on)), upstream(std::move(where))
+    {
+    }
+
+    asio::awaitable<connection_ptr> take_connection();
+    void give_back(connection_ptr used);
+
+    asio::any_io_executor executor;
+    config::endpoint upstream;
+    std::size_t max_connections = 1;
+    std::deque<connection_ptr> idle;
+    bool closed = false;
+};
+
+asio::awaitable<connection_ptr> upstream_client::state::take_connection()
+{
+    while (!idle.empty()) {
+        connection_ptr kept = std::move(idle.back());
+        idle.pop_back();
+        if (is_quiet(*kept))
+            co_return kept;
+    }
+    auto made = std::make_shared<connection>(executor);
+    made->stream.expires_after(connect_timeout);
+    const tcp::endpoint remote(asio::ip::make_address(upstream.address),
+                               upstream.port);
+    const auto [failed] = co_await made->stream.async_connect(remote, awaiting);
+    if (failed)
+        co_return nullptr;
+    boost::system::error_code ignored;
+    made->stream.socket().set_option(tcp::no_delay(true), ignored);
+    made->stream.expires_never();
+    co_return made;
+}
+
+void upstream_client::state::give_back(connection_ptr used)
+{
+    if (closed || idle.size() >= max_connections)
+        return;
+    used->stream.expires_never();
+    idle.push_back(std::move(used));
+}
+
+namespace {
+
+/// The attempt while it runs; owned by its coroutines.
+class running_call final : public upstream_call,
+                           public std::enable_shared_from_this<running_call>
+{
+public:
+    using take = std::function<asio::awaitable<connection_ptr>()>;
+    using give = std::function<void(connection_ptr)>;
+
+    running_call(asio::any_io_executor executor,
+                 link::exchange_ptr attempt,
+                 support::time_point deadline,
+                 std::string host,
+                 upstream_client::load_source load,
+                 upstream_client::finished done)
+        : executor_(std::move(executor)), attempt_(std::move(attempt)),
+          deadline_(deadline), host_(std::move(host)), load_(std::move(load)),
+          done_(std::move(done))
+    {
+    }
+
+    void abort() override
+    {
+        aborted_ = true;
+        if (connection_)
+            connection_->stream.cancel();
+    }
+
+    asio::awaitable<void> run(take take_connection, give give_back);
+
+private:
+    asio::awaitable<upstream_result> exchange_messages();
+    asio::awaitable<void> send_request();
+    asio::awaitable<bool>
+    forward_body(bhttp::response_parser<bhttp::buffer_body>& parser);
+    void deliver_head(support::answer_head head)
+    {
+        attempt_->deliver(link::answered{std::move(head), load_()});
+    }
+    upstream_result refuse(refusal why, upstream_result how)
+    {
+        attempt_->deliver(link::refused{std::move(why), load_()});
+        return how;
+    }
+
+    asio::any_io_executor executor_;
+    link::exchange_ptr attempt_;
+    support::time_point deadline_;
+    std::string host_;
+    upstream_client::load_source load_;
+    upstream_client::finished done_;
+    connection_ptr connection_;
+    bool aborted_ = false;
+    bool request_sent_ = false;
+    bool bytes_sent_ = false;
+    bool reusable_ = false;
+};
+
+asio::awaitable<void> running_call::run(take take_connection, give give_back)
+{
+    const auto self = shared_from_this();
+    const support::time_point begun = support::monotonic_clock::now();
+    connection_ = co_await take_connection();
+    upstream_result how = upstream_result::failed;
+    if (!connection_) {
+        how = refuse(
+            failure(run_outcome::not_run, "cannot connect to the upstream"),
+            upstream_result::failed);
+    } else if (aborted_) {
+        give_back(connection_);
+        how = refuse(canceled_before_start(), upstream_result::shed);
+    } else {
+        how = co_await exchange_messages();
+        if (reusable_ && request_sent_ && !aborted_)
+            give_back(connection_);
+    }
+    attempt_->request.cut();
+    connection_.reset();
+    done_(how, support::monotonic_clock::now() - begun);
+}
+
+asio::awaitable<void> running_call::send_request()
+{
+    const auto self = shared_from_this();
+    const connection_ptr used = connection_;
+    auto request = build_request(attempt_->head, host_,
+                                 deadline_ - support::monotonic_clock::now());
+    bhttp::request_serializer<bhttp::buffer_body> serializer{request};
+    bytes_sent_ = true;
+    const auto [head_failure, head_size] =
+        co_await bhttp::async_write_header(used->stream, serializer, awaiting);
+    if (head_failure)
+        co_return;
+    bool more = request.body().more;
+    while (more) {
+        std::optional<link::body_chunk> chunk =
+            co_await attempt_->request.read();
+        if (!chunk) {
+            // The caller's body broke off: the request cannot be completed.
+            used->stream.cancel();
+            co_return;
+        }
+        more = !chunk->last;
+        request.body().data =
+            chunk->data.empty() ? nullptr : chunk->data.data();
+        request.body().size = chunk->data.size();
+        request.body().more = more;
+        const auto [failed, size] =
+            co_await bhttp::async_write(used->stream, serializer, awaiting);
+        if (failed && failed != bhttp::error::need_buffer)
+            co_return;
+    }
+    request_sent_ = true;
+}
+
+asio::awaitable<upstream_result> running_call::exchange_messages()
+{
+    asio::co_spawn(
+        executor_,
+        [self = shared_from_this()]() -> asio::awaitable<void> {
+            co_await self->send_request();
+        },
+        asio::detached);
+    bhttp::response_parser<bhttp::buffer_body> parser;
+    parser.body_limit(boost::none);
+    if (attempt_->head.method == "HEAD")
+        parser.skip(true);
+    const auto [failed, size] = co_await bhttp::async_read_header(
+        connection_->stream, connection_->buffer, parser, awaiting);
+    if (failed) {
+        co_return refuse(
+            failure(bytes_sent_ ? run_outcome::unknown : run_outcome::not_run,
+                    "the upstream closed the connection: " + failed.message()),
+            upstream_result::failed);
+    }
+    support::answer_head head = convert(parser);
+    if (is_shed(head)) {
+        co_return refuse(shed_by_upstream(), upstream_result::shed);
+    }
+    deliver_head(std::move(head));
+    const bool whole = co_await forward_body(parser);
+    reusable_ = whole && parser.get().keep_alive() && !parser.need_eof();
+    co_return whole ? upstream_result::answered : upstream_result::failed;
+}
+
+asio::awaitable<bool>
+running_call::forward_body(bhttp::response_parser<bhttp::buffer_body>& parser)
+{
+    std::string part;
+    while (!parser.is_done()) {
+        part.resize(link::max_body_part_bytes);
+        parser.get().body().data = part.data();
+        parser.get().body().size = part.size();
+        const auto [failed, size] = co_await bhttp::async_read_some(
+            connection_->stream, connection_->buffer, parser, awaiting);
+        if (failed && failed != bhttp::error::need_buffer) {
+            attempt_->answer.cut();
+            co_return false;
+        }
+        part.resize(part.size() - parser.get().body().size);
+        if (part.empty())
+            continue;
+        link::body_chunk chunk = link::make_chunk(std::move(part), false);
+        if (!co_await attempt_->answer.write(std::move(chunk)))
+            co_return false;
+        part = std::string();
+    }
+    link::body_chunk end = link::make_chunk(std::string(), true);
+    co_return co_await attempt_->answer.write(std::move(end));
+}
+
+} // namespace
+
+upstream_client::upstream_client(asio::any_io_executor executor,
+                                 config::endpoint upstream)
+    : state_(std::make_shared<state>(std::move(executor), std::move(upstream)))
+{
+}
+
+upstream_client::~upstream_client()
+{
+    close();
+}
+
+void upstream_client::set_max_connections(std::size_t count)
+{
+    state_->max_connections = count;
+}
+
+std::shared_ptr<upstream_call>
+upstream_client::run(link::exchange_ptr attempt,
+                     support::time_point deadline,
+                     load_source load,
+                     finished done)
+{
+    auto call = std::make_shared<running_call>(
+        state_->executor, std::move(attempt), deadline,
+        to_string(state_->upstream), std::move(load), std::move(done));
+    auto take = [kept = state_]() { return kept->take_connection(); };
+    auto give = [kept = state_](connection_ptr used) {
+        kept->give_back(std::move(used));
+    };
+    asio::co_spawn(
+        state_->executor,
+        [call, take = std::move(take), give = std::move(give)]()
+            -> asio::awaitable<void> { co_await call->run(take, give); },
+        asio::detached);
+    return call;
+}
+
+void upstream_client::close()
+{
+    state_->closed = true;
+    state_->idle.clear();
+}
+
+} // namespace galenarudder::proxy
--- /dev/null
+++ b/lib/support/rcu_cell.cpp
@@ -0,0 +1,23 @@
+// Binds rcu_cell to liburcu's flavour that needs no thread registration.
+#include "galenarudder/support/rcu_cell.hpp"
+
+#include <urcu/urcu-bp.h>
+
+namespace galenarudder::support::rcu {
+
+void read_lock()
+{
+    urcu_bp_read_lock();
+}
+
+void read_unlock()
+{
+    urcu_bp_read_unlock();
+}
+
+void synchronize()
+{
+    urcu_bp_synchronize_rcu();
+}
+
+} // namespace galenarudder::support::rcu
--- /dev/null
+++ b/lib/support/refusal.cpp
@@ -0,0 +1,93 @@
+// The table of refusal kinds: name, HTTP status, remedy.
+#include "galenarudder/support/refusal.hpp"
+
+#include <array>
+
+namespace galenarudder::support {
+
+namespace {
+
+struct refusal_row
+{
+    refusal_kind kind;
+    std::string_view name;
+    unsigned status;
+    std::string_view remedy;
+};
+
+constexpr std::array<refusal_row, 14> rows = {{
+    {refusal_kind::no_such_service, "no-such-service", 404,
+     "name a service of the configuration in Host or the first path segment"},
+    {refusal_kind::no_upstream, "no-upstream", 503,
+     "retry after Retry-After; an operator checks galenarudderctl members"},
+    {refusal_kind::overloaded, "overloaded", 503,
+     "retry after Retry-After with jitter; do not retry at once"},
+    {refusal_kind::deadline_exceeded, "deadline-exceeded", 504,
+     "allow more time in Galenarudder-Deadline-Ms or retry later"},
+    {refusal_kind::draining, "draining", 503,
+     "retry; another upstream takes the call"},
+    {refusal_kind::upstream_failed, "upstream-failed", 502,
+     "check whether the call ran before repeating it"},
+    {refusal_kind::upstream_shed, "upstream-shed", 503,
+     "retry after Retry-After"},
+    {refusal_kind::link_broken, "link-broken", 502,
+     "check whether the call ran before repeating it"},
+    {refusal_kind::already_running, "already-running", 409,
+     "wait for the first call with this Idempotency-Key and ask again"},
+    {refusal_kind::store_unavailable, "store-unavailable", 503,
+     "retry after Retry-After; keyed calls need the platform's store"},
+    {refusal_kind::malformed_request, "malformed-request", 400,
+     "correct the request"},
+    {refusal_kind::body_too_large, "body-too-large", 413,
+     "send a body within the limit of the route"},
+    {refusal_kind::too_deep, "too-deep", 508,
+     "check for a loop of calls between services"},
+    {refusal_kind::canceled, "canceled", 499, "none; the caller went away"},
+}};
+
+const refusal_row& row_of(refusal_kind kind)
+{
+    return rows.at(static_cast<std::size_t>(kind));
+}
+
+} // namespace
+
+std::string_view to_string(run_outcome outcome)
+{
+    return outcome == run_outcome::not_run ? "not-run" : "unknown";
+}
+
+std::string_view to_string(refusal_kind kind)
+{
+    return row_of(kind).name;
+}
+
+std::optional<refusal_kind> refusal_kind_from(std::string_view name)
+{
+    for (const refusal_row& row : rows) {
+        if (row.name == name)
+            return row.kind;
+    }
+    return std::nullopt;
+}
+
+std::optional<run_outcome> run_outcome_from(std::string_view name)
+{
+    if (name == to_string(run_outcome::not_run))
+        return run_outcome::not_run;
+    if (name == to_string(run_outcome::unknown))
+        return run_outcome::unknown;
+    return std::nullopt;
+}
+
+std::string_view remedy(refusal_kind kind)
+{
+    return row_of(kind).remedy;
+}
+
+unsigned http_status(refusal_kind kind)
+{
+    return row_of(kind).status;
+}
+
+} // namespace galenarudder::support
--- /dev/null
+++ b/test/standins/standin_store/main.cpp
@@ -0,0 +1,349 @@
+// Stand-in for the platform's key-value service: compare-and-swap, sessions
+// as leases, blocking queries; can be down, slow, or lose one answer.
+#include "galenarudder/http/service.hpp"
+#include "galenarudder/support/time.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include <iostream>
+#include <map>
+
+DEFINE_string(listen, "127.0.0.1:8500", "address to serve");
+
+namespace galenarudder::standins {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+using support::monotonic_clock;
+
+struct entry
+{
+    std::string value;
+    std::uint64_t index = 0;
+    std::string session;
+};
+
+struct session
+{
+    support::duration ttl{};
+    support::time_point lapses;
+    bool deletes_keys = false;
+};
+
+/// What can be changed while the stand-in runs, by /stand-in/set?name=value.
+struct behaviour
+{
+    bool down = false;
+    double slow_ms = 0;
+    bool lose_next_answer = false;
+};
+
+/// Calls since the start, shown by /stand-in/counts; a blocking query counts
+/// as a watch.
+struct counts
+{
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+};
+
+class store
+{
+public:
+    explicit store(asio::io_context& io) : io_(io) {}
+
+    asio::awaitable<http::response> answer(http::request received);
+
+private:
+    asio::awaitable<http::response> serve(http::request& received);
+    asio::awaitable<http::response> get(const std::string& key,
+                                        const http::request& received);
+    http::response put(const std::string& key, http::request& received);
+    http::response make_session(const http::request& received);
+    http::response renew(const std::string& id);
+    http::response destroy(const std::string& id);
+    http::response set(const http::request& received);
+    http::response show_counts() const;
+    asio::awaitable<void> wait_for_change(const std::string& key,
+                                          std::uint64_t index,
+                                          support::duration wait);
+    asio::awaitable<void> sleep_ms(double ms);
+    void lapse_sessions();
+    void end_session(const std::string& id, bool deletes_keys);
+    std::uint64_t index_of(const std::string& key) const;
+
+    asio::io_context& io_;
+    std::map<std::string, entry> entries_;
+    std::map<std::string, session> sessions_;
+    std::uint64_t last_index_ = 1;
+    std::uint64_t last_session_ = 0;
+    behaviour behaviour_;
+    counts counts_;
+};
+
+namespace {
+
+constexpr std::string_view kv_prefix = "/v1/kv/";
+constexpr std::string_view renew_prefix = "/v1/session/renew/";
+constexpr std::string_view destroy_prefix = "/v1/session/destroy/";
+
+std::string base64(const std::string& plain)
+{
+    std::string encoded(4 * ((plain.size() + 2) / 3) + 1, '\0');
+    const int size =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(encoded.data()),
+                        reinterpret_cast<const unsigned char*>(plain.data()),
+                        static_cast<int>(plain.size()));
+    encoded.resize(static_cast<std::size_t>(size));
+    return encoded;
+}
+
+/// Reads "10s" or "250ms".
+support::duration parse_span(const std::string& text)
+{
+    const double number = std::stod(text);
+    const bool in_ms = text.ends_with("ms");
+    return support::from_ms(in_ms ? number : number * 1000);
+}
+
+http::response not_found()
+{
+    return {404, "text/plain", "", {}};
+}
+
+http::response plain(std::string body)
+{
+    return {200, "application/json", std::move(body), {}};
+}
+
+http::response show(const std::string& key, const entry& held, bool raw)
+{
+    const json one = {{"Key", key},
+                      {"Value", base64(held.value)},
+                      {"ModifyIndex", held.index},
+                      {"Session", held.session}};
+    http::response answer = plain(raw ? held.value : json::array({one}).dump());
+    answer.fields.push_back({"X-Consul-Index", std::to_string(held.index)});
+    return answer;
+}
+
+} // namespace
+
+asio::awaitable<void> store::sleep_ms(double ms)
+{
+    asio::steady_timer timer(io_, support::from_ms(ms));
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<http::response> store::answer(http::request received)
+{
+    if (received.path == "/stand-in/set")
+        co_return set(received);
+    if (received.path == "/stand-in/counts")
+        co_return show_counts();
+    http::response withheld;
+    withheld.withheld = true;
+    if (behaviour_.down)
+        co_return withheld;
+    if (behaviour_.slow_ms > 0)
+        co_await sleep_ms(behaviour_.slow_ms);
+    lapse_sessions();
+    const bool writes = received.method == "PUT";
+    http::response served = co_await serve(received);
+    if (behaviour_.down)
+        co_return withheld;
+    if (writes && behaviour_.lose_next_answer) {
+        behaviour_.lose_next_answer = false;
+        co_return withheld;
+    }
+    co_return served;
+}
+
+asio::awaitable<http::response> store::serve(http::request& received)
+{
+    const std::string_view path = received.path;
+    if (path.starts_with(kv_prefix)) {
+        const std::string key(path.substr(kv_prefix.size()));
+        if (received.method == "GET")
+            co_return co_await get(key, received);
+        ++counts_.writes;
+        co_return put(key, received);
+    }
+    ++counts_.writes;
+    if (path == "/v1/session/create")
+        co_return make_session(received);
+    if (path.starts_with(renew_prefix))
+        co_return renew(std::string(path.substr(renew_prefix.size())));
+    if (path.starts_with(destroy_prefix))
+        co_return destroy(std::string(path.substr(destroy_prefix.size())));
+    co_return not_found();
+}
+
+std::uint64_t store::index_of(const std::string& key) const
+{
+    const auto found = entries_.find(key);
+    return found == entries_.end() ? 0 : found->second.index;
+}
+
+asio::awaitable<void> store::wait_for_change(const std::string& key,
+                                             std::uint64_t index,
+                                             support::duration wait)
+{
+    const auto until = std::chrono::steady_clock::now() + wait;
+    while (index_of(key) == index && std::chrono::steady_clock::now() < until &&
+           !behaviour_.down) {
+        asio::steady_timer slice(io_, std::chrono::milliseconds(5));
+        co_await slice.async_wait(asio::use_awaitable);
+        lapse_sessions();
+    }
+}
+
+asio::awaitable<http::response> store::get(const std::string& key,
+                                           const http::request& received)
+{
+    const std::string* known = received.parameter("index");
+    if (known != nullptr) {
+        ++counts_.watches;
+        const std::string* wait = received.parameter("wait");
+        co_await wait_for_change(key, std::stoull(*known),
+                                 parse_span(wait ? *wait : "60s"));
+    } else {
+        ++counts_.reads;
+    }
+    const auto found = entries_.find(key);
+    if (found == entries_.end())
+        co_return not_found();
+    const entry& held = found->second;
+    const bool raw = received.parameter("raw") != nullptr;
+    co_return show(key, held, raw);
+}
+
+http::response store::put(const std::string& key, http::request& received)
+{
+    const std::string* expected = received.parameter("cas");
+    if (expected != nullptr && std::stoull(*expected) != index_of(key))
+        return plain("false");
+    const std::string* lease = received.parameter("acquire");
+    if (lease != nullptr && !sessions_.contains(*lease))
+        return plain("false");
+    entry& held = entries_[key];
+    held.value = std::move(received.body);
+    held.index = ++last_index_;
+    held.session = lease != nullptr ? *lease : std::string();
+    return plain("true");
+}
+
+http::response store::make_session(const http::request& received)
+{
+    const json body = json::parse(received.body, nullptr, false);
+    if (body.is_discarded())
+        return {400, "text/plain", "malformed session", {}};
+    const std::string id = "session-" + std::to_string(++last_session_);
+    session made;
+    made.ttl = parse_span(body.value("TTL", "15s"));
+    made.lapses = monotonic_clock::now() + made.ttl;
+    made.deletes_keys = body.value("Behavior", "release") == "delete";
+    sessions_[id] = made;
+    return plain(json{{"ID", id}}.dump());
+}
+
+http::response store::renew(const std::string& id)
+{
+    const auto found = sessions_.find(id);
+    if (found == sessions_.end())
+        return not_found();
+    found->second.lapses = monotonic_clock::now() + found->second.ttl;
+    return plain("[]");
+}
+
+http::response store::destroy(const std::string& id)
+{
+    const auto found = sessions_.find(id);
+    if (found != sessions_.end()) {
+        const bool deletes_keys = found->second.deletes_keys;
+        sessions_.erase(found);
+        end_session(id, deletes_keys);
+    }
+    return plain("true");
+}
+
+void store::lapse_sessions()
+{
+    const support::time_point now = monotonic_clock::now();
+    for (auto next = sessions_.begin(); next != sessions_.end();) {
+        if (next->second.lapses > now) {
+            ++next;
+            continue;
+        }
+        const std::string id = next->first;
+        const bool deletes_keys = next->second.deletes_keys;
+        next = sessions_.erase(next);
+        end_session(id, deletes_keys);
+    }
+}
+
+void store::end_session(const std::string& id, bool deletes_keys)
+{
+    for (auto next = entries_.begin(); next != entries_.end();) {
+        if (next->second.session != id) {
+            ++next;
+            continue;
+        }
+        next->second.session.clear();
+        next->second.index = ++last_index_;
+        next = deletes_keys ? entries_.erase(next) : std::next(next);
+    }
+}
+
+http::response store::set(const http::request& received)
+{
+    for (const http::field& change : received.query) {
+        const double value = std::stod(change.value);
+        if (change.name == "down")
+            behaviour_.down = value != 0;
+        if (change.name == "slow_ms")
+            behaviour_.slow_ms = value;
+        if (change.name == "lose_next_answer")
+            behaviour_.lose_next_answer = value != 0;
+    }
+    return {204, "", "", {}};
+}
+
+http::response store::show_counts() const
+{
+    return plain(json{{"reads", counts_.reads},
+                      {"writes", counts_.writes},
+                      {"watches", counts_.watches}}
+                     .dump());
+}
+
+} // namespace galenarudder::standins
+
+int main(int argc, char** argv)
+{
+    using namespace galenarudder;
+    gflags::SetUsageMessage("standin_store --listen ADDRESS");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    auto own = config::parse_endpoint(FLAGS_listen);
+    if (!own) {
+        std::cerr << support::describe(own.error()) << "\n";
+        return 2;
+    }
+    boost::asio::io_context io{1};
+    standins::store served(io);
+    http::service calls(io, [&](http::request received) {
+        return served.answer(std::move(received));
+    });
+    auto listening = calls.listen(own.value());
+    if (!listening) {
+        std::cerr << support::describe(listening.error()) << "\n";
+        return 4;
+    }
+    io.run();
+    return 0;
+}
