--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 EXAMPLE ?= northern-spain
 SUDO := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 
-.PHONY: all deps build run test test-asan test-tsan bench format lint
+.PHONY: all deps build run test test-asan test-tsan bench format lint golden
 
 all: build
 
@@ -41,3 +41,6 @@
 
 lint: build
 	.ci/lint $(BUILD)
+
+golden: build
+	GALENARUDDER_RENEW=1 $(BUILD)/unit_golden
