Route by expected completion, bound retries and hedges, replay traces

Cause: the first router knew only own outstanding calls, retried without a budget and had no ejection, hedges, subsets or slow start. Change: picks by an estimate from aged load reports, own calls, link delay, errors and stalls; ejection within a largest share; drain notices act at once; subsets over domains; reroute modes; retry and hedge budgets; refusals marked so that callers above do not retry; a call that can have run is never refused as not-run; 5xx answers count as failures; a body that was not kept is not sent again. galenarudder-replay drives router, call_flow and gate over generated traces; the runner checks stated outcomes.

--- a/include/galenarudder/proxy/call_flow.hpp
+++ b/include/galenarudder/proxy/call_flow.hpp
@@ -11,6 +11,9 @@
 #include "galenarudder/support/time.hpp"
 
 #include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -41,7 +44,7 @@
     support::refusal why;
 };
 
-/// Call on_timer at this time.
+/// Call on_timer at this time. A later one replaces an earlier one.
 struct arm_timer
 {
     support::time_point at;
@@ -64,22 +67,33 @@
     bool replayable = true;
 };
 
+/// One call at its entry. Used by one thread at a time; what calls share is
+/// in the router.
 class call_flow
 {
 public:
+    /// Attempts of one call, hedges included.
+    static constexpr std::size_t max_attempts = 3;
+
     call_flow(const routing::router& router, call_terms terms);
 
     std::vector<call_action> start(support::time_point now,
                                    support::random_engine& random);
+    /// The answer of an attempt begins with HTTP \p status. An answer of the
+    /// 5xx class counts as a failure of its upstream.
     std::vector<call_action> on_answer(std::size_t attempt,
                                        const support::load_report& load,
-                                       support::time_point now);
+                                       unsigned status,
+                                       support::time_point now,
+                                       support::random_engine& random);
     std::vector<call_action> on_refusal(std::size_t attempt,
                                         const support::refusal& why,
                                         const support::load_report& load,
                                         support::time_point now,
                                         support::random_engine& random);
-    std::vector<call_action> on_timer(support::time_point now);
+    /// An armed time came; one that came early or twice does no harm.
+    std::vector<call_action> on_timer(support::time_point now,
+                                      support::random_engine& random);
     /// The caller closed its connection.
     std::vector<call_action> on_caller_gone(support::time_point now);
     /// The forwarded answer's body ended; \p whole unless it broke off.
@@ -90,22 +104,49 @@
     {
         routing::choice target;
         support::time_point sent_at;
+        support::time_point answered_at;
+        unsigned status = 0;
         bool open = true;
     };
 
-    std::vector<call_action> send_next(support::time_point now,
-                                       support::random_engine& random,
-                                       const support::refusal& otherwise);
+    bool send_to_next(support::time_point now,
+                      support::random_engine& random,
+                      std::vector<call_action>& actions);
     void end_attempt(std::size_t attempt,
                      routing::attempt_result how,
                      support::time_point now);
-    bool may_retry(const support::refusal& why, support::time_point now) const;
+    void cancel_open(routing::attempt_result how,
+                     support::time_point now,
+                     std::vector<call_action>& actions,
+                     std::optional<std::size_t> kept = std::nullopt);
+    std::size_t open_count() const;
+    bool can_send_again(support::time_point now) const;
+    bool may_retry(const support::refusal& why, support::time_point now);
+    bool take_retry(support::time_point now, const support::refusal& why);
+    std::vector<call_action> replace_answer(std::size_t attempt,
+                                            support::time_point now,
+                                            support::random_engine& random);
+    std::vector<call_action> retry_or_refuse(const support::refusal& why,
+                                             support::time_point now,
+                                             support::random_engine& random);
+    std::vector<call_action> conclude(support::refusal why);
+    void plan_hedge(support::time_point now);
+    bool may_hedge(support::time_point now);
+    arm_timer next_timer() const;
 
     const routing::router& router_;
     call_terms terms_;
+    routing::routing_limits limits_;
+    /// Null until the first attempt was sent.
+    std::shared_ptr<routing::service_state> service_;
     std::vector<attempt_record> attempts_;
     std::vector<support::member_id> tried_;
+    support::time_point started_at_;
+    std::optional<support::time_point> hedge_at_;
     bool decided_ = false;
+    /// An attempt that ended without an answer can have run.
+    bool may_have_run_ = false;
+    bool retry_denied_ = false;
     std::size_t forwarded_ = 0;
 };
 
--- a/include/galenarudder/routing/router.hpp
+++ b/include/galenarudder/routing/router.hpp
@@ -6,7 +6,7 @@
 
 #include "galenarudder/config/configuration.hpp"
 #include "galenarudder/membership/record.hpp"
-#include "galenarudder/routing/pick_strategy.hpp"
+#include "galenarudder/routing/fleet_view.hpp"
 #include "galenarudder/support/call.hpp"
 #include "galenarudder/support/random.hpp"
 #include "galenarudder/support/time.hpp"
@@ -44,13 +44,18 @@
 {
     answered,
     refused,
-    failed
+    failed,
+    /// The answer is no longer wanted.
+    canceled,
+    /// The gate said that it takes no more work.
+    leaving
 };
 
 class router
 {
 public:
-    explicit router(std::string own_domain);
+    /// \p own_member makes this entry's subsets of large services its own.
+    explicit router(std::string own_domain, std::string own_member = {});
     ~router();
     router(const router&) = delete;
     router& operator=(const router&) = delete;
@@ -70,17 +75,25 @@
                                support::random_engine& random) const;
 
     /// An attempt was sent to \p chosen.
-    void on_sent(const choice& chosen) const;
+    void on_sent(const choice& chosen, support::time_point now) const;
     /// An attempt ended after \p latency.
     void on_ended(const choice& chosen,
                   attempt_result how,
                   support::duration latency,
                   support::time_point now) const;
+    /// A gate told that it takes no more work; any thread.
+    void on_leaving(const support::member_id& member,
+                    support::time_point now) const;
     /// A gate's load report arrived.
     void on_report(const choice& chosen,
                    const support::load_report& report,
                    support::time_point now) const;
 
+    /// The limits in force for attempts and picks.
+    routing_limits limits() const;
+    /// Where decisions are recorded; may be null.
+    telemetry::decision_log* decisions() const;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -30,7 +30,7 @@
 node::node(const config::daemon_settings& settings,
            std::uint64_t incarnation,
            std::uint64_t seed)
-    : domain_(settings.domain), router_(settings.domain),
+    : domain_(settings.domain), router_(settings.domain, settings.member),
       configuration_(std::make_unique<config::configuration>(
           config::default_configuration())),
       member_(own_record(settings, incarnation),
--- a/lib/proxy/caller_server.cpp
+++ b/lib/proxy/caller_server.cpp
@@ -100,6 +100,12 @@
     return parts;
 }
 
+/// Whether the body is small enough to be kept for another attempt.
+bool can_be_kept(const support::call_head& head)
+{
+    return head.content_length && *head.content_length <= replay_limit_bytes;
+}
+
 refusal malformed(std::string detail)
 {
     return {refusal_kind::malformed_request, run_outcome::not_run, true,
@@ -303,8 +309,7 @@
 asio::awaitable<std::optional<refusal>>
 session::keep_small_body(body_parser& parser, call& current)
 {
-    const auto& length = current.head.content_length;
-    if (!length || *length > replay_limit_bytes)
+    if (!can_be_kept(current.head))
         co_return std::nullopt;
     std::string whole;
     while (!current.body_complete) {
@@ -323,6 +328,7 @@
 {
     const support::time_point begun = monotonic_clock::now();
     const std::uint64_t body_limit = accepted.body_limit_bytes;
+    accepted.terms.replayable = can_be_kept(accepted.head);
     auto current = std::make_shared<call>(entry_.router(), std::move(accepted),
                                           stream_.get_executor());
     const bool expects_continue =
@@ -365,15 +371,17 @@
             co_return;
         const support::time_point now = monotonic_clock::now();
         if (std::holds_alternative<timer_fired>(event)) {
-            perform(current, parser, current->flow.on_timer(now));
+            perform(current, parser,
+                    current->flow.on_timer(now, thread_random()));
             continue;
         }
         auto& [attempt, what] = std::get<attempt_event>(event);
         if (auto* begun = std::get_if<link::answered>(&what)) {
             current->answer = std::move(*begun);
-            perform(
-                current, parser,
-                current->flow.on_answer(attempt, current->answer.load, now));
+            perform(current, parser,
+                    current->flow.on_answer(attempt, current->answer.load,
+                                            current->answer.head.status, now,
+                                            thread_random()));
             continue;
         }
         const auto& ended = std::get<link::refused>(what);
--- /dev/null
+++ b/lib/routing/estimate.cpp
@@ -0,0 +1,115 @@
+// Weighs the last report by its age against the service's mean.
+#include "galenarudder/routing/estimate.hpp"
+
+#include <algorithm>
+
+namespace galenarudder::routing {
+
+namespace {
+
+/// Age at which a reported load counts half, in milliseconds.
+constexpr double load_half_age_ms = 100;
+/// Age at which a reported service time counts half, in milliseconds.
+constexpr double speed_half_age_ms = 2000;
+/// Assumed before anything was measured, in milliseconds.
+constexpr double first_service_ms = 5;
+/// Share of a service time by which a full upstream costs more than an idle
+/// one while slots are left.
+constexpr double crowding = 0.5;
+/// What a failed attempt costs, in mean service times and in milliseconds.
+constexpr double failure_cost_services = 10;
+constexpr double failure_cost_ms = 50;
+/// Age at which the last failure counts half, in milliseconds.
+constexpr double failure_half_age_ms = 1000;
+/// A stall shorter than this many service times is normal.
+constexpr double normal_stall_services = 2;
+constexpr double least_slow_start_share = 0.1;
+
+double age_ms(std::int64_t at_ns, support::time_point now)
+{
+    const std::int64_t age_ns = now.time_since_epoch().count() - at_ns;
+    return support::to_ms(support::duration(std::max<std::int64_t>(age_ns, 0)));
+}
+
+double weighed(double reported, double mean, double age, double half_age)
+{
+    const double trust = half_age / (half_age + age);
+    return trust * reported + (1 - trust) * mean;
+}
+
+/// Milliseconds without any progress beyond what is normal.
+double stall_ms(const upstream_state& upstream,
+                double service_ms,
+                support::time_point now)
+{
+    if (upstream.outstanding.load(std::memory_order_relaxed) == 0)
+        return 0;
+    const double since =
+        age_ms(upstream.progress_at_ns.load(std::memory_order_relaxed), now);
+    return std::max(0.0, since - normal_stall_services * service_ms);
+}
+
+/// Cost of recent failures; it fades while no attempts are made.
+double error_cost_ms(const upstream_state& upstream,
+                     double mean_service_ms,
+                     support::time_point now)
+{
+    const double rate = upstream.error_rate.load(std::memory_order_relaxed);
+    if (rate == 0)
+        return 0;
+    const double age =
+        age_ms(upstream.failed_at_ns.load(std::memory_order_relaxed), now);
+    const double faded = weighed(rate, 0, age, failure_half_age_ms);
+    return faded * (failure_cost_services * mean_service_ms + failure_cost_ms);
+}
+
+} // namespace
+
+double slow_start_share(const upstream_state& upstream,
+                        const estimate_terms& terms)
+{
+    const std::int64_t since =
+        std::max(upstream.serving_since_ns.load(std::memory_order_relaxed),
+                 upstream.returned_at_ns.load(std::memory_order_relaxed));
+    if (since == 0 || terms.slow_start_ms <= 0)
+        return 1;
+    const double share = age_ms(since, terms.now) / terms.slow_start_ms;
+    return std::clamp(share, least_slow_start_share, 1.0);
+}
+
+double expected_ms(const upstream_state& upstream, const estimate_terms& terms)
+{
+    constexpr auto relaxed = std::memory_order_relaxed;
+    const service_state& service = *upstream.service;
+    const std::size_t rank = std::min(terms.rank, max_ranks - 1);
+    const std::uint32_t reported_limit = upstream.reported_limit.load(relaxed);
+    const bool reported = reported_limit != 0;
+    const double limit =
+        std::max<std::uint32_t>(reported ? reported_limit : terms.slots, 1);
+    const double mean_load = service.mean_load.load(relaxed) * limit;
+    double mean_service = service.mean_service_ms.load(relaxed);
+    if (mean_service <= 0)
+        mean_service = first_service_ms;
+    double load = mean_load;
+    double service_ms = mean_service;
+    if (reported) {
+        const double age =
+            age_ms(upstream.reported_at_ns.load(relaxed), terms.now);
+        const double stated = upstream.reported_running.load(relaxed) +
+                              upstream.reported_ahead.at(rank).load(relaxed);
+        load = weighed(stated, mean_load, age, load_half_age_ms);
+        service_ms = weighed(upstream.reported_service_ms.load(relaxed),
+                             mean_service, age, speed_half_age_ms);
+    }
+    load += upstream.sent_since_report.load(relaxed);
+    load = std::max<double>(load, upstream.outstanding.load(relaxed));
+    const double queued = std::max(0.0, load + 1 - limit) / limit;
+    const double crowded = crowding * std::min(1.0, load / limit);
+    const double trip = std::max(0.0, upstream.link->floor_ms.load(relaxed));
+    double cost = trip + service_ms * (1 + queued + crowded);
+    cost += stall_ms(upstream, service_ms, terms.now);
+    cost += error_cost_ms(upstream, mean_service, terms.now);
+    return cost / slow_start_share(upstream, terms);
+}
+
+} // namespace galenarudder::routing
--- /dev/null
+++ b/lib/routing/fleet_view.cpp
@@ -0,0 +1,92 @@
+// Lookup in the view and the subset of a large service.
+#include "galenarudder/routing/fleet_view.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+
+namespace galenarudder::routing {
+
+using config::automation;
+using config::limit;
+
+namespace {
+
+std::uint64_t rendezvous_hash(std::string_view own, std::string_view other)
+{
+    const std::uint64_t seed = XXH3_64bits(own.data(), own.size());
+    return XXH3_64bits_withSeed(other.data(), other.size(), seed);
+}
+
+struct ordered_candidate
+{
+    std::uint64_t hash = 0;
+    candidate upstream;
+};
+
+} // namespace
+
+routing_limits limits_of(const config::configuration& in_force)
+{
+    routing_limits limits;
+    limits.samples =
+        static_cast<std::size_t>(in_force.value(limit::pick_samples));
+    limits.slow_start_ms = in_force.value(limit::slow_start_ms);
+    limits.eject_share = in_force.value(limit::eject_share);
+    limits.eject_error_rate = in_force.value(limit::eject_error_rate);
+    limits.eject_ms = in_force.value(limit::eject_ms);
+    limits.retry_share = in_force.value(limit::retry_share);
+    limits.hedge_share = in_force.value(limit::hedge_share);
+    limits.hedge_percentile = in_force.value(limit::hedge_percentile);
+    limits.eject = in_force.mode(automation::eject);
+    limits.reroute = in_force.mode(automation::reroute);
+    limits.retry = in_force.mode(automation::retry);
+    limits.hedge = in_force.mode(automation::hedge);
+    return limits;
+}
+
+const service_view* fleet_view::find(std::string_view name) const
+{
+    const auto found = std::lower_bound(
+        services.begin(), services.end(), name,
+        [](const std::shared_ptr<const service_view>& service,
+           std::string_view wanted) { return service->shared->name < wanted; });
+    if (found == services.end() || (*found)->shared->name != name)
+        return nullptr;
+    return found->get();
+}
+
+std::vector<candidate> subset_of(std::vector<candidate> all,
+                                 std::string_view own_member,
+                                 std::size_t subset_size)
+{
+    const std::size_t wanted =
+        std::clamp<std::size_t>(subset_size, 1, max_candidates);
+    if (all.size() <= wanted)
+        return all;
+    std::map<std::string, std::vector<ordered_candidate>> by_domain;
+    for (candidate& upstream : all) {
+        const std::uint64_t hash = rendezvous_hash(own_member, upstream.member);
+        by_domain[upstream.domain].push_back({hash, std::move(upstream)});
+    }
+    std::size_t longest = 0;
+    for (auto& [domain, upstreams] : by_domain) {
+        std::sort(
+            upstreams.begin(), upstreams.end(),
+            [](const ordered_candidate& left, const ordered_candidate& right) {
+                return left.hash < right.hash;
+            });
+        longest = std::max(longest, upstreams.size());
+    }
+    std::vector<candidate> kept;
+    for (std::size_t place = 0; place < longest; ++place) {
+        for (auto& [domain, upstreams] : by_domain) {
+            if (place < upstreams.size() && kept.size() < wanted)
+                kept.push_back(std::move(upstreams[place].upstream));
+        }
+    }
+    return kept;
+}
+
+} // namespace galenarudder::routing
--- a/lib/routing/pick_strategy.cpp
+++ b/lib/routing/pick_strategy.cpp
@@ -1,7 +1,12 @@
 // The strategies and the table that finds them by name.
 #include "galenarudder/routing/pick_strategy.hpp"
 
+#include "galenarudder/routing/estimate.hpp"
+
+#include <algorithm>
 #include <array>
+#include <cassert>
+#include <limits>
 
 namespace galenarudder::routing {
 
@@ -12,10 +17,47 @@
     return upstream.state->outstanding.load(std::memory_order_relaxed);
 }
 
+/// The product's own: the least expected completion among a few sampled
+/// candidates.
+class expected_completion final : public pick_strategy
+{
+public:
+    std::size_t pick(std::span<const candidate*> candidates,
+                     const pick_context& context,
+                     support::random_engine& random) const override
+    {
+        const std::size_t samples =
+            std::clamp<std::size_t>(context.samples, 1, candidates.size());
+        std::size_t best = 0;
+        double least = std::numeric_limits<double>::max();
+        for (std::size_t drawn = 0; drawn < samples; ++drawn) {
+            const std::size_t other =
+                drawn +
+                support::uniform_below(random, candidates.size() - drawn);
+            std::swap(candidates[drawn], candidates[other]);
+            const double cost = cost_of(*candidates[drawn], context);
+            if (cost >= least)
+                continue;
+            least = cost;
+            best = drawn;
+        }
+        return best;
+    }
+
+private:
+    static double cost_of(const candidate& upstream,
+                          const pick_context& context)
+    {
+        const estimate_terms terms{context.now, context.rank, upstream.slots,
+                                   context.slow_start_ms};
+        return expected_ms(*upstream.state, terms);
+    }
+};
+
 class random_pick final : public pick_strategy
 {
 public:
-    std::size_t pick(std::span<const candidate* const> candidates,
+    std::size_t pick(std::span<const candidate*> candidates,
                      const pick_context&,
                      support::random_engine& random) const override
     {
@@ -23,10 +65,45 @@
     }
 };
 
+class round_robin final : public pick_strategy
+{
+public:
+    std::size_t pick(std::span<const candidate*> candidates,
+                     const pick_context& context,
+                     support::random_engine&) const override
+    {
+        assert(context.turn != nullptr && "turns need a counter");
+        const std::uint64_t turn =
+            context.turn->fetch_add(1, std::memory_order_relaxed);
+        return turn % candidates.size();
+    }
+};
+
+class least_outstanding final : public pick_strategy
+{
+public:
+    std::size_t pick(std::span<const candidate*> candidates,
+                     const pick_context&,
+                     support::random_engine& random) const override
+    {
+        // Starts anywhere, so that equal upstreams share the work.
+        const std::size_t offset =
+            support::uniform_below(random, candidates.size());
+        std::size_t best = offset;
+        for (std::size_t step = 1; step < candidates.size(); ++step) {
+            const std::size_t position = (offset + step) % candidates.size();
+            if (outstanding(*candidates[position]) <
+                outstanding(*candidates[best]))
+                best = position;
+        }
+        return best;
+    }
+};
+
 class power_of_two final : public pick_strategy
 {
 public:
-    std::size_t pick(std::span<const candidate* const> candidates,
+    std::size_t pick(std::span<const candidate*> candidates,
                      const pick_context&,
                      support::random_engine& random) const override
     {
@@ -40,31 +117,29 @@
     }
 };
 
+const expected_completion the_expected_completion;
 const random_pick the_random;
+const round_robin the_round_robin;
+const least_outstanding the_least_outstanding;
 const power_of_two the_power_of_two;
 
-struct strategy_row
-{
-    std::string_view name;
-    const pick_strategy* strategy;
-};
-
-constexpr std::array<std::string_view, 2> names = {"random", "power_of_two"};
+constexpr std::array<std::string_view, 5> names = {
+    "expected_completion", "random", "round_robin", "least_outstanding",
+    "power_of_two"};
 
-const std::array<strategy_row, 2> strategies = {{
-    {names[0], &the_random},
-    {names[1], &the_power_of_two},
-}};
+const std::array<const pick_strategy*, names.size()> strategies = {
+    &the_expected_completion, &the_random, &the_round_robin,
+    &the_least_outstanding, &the_power_of_two};
 
 } // namespace
 
 const pick_strategy* find_strategy(std::string_view name)
 {
     if (name.empty())
-        return &the_power_of_two;
-    for (const strategy_row& row : strategies) {
-        if (row.name == name)
-            return row.strategy;
+        return strategies.front();
+    for (std::size_t position = 0; position < names.size(); ++position) {
+        if (names.at(position) == name)
+            return strategies.at(position);
     }
     return nullptr;
 }
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -1,107 +1,277 @@
 // Keeps the view of the fleet's upstreams and picks from it.
 #include "galenarudder/routing/router.hpp"
 
+#include "galenarudder/routing/ejection.hpp"
 #include "galenarudder/support/rcu_cell.hpp"
+#include "galenarudder/telemetry/decision_log.hpp"
 
 #include <algorithm>
+#include <array>
 #include <map>
+#include <set>
 
 namespace galenarudder::routing {
 
+using config::automation_mode;
+using membership::member_record;
+using membership::member_state;
+
 namespace {
 
-struct service_view
+/// An upstream that said it leaves is kept out this long, by when membership
+/// tells whether it did.
+constexpr support::milliseconds leaving_time{5000};
+
+bool is_gone(const member_record& record)
+{
+    return record.state == member_state::left ||
+           record.state == member_state::dead;
+}
+
+/// Whether two records of a member mean the same for routing.
+bool same_for_routing(const member_record& left, const member_record& right)
+{
+    return membership::serves_calls(left) == membership::serves_calls(right) &&
+           left.service == right.service && left.domain == right.domain &&
+           left.slots == right.slots && left.link == right.link &&
+           left.incarnation == right.incarnation;
+}
+
+bool is_leaving(const upstream_state& upstream, support::time_point now)
+{
+    return upstream.leaving_until_ns.load(std::memory_order_relaxed) >
+           now.time_since_epoch().count();
+}
+
+bool is_tried(const candidate& upstream, const pick_request& request)
+{
+    return std::find(request.tried.begin(), request.tried.end(),
+                     upstream.member) != request.tried.end();
+}
+
+/// How much a pick may overlook when nothing better is left.
+enum class tolerance
+{
+    healthy_only,
+    ejected_too,
+    leaving_too
+};
+
+bool is_usable(const candidate& upstream,
+               tolerance allowed,
+               support::time_point now)
+{
+    if (allowed == tolerance::leaving_too)
+        return true;
+    if (is_leaving(*upstream.state, now))
+        return false;
+    return allowed == tolerance::ejected_too ||
+           !is_ejected(*upstream.state, now);
+}
+
+/// Candidates of one pick, without allocation.
+class selection
 {
-    std::string service;
-    const pick_strategy* strategy = nullptr;
-    std::vector<candidate> candidates;
-    std::vector<config::endpoint> links;
+public:
+    void add(const candidate& upstream) { places_.at(size_++) = &upstream; }
+    bool empty() const { return size_ == 0; }
+    std::span<const candidate*> all() { return {places_.data(), size_}; }
+
+private:
+    std::array<const candidate*, max_candidates> places_;
+    std::size_t size_ = 0;
 };
 
-struct fleet_view
+enum class locality
 {
-    std::vector<service_view> services;
-    std::size_t samples = 2;
+    any,
+    local_only
+};
 
-    const service_view* find(std::string_view name) const
-    {
-        for (const service_view& service : services) {
-            if (service.service == name)
-                return &service;
+/// Fills \p into with what is left at the least tolerance that leaves any.
+void select(const service_view& service,
+            const pick_request& request,
+            locality where,
+            support::time_point now,
+            selection& into)
+{
+    for (const tolerance allowed :
+         {tolerance::healthy_only, tolerance::ejected_too,
+          tolerance::leaving_too}) {
+        for (const candidate& upstream : service.candidates) {
+            if (where == locality::local_only && !upstream.local)
+                continue;
+            if (is_usable(upstream, allowed, now) &&
+                !is_tried(upstream, request))
+                into.add(upstream);
         }
-        return nullptr;
+        if (!into.empty())
+            return;
     }
+}
+
+struct local_health
+{
+    bool any = false;
+    bool healthy = false;
 };
 
+local_health health_of(const service_view& service, support::time_point now)
+{
+    local_health health;
+    for (const candidate& upstream : service.candidates) {
+        if (!upstream.local)
+            continue;
+        health.any = true;
+        health.healthy =
+            health.healthy || is_usable(upstream, tolerance::healthy_only, now);
+    }
+    return health;
+}
+
 } // namespace
 
 struct router::state
 {
     std::string own_domain;
+    std::string own_member;
     telemetry::decision_log* decisions = nullptr;
     // Control thread only.
-    std::map<support::member_id, membership::member_record> records;
+    std::map<support::member_id, member_record> records;
     std::map<support::member_id, std::shared_ptr<upstream_state>> states;
+    std::map<std::string, std::set<support::member_id>> members_of;
+    std::map<std::string, std::shared_ptr<service_state>> services;
+    std::map<std::string, std::shared_ptr<link_delay>> links;
     config::configuration in_force = config::default_configuration();
+    fleet_view current;
     // Read on the path of a call.
     support::rcu_cell<fleet_view> view{std::make_unique<fleet_view>()};
 
-    void rebuild();
-    service_view& service_of(fleet_view& next, const std::string& name) const;
+    void publish() { view.replace(std::make_unique<fleet_view>(current)); }
+    void forget(const member_record& record);
+    void rebuild(const std::string& service);
+    std::shared_ptr<const service_view> view_of(const std::string& name);
+    std::shared_ptr<upstream_state> state_of(const member_record& record);
+    locality decide_locality(const service_view& service,
+                             const routing_limits& limits,
+                             support::time_point now) const;
+    void record_reroute(const service_view& service,
+                        bool out,
+                        automation_mode mode,
+                        support::time_point now) const;
 };
 
-service_view& router::state::service_of(fleet_view& next,
-                                        const std::string& name) const
+void router::state::forget(const member_record& record)
 {
-    for (service_view& service : next.services) {
-        if (service.service == name)
-            return service;
-    }
-    const config::service_policy* policy = in_force.find_service(name);
-    service_view& added = next.services.emplace_back();
-    added.service = name;
-    added.strategy = find_strategy(policy ? policy->strategy : "");
-    if (added.strategy == nullptr)
-        added.strategy = find_strategy("");
-    return added;
+    members_of[record.service].erase(record.id);
+    states.erase(record.id);
 }
 
-void router::state::rebuild()
+std::shared_ptr<upstream_state>
+router::state::state_of(const member_record& record)
 {
-    auto next = std::make_unique<fleet_view>();
-    next->samples =
-        static_cast<std::size_t>(in_force.value(config::limit::pick_samples));
-    for (const auto& [id, record] : records) {
+    std::shared_ptr<upstream_state>& kept = states[record.id];
+    if (kept)
+        return kept;
+    std::shared_ptr<service_state>& service = services[record.service];
+    if (!service)
+        service = std::make_shared<service_state>(record.service);
+    std::shared_ptr<link_delay>& link =
+        links[record.service + '/' + record.domain];
+    if (!link)
+        link = std::make_shared<link_delay>();
+    kept = std::make_shared<upstream_state>(service, link);
+    return kept;
+}
+
+std::shared_ptr<const service_view>
+router::state::view_of(const std::string& name)
+{
+    std::vector<candidate> all;
+    for (const support::member_id& id : members_of[name]) {
+        const member_record& record = records.at(id);
         if (!membership::serves_calls(record))
             continue;
-        service_view& service = service_of(*next, record.service);
-        std::shared_ptr<upstream_state>& kept = states[id];
-        if (!kept)
-            kept = std::make_shared<upstream_state>();
-        service.candidates.push_back({id, record.domain, record.slots, kept});
-        service.links.push_back(record.link);
+        all.push_back({id, record.domain, record.slots, state_of(record),
+                       record.link, record.domain == own_domain});
     }
-    view.replace(std::move(next));
+    if (all.empty())
+        return nullptr;
+    const config::service_policy* policy = in_force.find_service(name);
+    auto made = std::make_shared<service_view>();
+    made->shared = all.front().state->service;
+    made->strategy = find_strategy(policy ? policy->strategy : "");
+    if (made->strategy == nullptr)
+        made->strategy = find_strategy("");
+    made->candidates = subset_of(
+        std::move(all), own_member,
+        static_cast<std::size_t>(in_force.value(config::limit::subset_size)));
+    return made;
 }
 
-router::router(std::string own_domain) : state_(std::make_unique<state>())
+void router::state::rebuild(const std::string& service)
+{
+    auto& kept = current.services;
+    const auto place = std::lower_bound(
+        kept.begin(), kept.end(), service,
+        [](const std::shared_ptr<const service_view>& view,
+           const std::string& name) { return view->shared->name < name; });
+    const bool known = place != kept.end() && (*place)->shared->name == service;
+    std::shared_ptr<const service_view> next = view_of(service);
+    if (known && next)
+        *place = std::move(next);
+    else if (known)
+        kept.erase(place);
+    else if (next)
+        kept.insert(place, std::move(next));
+}
+
+router::router(std::string own_domain, std::string own_member)
+    : state_(std::make_unique<state>())
 {
     state_->own_domain = std::move(own_domain);
+    state_->own_member = std::move(own_member);
+    state_->current.limits = limits_of(state_->in_force);
+    state_->publish();
 }
 
 router::~router() = default;
 
-void router::on_record(const membership::member_record& record,
-                       support::time_point)
+void router::on_record(const member_record& record, support::time_point)
 {
-    state_->records[record.id] = record;
-    state_->rebuild();
+    const auto known = state_->records.find(record.id);
+    if (known == state_->records.end() && !membership::serves_calls(record))
+        return;
+    if (known != state_->records.end()) {
+        const member_record before = known->second;
+        known->second = record;
+        if (same_for_routing(before, record) && !is_gone(record))
+            return;
+        const bool other_life = before.incarnation != record.incarnation ||
+                                before.service != record.service ||
+                                before.domain != record.domain;
+        if (other_life || is_gone(record))
+            state_->forget(before);
+        if (before.service != record.service)
+            state_->rebuild(before.service);
+    }
+    if (is_gone(record)) {
+        state_->records.erase(record.id);
+    } else {
+        state_->records[record.id] = record;
+        state_->members_of[record.service].insert(record.id);
+    }
+    state_->rebuild(record.service);
+    state_->publish();
 }
 
 void router::on_configuration(const config::configuration& in_force)
 {
     state_->in_force = in_force;
-    state_->rebuild();
+    state_->current.limits = limits_of(in_force);
+    for (const auto& [service, members] : state_->members_of)
+        state_->rebuild(service);
+    state_->publish();
 }
 
 void router::set_decision_log(telemetry::decision_log& log)
@@ -109,6 +279,39 @@
     state_->decisions = &log;
 }
 
+void router::state::record_reroute(const service_view& service,
+                                   bool out,
+                                   automation_mode mode,
+                                   support::time_point now) const
+{
+    std::atomic<bool>& rerouting = service.shared->rerouting;
+    if (rerouting.load(std::memory_order_relaxed) == out ||
+        rerouting.exchange(out) == out)
+        return;
+    if (!out || decisions == nullptr)
+        return;
+    decisions->record({now, config::automation::reroute,
+                       telemetry::effect_of(mode, true), service.shared->name,
+                       "no healthy upstream in the own failure domain"});
+}
+
+/// In automatic mode the estimate decides alone; in bounded mode calls leave
+/// the domain only when none of its upstreams is healthy; in observe mode
+/// they stay as long as it has any.
+locality router::state::decide_locality(const service_view& service,
+                                        const routing_limits& limits,
+                                        support::time_point now) const
+{
+    const local_health health = health_of(service, now);
+    if (!health.any)
+        return locality::any;
+    record_reroute(service, !health.healthy, limits.reroute, now);
+    if (limits.reroute == automation_mode::automatic)
+        return locality::any;
+    const bool must_stay = limits.reroute == automation_mode::observe;
+    return must_stay || health.healthy ? locality::local_only : locality::any;
+}
+
 std::optional<choice> router::pick(const pick_request& request,
                                    support::time_point now,
                                    support::random_engine& random) const
@@ -117,48 +320,123 @@
     const service_view* service = view->find(request.service);
     if (service == nullptr)
         return std::nullopt;
-    std::vector<const candidate*> usable;
-    for (const candidate& upstream : service->candidates) {
-        const bool tried = std::find(request.tried.begin(), request.tried.end(),
-                                     upstream.member) != request.tried.end();
-        if (!tried)
-            usable.push_back(&upstream);
-    }
+    const routing_limits& limits = view->limits;
+    const locality where = state_->decide_locality(*service, limits, now);
+    selection usable;
+    select(*service, request, where, now, usable);
     if (usable.empty())
         return std::nullopt;
-    const pick_context context{now, state_->own_domain, request.rank,
-                               view->samples};
-    const candidate* picked =
-        usable[service->strategy->pick(usable, context, random)];
-    const auto position =
-        static_cast<std::size_t>(picked - service->candidates.data());
-    return choice{picked->member, service->links[position], picked->state};
+    const pick_context context{now,
+                               state_->own_domain,
+                               request.rank,
+                               limits.samples,
+                               limits.slow_start_ms,
+                               &service->shared->turn};
+    const std::span<const candidate*> all = usable.all();
+    const candidate& picked =
+        *all[service->strategy->pick(all, context, random)];
+    return choice{picked.member, picked.link, picked.state};
 }
 
-void router::on_sent(const choice& chosen) const
+void router::on_sent(const choice& chosen, support::time_point now) const
 {
-    chosen.state->outstanding.fetch_add(1, std::memory_order_relaxed);
-    chosen.state->sent_since_report.fetch_add(1, std::memory_order_relaxed);
+    upstream_state& state = *chosen.state;
+    if (state.outstanding.fetch_add(1, std::memory_order_relaxed) == 0)
+        state.progress_at_ns = now.time_since_epoch().count();
+    state.sent_since_report.fetch_add(1, std::memory_order_relaxed);
 }
 
 void router::on_ended(const choice& chosen,
-                      attempt_result,
-                      support::duration,
-                      support::time_point) const
+                      attempt_result how,
+                      support::duration latency,
+                      support::time_point now) const
 {
-    chosen.state->outstanding.fetch_sub(1, std::memory_order_relaxed);
+    upstream_state& state = *chosen.state;
+    state.outstanding.fetch_sub(1, std::memory_order_relaxed);
+    if (how == attempt_result::canceled)
+        return;
+    state.progress_at_ns.store(now.time_since_epoch().count(),
+                               std::memory_order_relaxed);
+    if (how == attempt_result::leaving) {
+        state.leaving_until_ns =
+            (now + leaving_time).time_since_epoch().count();
+        return;
+    }
+    if (how != attempt_result::failed) {
+        state.link->on_latency(latency);
+        if (how == attempt_result::answered)
+            note_success(state);
+        return;
+    }
+    const auto view = state_->view.read();
+    if (!note_failure(state, view->limits, now))
+        return;
+    const service_view* service = view->find(state.service->name);
+    if (service == nullptr)
+        return;
+    for (const candidate& upstream : service->candidates) {
+        if (upstream.state == chosen.state)
+            eject(*service, upstream, view->limits, state_->decisions, now);
+    }
+}
+
+void router::on_leaving(const support::member_id& member,
+                        support::time_point now) const
+{
+    const auto view = state_->view.read();
+    for (const std::shared_ptr<const service_view>& service : view->services) {
+        for (const candidate& upstream : service->candidates) {
+            if (upstream.member != member)
+                continue;
+            upstream.state->leaving_until_ns =
+                (now + leaving_time).time_since_epoch().count();
+        }
+    }
 }
 
 void router::on_report(const choice& chosen,
                        const support::load_report& report,
                        support::time_point now) const
 {
+    constexpr double mean_share = 0.05;
+    constexpr auto relaxed = std::memory_order_relaxed;
     upstream_state& state = *chosen.state;
-    state.reported_running = report.running;
-    state.reported_waiting = report.waiting;
-    state.reported_service_ms = report.service_ms;
-    state.reported_at_ns = now.time_since_epoch().count();
-    state.sent_since_report = 0;
+    const std::int64_t now_ns = now.time_since_epoch().count();
+    std::uint32_t ahead = 0;
+    for (std::size_t rank = 0; rank < max_ranks; ++rank) {
+        if (rank < report.waiting_by_rank.size())
+            ahead += report.waiting_by_rank[rank];
+        else if (report.waiting_by_rank.empty())
+            ahead = report.waiting;
+        state.reported_ahead.at(rank).store(ahead, relaxed);
+    }
+    state.reported_running.store(report.running, relaxed);
+    state.reported_waiting.store(report.waiting, relaxed);
+    state.reported_limit.store(report.limit, relaxed);
+    state.reported_service_ms.store(report.service_ms, relaxed);
+    state.sent_since_report.store(0, relaxed);
+    if (report.age_ms > 0) {
+        const std::int64_t age_ns = support::from_ms(report.age_ms).count();
+        state.serving_since_ns.store(now_ns - age_ns, relaxed);
+    }
+    state.reported_at_ns.store(now_ns, relaxed);
+    if (report.limit == 0)
+        return;
+    service_state& service = *state.service;
+    const double load = report.running + report.waiting;
+    blend(service.mean_load, load / report.limit, mean_share);
+    blend(service.mean_service_ms, report.service_ms, mean_share);
+}
+
+routing_limits router::limits() const
+{
+    const auto view = state_->view.read();
+    return view->limits;
+}
+
+telemetry::decision_log* router::decisions() const
+{
+    return state_->decisions;
 }
 
 } // namespace galenarudder::routing
--- /dev/null
+++ b/tools/galenarudder-replay/fake_upstream.hpp
@@ -0,0 +1,117 @@
+/// \file
+/// One upstream with its gate: the real admission::gate before slots and a
+/// clock.
+#pragma once
+
+#include "timeline.hpp"
+#include "trace.hpp"
+
+#include "galenarudder/admission/gate.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace galenarudder::replay {
+
+/// What the entry hears of an attempt. A status of 0 is a refusal.
+struct attempt_reply
+{
+    unsigned status = 0;
+    support::refusal why;
+    support::load_report load;
+};
+
+/// An attempt on its way to a gate.
+struct sent_attempt
+{
+    admission::attempt terms;
+    std::uint64_t call = 0;
+    double work_ms = 0;
+    bool repeatable = false;
+    support::time_point sent_at;
+    std::function<void(attempt_reply)> reply;
+};
+
+struct upstream_counts
+{
+    std::uint64_t started = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t failed = 0;
+    double busy_ms = 0;
+    /// Running calls lost although a drain had been announced.
+    std::uint64_t cut = 0;
+    double new_work_after_drain_ms = 0;
+};
+
+class fake_upstream
+{
+public:
+    fake_upstream(timeline& clock,
+                  const upstream_spec& spec,
+                  const config::configuration& in_force);
+
+    /// Called with the id of each call that the upstream begins to run.
+    std::function<void(std::uint64_t call)> on_run;
+
+    void arrive(sent_attempt attempt);
+    void cancel(const admission::attempt_key& key);
+    void tick();
+
+    void apply(const upstream_event& event);
+    bool serves() const { return gate_ != nullptr && !drained_at_; }
+    const upstream_spec& spec() const { return spec_; }
+    const upstream_counts& counts() const { return counts_; }
+
+private:
+    struct running_call
+    {
+        support::time_point started_at;
+        support::time_point updated_at;
+        double work_left_ms = 0;
+        bool fails = false;
+        std::uint64_t generation = 0;
+    };
+    struct open_attempt
+    {
+        sent_attempt sent;
+        std::optional<running_call> running;
+    };
+    using key = admission::attempt_key;
+
+    void start(double cold_ms);
+    void stop();
+    void set_factor(double factor);
+    void resume();
+    bool paused() const { return clock_.now() < paused_until_; }
+    double milliseconds_per_work() const;
+    void perform(const std::vector<admission::action>& actions);
+    void execute(const admission::start& begun);
+    void execute(const admission::refuse& ended);
+    void execute(const admission::abort_running& aborted);
+    void plan_end(const key& which, running_call& call);
+    void advance(running_call& call);
+    void finish(const key& which, std::uint64_t generation);
+    support::load_report report() const;
+
+    timeline& clock_;
+    upstream_spec spec_;
+    config::configuration in_force_;
+    std::unique_ptr<admission::gate> gate_;
+    std::map<key, open_attempt> attempts_;
+    std::uint64_t generation_ = 0;
+    std::uint32_t connections_ = 0;
+    double factor_ = 1;
+    double lie_ = 1;
+    bool fails_fast_ = false;
+    double cold_ms_ = 0;
+    support::time_point started_at_;
+    support::time_point stopped_at_;
+    support::time_point paused_until_;
+    std::optional<support::time_point> drained_at_;
+    upstream_counts counts_;
+};
+
+} // namespace galenarudder::replay
