--- a/examples/embedding/main.cpp
+++ b/examples/embedding/main.cpp
@@ -69,7 +69,7 @@
             ++without_upstream;
             continue;
         }
-        router.on_sent(*target);
+        router.on_sent(*target, now);
         admission::gate& gate = *gates.at(target->member);
         const admission::attempt_key key{
             0, static_cast<support::call_id>(job + 1)};
--- a/unittests/golden/call_sessions.cpp
+++ b/unittests/golden/call_sessions.cpp
@@ -179,7 +179,8 @@
     proxy::call_flow flow(router, terms(false));
     print(out, "0 ms: start", flow.start(at_ms(0), random));
     print(out, "600 ms: the caller went away", flow.on_caller_gone(at_ms(600)));
-    print(out, "700 ms: late answer", flow.on_answer(0, load, at_ms(700)));
+    print(out, "700 ms: late answer",
+          flow.on_answer(0, load, 200, at_ms(700), random));
 }
 
 void play_decisions(transcript& out)
