Admit by rank with minimum shares, an adaptive limit and early refusal

Cause: the first gate served ranks strictly in order, so a flood of the most urgent rank starved the others, and it queued calls that could not meet their deadline.

Ruled out: counting shares by started calls (a rank of long calls would get far more of the upstream than its share); a bare sliding window (an idle rank that returns would take its whole share of the window in one burst before urgent calls); lending held slots while the top rank is idle (running work cannot be pre-empted, so the first urgent call would wait for it); a limit that falls with latency alone (a noisy neighbour slows calls at any number, and fewer at once then only cost goodput).

Change: ranks earn their share of slot time while they have work and pay for their starts, settled by what the calls really took. The limit is lowered in trials that are kept only if the rate of answers stays. Calls that cannot meet their deadline are refused at once, as not run. A full queue drops the newest of the least urgent rank over its kept places. The probe budget holds in any window of 10 s because a probe may take no longer than what is left of it.

--- /dev/null
+++ b/benchmarks/bench_admission.cpp
@@ -0,0 +1,170 @@
+// Cost of one decision of the gate under overload, and the share of the
+// upstream's time that probes take with few and with many entries.
+#include "galenarudder/admission/gate.hpp"
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <iostream>
+#include <random>
+
+DEFINE_uint64(seed, 7, "seed of arrivals and probe costs");
+
+namespace galenarudder::bench {
+
+using support::duration;
+using support::time_point;
+
+constexpr std::uint32_t slots = 9;
+constexpr double service_ms = 4;
+constexpr int decisions = 200'000;
+/// Added latency that 99 in 100 calls may see.
+constexpr double added_latency_us = 2'000;
+constexpr double probe_ms = 6;
+constexpr double slow_probe_ms = 90;
+constexpr double probe_budget_share = 0.01;
+constexpr support::milliseconds probe_run{600'000};
+constexpr support::milliseconds tick_interval{5};
+/// Time between two calls of one entry.
+constexpr double entry_gap_ms = 30'000;
+
+void print(const std::string& name,
+           double value,
+           const char* unit,
+           double target)
+{
+    std::cout << nlohmann::json{{"name", name},     {"value", value},
+                                {"unit", unit},     {"target", target},
+                                {"better", "less"}, {"met", value <= target}}
+                     .dump()
+              << "\n";
+}
+
+admission::attempt make_call(std::uint64_t id, time_point now)
+{
+    static constexpr const char* ranks[] = {"urgent", "normal", "bulk"};
+    admission::attempt call;
+    call.key.id = static_cast<support::call_id>(id);
+    call.rank = ranks[id % 3];
+    call.deadline = now + std::chrono::seconds(10);
+    return call;
+}
+
+/// p99 of one offer while the queue is full; one call in ten ends.
+double offer_p99_us()
+{
+    admission::gate gate(config::default_configuration());
+    time_point now{std::chrono::hours(1)};
+    gate.on_upstream(slots, now);
+    std::deque<admission::attempt_key> running;
+    std::vector<double> took_us;
+    took_us.reserve(decisions);
+    for (int number = 0; number < decisions; ++number) {
+        now += std::chrono::microseconds(20);
+        const auto call = make_call(static_cast<std::uint64_t>(number), now);
+        const auto begun = support::monotonic_clock::now();
+        const auto actions = gate.offer(call, now);
+        const duration took = support::monotonic_clock::now() - begun;
+        took_us.push_back(support::to_ms(took) * 1000);
+        for (const auto& action : actions) {
+            if (const auto* started = std::get_if<admission::start>(&action))
+                running.push_back(started->key);
+        }
+        if (number % 10 != 0 || running.empty())
+            continue;
+        const auto key = running.front();
+        running.pop_front();
+        for (const auto& action :
+             gate.on_ended(key, admission::run_result::answered,
+                           support::from_ms(service_ms), now)) {
+            if (const auto* started = std::get_if<admission::start>(&action))
+                running.push_back(started->key);
+        }
+    }
+    std::sort(took_us.begin(), took_us.end());
+    return took_us[took_us.size() * 99 / 100];
+}
+
+struct probe_span
+{
+    time_point from;
+    time_point to;
+};
+
+/// Largest share of a window that probes took.
+double worst_window_share(const std::vector<probe_span>& probes)
+{
+    const auto window = admission::probe_budget::window;
+    duration worst{};
+    for (const probe_span& last : probes) {
+        duration sum{};
+        for (const probe_span& each : probes) {
+            const time_point from = std::max(each.from, last.to - window);
+            const time_point to = std::min(each.to, last.to);
+            sum += std::max(duration(0), to - from);
+        }
+        worst = std::max(worst, sum);
+    }
+    return support::to_ms(worst) / support::to_ms(window);
+}
+
+/// Runs one gate with calls of \p entries; a tenth of the probes is slow.
+double probe_share(std::size_t entries, std::uint64_t& count)
+{
+    std::mt19937_64 random(FLAGS_seed);
+    admission::gate gate(config::default_configuration());
+    time_point now{std::chrono::hours(1)};
+    gate.on_upstream(slots, now);
+    std::exponential_distribution<double> gap(static_cast<double>(entries) /
+                                              entry_gap_ms);
+    std::vector<probe_span> probes;
+    std::optional<probe_span> probing;
+    bool answered = false;
+    std::uint64_t last_id = 0;
+    time_point next_call = now + support::from_ms(gap(random));
+    const time_point end = now + probe_run;
+    for (; now < end; now += tick_interval) {
+        if (probing && now >= probing->to) {
+            gate.on_probe_ended(answered, probing->to);
+            probes.push_back(*probing);
+            probing.reset();
+        }
+        while (next_call <= now) {
+            const auto call = make_call(++last_id, now);
+            gate.offer(call, now);
+            gate.on_ended(call.key, admission::run_result::answered,
+                          support::from_ms(service_ms), now);
+            next_call += support::from_ms(gap(random));
+        }
+        const auto allowed = gate.start_probe(now);
+        if (!allowed)
+            continue;
+        const duration wanted =
+            support::from_ms(random() % 10 == 0 ? slow_probe_ms : probe_ms);
+        answered = wanted <= *allowed;
+        probing = {now, now + std::min(wanted, *allowed)};
+    }
+    count = probes.size();
+    return worst_window_share(probes);
+}
+
+} // namespace galenarudder::bench
+
+int main(int argc, char** argv)
+{
+    using namespace galenarudder::bench;
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    print("admission.offer_p99", offer_p99_us(), "us", added_latency_us);
+    for (const std::size_t entries : {3UL, 300UL}) {
+        std::uint64_t count = 0;
+        const double share = probe_share(entries, count);
+        print("probes.worst_window_share_" + std::to_string(entries) +
+                  "_entries",
+              share, "share", probe_budget_share);
+        std::cerr << entries << " entries: " << count << " probes in "
+                  << probe_run.count() / 1000 << " s\n";
+    }
+    return 0;
+}
--- a/include/galenarudder/admission/gate.hpp
+++ b/include/galenarudder/admission/gate.hpp
@@ -4,15 +4,16 @@
 /// runs and what was never started.
 #pragma once
 
+#include "galenarudder/admission/attempt.hpp"
+#include "galenarudder/admission/probe_budget.hpp"
 #include "galenarudder/config/configuration.hpp"
 #include "galenarudder/support/call.hpp"
 #include "galenarudder/support/refusal.hpp"
 #include "galenarudder/support/time.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <memory>
-#include <string>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -22,25 +23,6 @@
 
 namespace galenarudder::admission {
 
-/// Names one attempt at the gate: the link it came by (0 for the gate's own
-/// entry) and its call id on that link.
-struct attempt_key
-{
-    std::uint64_t link = 0;
-    support::call_id id{};
-
-    // NOLINTNEXTLINE(modernize-use-nullptr): a false finding of clang-tidy 14.
-    friend auto operator<=>(const attempt_key&, const attempt_key&) = default;
-};
-
-struct attempt
-{
-    attempt_key key;
-    std::string rank;
-    support::time_point deadline;
-    bool repeatable = false;
-};
-
 /// Send the attempt to the upstream now.
 struct start
 {
@@ -70,6 +52,18 @@
     shed
 };
 
+/// Totals since the start, for metrics.
+struct gate_counts
+{
+    std::uint64_t started = 0;
+    /// Refused because the deadline passed or could not be met.
+    std::uint64_t refused_deadline = 0;
+    /// Refused or displaced because the queue was full.
+    std::uint64_t refused_overload = 0;
+    /// Would have been refused, but automation `shed` is in mode observe.
+    std::uint64_t observed = 0;
+};
+
 class gate
 {
 public:
@@ -83,7 +77,8 @@
 
     void on_configuration(const config::configuration& in_force,
                           support::time_point now);
-    /// The upstream announced itself; a new one begins with a slow start.
+    /// The upstream announced itself; the age in the report begins with the
+    /// first announcement, so that entries can start slowly.
     std::vector<action> on_upstream(std::uint32_t slots,
                                     support::time_point now);
     /// The upstream left or its heartbeat lapsed.
@@ -104,10 +99,20 @@
     std::vector<action> drain(support::time_point now);
     std::vector<action> on_tick(support::time_point now);
 
+    /// Returns how long a probe of the upstream may take from now on, or
+    /// nothing when none is wanted or allowed. Answers of calls tell more than
+    /// a probe, so only an upstream that has answered none of late is probed.
+    std::optional<support::duration> start_probe(support::time_point now);
+    /// The probe ended. Its duration counts; what it says about the load does
+    /// not, since the gate itself knows what runs.
+    void on_probe_ended(bool answered, support::time_point now);
+    const probe_budget& probes() const;
+
     bool draining() const;
     /// True while an attempt runs.
     bool busy() const;
     support::load_report report(support::time_point now) const;
+    const gate_counts& counts() const;
 
 private:
     struct state;
