Claim idempotency keys in the store; bound connections; probe by the gate

Cause: an Idempotency-Key was passed on and not looked at, so a second call with it ran again. The upstream client bounded only its idle connections, took an interim answer (1xx) for the answer, and sent a call whose deadline had passed while the process was paused. Nothing probed the upstream.

Ruled out: one store key for each claim (nothing expires without a lease, and a lapsed lease lets a paused holder run twice); an owner for each shard (two may think they own it); a slow start in the gate (a fleet that starts as a whole would refuse its own load).

The entry claims before dispatch and records the outcome; what was refused as not run frees its key. The client holds all connections at slots + 2, opens them ahead, reads past interim answers, keeps the connection of a shed call, and looks at the deadline before the first byte. The gate probes the announced probe_path inside its budget and publishes its counters. A drain ends also when only waiting work was left.

--- a/include/galenarudder/daemon/announcement_port.hpp
+++ b/include/galenarudder/daemon/announcement_port.hpp
@@ -22,6 +22,8 @@
     config::endpoint address;
     std::uint32_t slots = 0;
     std::uint32_t connections = 0;
+    /// Where the gate may probe the upstream; empty for no probes.
+    std::string probe_path;
 };
 
 /// Reads and checks the body of an announcement.
--- a/include/galenarudder/proxy/entry.hpp
+++ b/include/galenarudder/proxy/entry.hpp
@@ -5,6 +5,7 @@
 #include "galenarudder/config/configuration.hpp"
 #include "galenarudder/link/exchange.hpp"
 #include "galenarudder/proxy/call_flow.hpp"
+#include "galenarudder/proxy/keyed_calls.hpp"
 #include "galenarudder/routing/router.hpp"
 #include "galenarudder/support/call.hpp"
 #include "galenarudder/support/rcu_cell.hpp"
@@ -48,6 +49,13 @@
                             std::string_view host,
                             support::time_point now) const;
 
+    /// Set it before the first call. Without it keyed calls that must not
+    /// repeat are refused.
+    void set_keyed_calls(std::shared_ptr<keyed_calls> keyed);
+    /// Claims the key of a call that must not repeat, before it is dispatched.
+    boost::asio::awaitable<claim_answer>
+    claim(const support::call_head& head, support::time_point deadline) const;
+
     support::call_id next_call_id();
     std::shared_ptr<link::gate_port> gate(const routing::choice& target) const
     {
@@ -61,6 +69,7 @@
     const support::rcu_cell<config::configuration>& in_force_;
     telemetry::metrics& metrics_;
     gate_lookup find_gate_;
+    std::shared_ptr<keyed_calls> keyed_;
     std::atomic<std::uint64_t> last_call_id_{0};
 };
 
--- a/include/galenarudder/proxy/gate_runtime.hpp
+++ b/include/galenarudder/proxy/gate_runtime.hpp
@@ -6,11 +6,14 @@
 #include "galenarudder/admission/gate.hpp"
 #include "galenarudder/config/settings.hpp"
 #include "galenarudder/link/exchange.hpp"
+#include "galenarudder/telemetry/decision_log.hpp"
+#include "galenarudder/telemetry/metrics.hpp"
 
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace galenarudder::proxy {
 
@@ -32,10 +35,15 @@
     void link_closed(std::uint64_t link);
 
     void configure(const config::configuration& in_force);
-    /// The upstream announced itself at \p where.
+    /// The upstream announced itself at \p where. With a \p probe_path the
+    /// gate probes it there when no call tells of it.
     void set_upstream(const config::endpoint& where,
                       std::uint32_t slots,
-                      std::uint32_t connections);
+                      std::uint32_t connections,
+                      const std::string& probe_path = {});
+    /// Both must outlive the gate's work.
+    void report_to(telemetry::metrics& metrics,
+                   telemetry::decision_log& decisions);
     void upstream_gone();
     /// Refuses new work; \p drained is called once nothing runs.
     void drain(std::function<void()> drained);
--- a/include/galenarudder/proxy/http_fields.hpp
+++ b/include/galenarudder/proxy/http_fields.hpp
@@ -18,6 +18,9 @@
 /// On an upstream's 503: `not-run` states that the upstream shed the call.
 inline constexpr std::string_view outcome_field = "Galenarudder-Outcome";
 
+/// On an answer that was recorded for an earlier call with the same key.
+inline constexpr std::string_view replayed_field = "Galenarudder-Replayed";
+
 /// Whether two field names are the same, ignoring case.
 bool same_field(std::string_view left, std::string_view right);
 
--- a/include/galenarudder/proxy/upstream_client.hpp
+++ b/include/galenarudder/proxy/upstream_client.hpp
@@ -21,7 +21,9 @@
 {
     answered,
     failed,
-    shed
+    shed,
+    /// No byte was sent: it was canceled or its deadline had passed.
+    not_sent
 };
 
 /// One attempt that runs; abort closes its connection.
@@ -42,8 +44,11 @@
     upstream_client(const upstream_client&) = delete;
     upstream_client& operator=(const upstream_client&) = delete;
 
-    /// Bounds the connections kept open.
+    /// Bounds the connections that are open, in use or not, and opens as many
+    /// ahead of the calls. Call it again to replace those that were closed.
     void set_max_connections(std::size_t count);
+    /// Connections that are open or being opened.
+    std::size_t open_connections() const;
 
     /// Called before deliver, to state the load with the answer.
     using load_source = std::function<support::load_report()>;
@@ -51,7 +56,8 @@
     using finished =
         std::function<void(upstream_result how, support::duration took)>;
 
-    /// Sends the attempt and delivers its answer or refusal.
+    /// Sends the attempt and delivers its answer or refusal. Nothing is sent
+    /// once \p deadline has passed.
     std::shared_ptr<upstream_call> run(link::exchange_ptr attempt,
                                        support::time_point deadline,
                                        load_source load,
--- a/include/galenarudder/support/refusal.hpp
+++ b/include/galenarudder/support/refusal.hpp
@@ -34,6 +34,9 @@
     body_too_large,
     too_deep,
     canceled,
+    /// An earlier call with the same idempotency key was answered; the answer
+    /// is too large to be given again.
+    answer_not_kept,
 };
 
 /// A refusal as sent to the caller and between daemons.
--- a/lib/daemon/announcement_port.cpp
+++ b/lib/daemon/announcement_port.cpp
@@ -24,7 +24,8 @@
     "address": {"type": "string"},
     "slots": {"type": "integer", "minimum": 1, "maximum": 100000},
     "connections": {"type": "integer", "minimum": 1, "maximum": 1000000},
-    "load": {"type": "number", "minimum": 0}
+    "load": {"type": "number", "minimum": 0},
+    "probe_path": {"type": "string", "pattern": "^/", "maxLength": 256}
   }
 })";
 
@@ -71,7 +72,8 @@
     if (!address)
         return std::move(address).error();
     return announcement{document.at("service"), std::move(address).value(),
-                        document.at("slots"), document.at("connections")};
+                        document.at("slots"), document.at("connections"),
+                        document.value("probe_path", "")};
 }
 
 class announcement_port::impl : public std::enable_shared_from_this<impl>
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -41,6 +41,8 @@
 constexpr support::milliseconds store_timeout{1000};
 /// Time for the drain notice to spread before the daemon leaves.
 constexpr auto leave_delay = std::chrono::milliseconds(500);
+/// Outcomes of keyed calls get this many further delays to reach the store.
+constexpr unsigned max_leave_checks = 4;
 
 std::uint64_t wall_clock_ms()
 {
@@ -50,6 +52,14 @@
             .count());
 }
 
+/// Differs between any two starts of daemons.
+std::string unique_start_name()
+{
+    std::random_device random;
+    const std::uint64_t high = random();
+    return std::to_string((high << 32) | random());
+}
+
 } // namespace
 
 class runtime::impl : public std::enable_shared_from_this<impl>
@@ -70,6 +80,7 @@
     void execute(const configure_gate&);
     void drain(std::string_view asked_by);
     void leave();
+    void leave_when_recorded(unsigned checks_left);
     void part_drained();
     std::shared_ptr<link::gate_port> gate_of(const routing::choice& target);
     link::hub_handlers hub_handlers();
@@ -95,6 +106,7 @@
     std::unique_ptr<announcement_port> announcements_;
     std::unique_ptr<operator_port> operators_;
     store::consul_store store_;
+    std::shared_ptr<proxy::keyed_calls> keyed_;
     udp::socket gossip_;
     asio::steady_timer timer_;
     asio::signal_set signals_;
@@ -150,7 +162,8 @@
         if (!self)
             return;
         self->on_control([what](impl& own) {
-            own.gate_->set_upstream(what.address, what.slots, what.connections);
+            own.gate_->set_upstream(what.address, what.slots, what.connections,
+                                    what.probe_path);
             own.perform(own.node_.on_announcement(what.service, what.slots,
                                                   monotonic_clock::now()));
         });
@@ -189,6 +202,11 @@
 
 support::result<void> runtime::impl::start()
 {
+    gate_->report_to(metrics_, node_.decisions());
+    keyed_ = std::make_shared<proxy::keyed_calls>(control_, store_, metrics_,
+                                                  settings_.member + "-" +
+                                                      unique_start_name());
+    entry_.set_keyed_calls(keyed_);
     hub_ = std::make_unique<link::hub>(io_, settings_.member, hub_handlers());
     announcements_ =
         std::make_unique<announcement_port>(io_, announcement_events());
@@ -297,6 +315,8 @@
     telemetry::log_change("configuration version=" +
                           std::to_string(in_force->version));
     gate_->configure(*in_force);
+    keyed_->set_retention(
+        support::from_ms(in_force->value(config::limit::claim_retention_ms)));
 }
 
 void runtime::impl::drain(std::string_view asked_by)
@@ -329,11 +349,21 @@
 void runtime::impl::leave()
 {
     telemetry::log_change("left");
+    leave_when_recorded(max_leave_checks);
+}
+
+void runtime::impl::leave_when_recorded(unsigned checks_left)
+{
     timer_.expires_after(leave_delay);
-    timer_.async_wait([self = shared_from_this()](boost::system::error_code) {
-        self->hub_->stop();
-        self->io_.stop();
-    });
+    timer_.async_wait(
+        [self = shared_from_this(), checks_left](boost::system::error_code) {
+            if (self->keyed_->pending() && checks_left > 0) {
+                self->leave_when_recorded(checks_left - 1);
+                return;
+            }
+            self->hub_->stop();
+            self->io_.stop();
+        });
 }
 
 void runtime::impl::run()
--- a/lib/proxy/caller_server.cpp
+++ b/lib/proxy/caller_server.cpp
@@ -171,6 +171,7 @@
         bool body_complete = false;
         std::optional<refusal> refused;
         std::optional<std::size_t> forwarded;
+        std::shared_ptr<held_claim> claim;
         link::answered answer;
     };
     using call_ptr = std::shared_ptr<call>;
@@ -186,6 +187,8 @@
     asio::awaitable<void> stream_body(std::shared_ptr<body_parser> parser,
                                       call_ptr current,
                                       link::exchange_ptr into);
+    asio::awaitable<bool> write_recorded(once::recorded_outcome recorded,
+                                         bool keep_alive);
     asio::awaitable<void> decide(std::shared_ptr<body_parser> parser,
                                  call_ptr current);
     void perform(const call_ptr& current,
@@ -329,6 +332,7 @@
     const support::time_point begun = monotonic_clock::now();
     const std::uint64_t body_limit = accepted.body_limit_bytes;
     accepted.terms.replayable = can_be_kept(accepted.head);
+    const support::time_point deadline = accepted.terms.deadline;
     auto current = std::make_shared<call>(entry_.router(), std::move(accepted),
                                           stream_.get_executor());
     const bool expects_continue =
@@ -341,12 +345,24 @@
         co_await write_refusal(*broken_off, false);
         co_return false;
     }
-    co_await decide(parser, current);
+    claim_answer claimed = co_await entry_.claim(current->head, deadline);
+    if (const auto* recorded = std::get_if<once::recorded_outcome>(&claimed)) {
+        const bool again = may_keep_alive(*parser) && current->body_complete;
+        co_return co_await write_recorded(*recorded, again) && again;
+    }
+    if (const auto* why = std::get_if<refusal>(&claimed))
+        current->refused = *why;
+    if (auto* held = std::get_if<std::shared_ptr<held_claim>>(&claimed))
+        current->claim = std::move(*held);
+    if (!current->refused)
+        co_await decide(parser, current);
     current->timer.cancel();
     const bool body_read = current->body_complete;
     const bool keep_alive = may_keep_alive(*parser) && body_read;
     const support::call_head& head = current->head;
     if (current->refused) {
+        if (current->claim)
+            current->claim->on_refusal(*current->refused);
         entry_.metrics().refused(head.service, head.rank, *current->refused);
         co_return co_await write_refusal(*current->refused, keep_alive) &&
             keep_alive;
@@ -476,6 +492,8 @@
     const support::answer_head& head = current->answer.head;
     const link::exchange_ptr exchange =
         current->attempts[*current->forwarded].exchange;
+    if (current->claim)
+        current->claim->on_answer(head);
     bhttp::response<bhttp::buffer_body> answer;
     answer.version(11);
     answer.result(head.status);
@@ -501,6 +519,8 @@
             break;
         more = !part->last;
         whole = part->last;
+        if (current->claim)
+            current->claim->on_answer_part(part->data);
         answer.body().data = part->data.empty() ? nullptr : part->data.data();
         answer.body().size = part->data.size();
         answer.body().more = more;
@@ -512,6 +532,8 @@
             break;
         }
     }
+    if (current->claim)
+        current->claim->on_answer_end(whole);
     if (!whole) {
         open_attempt& attempt = current->attempts[*current->forwarded];
         attempt.gate->cancel(attempt.exchange);
@@ -521,6 +543,26 @@
     co_return whole;
 }
 
+asio::awaitable<bool> session::write_recorded(once::recorded_outcome recorded,
+                                              bool keep_alive)
+{
+    bhttp::response<bhttp::string_body> answer;
+    answer.version(11);
+    answer.result(recorded.status);
+    if (!recorded.content_type.empty())
+        answer.set(bhttp::field::content_type, recorded.content_type);
+    answer.set(beast::string_view(replayed_field.data(), replayed_field.size()),
+               "1");
+    answer.keep_alive(keep_alive);
+    answer.body() = std::move(recorded.body);
+    answer.prepare_payload();
+    stream_.expires_after(write_timeout);
+    const auto [failed, size] =
+        co_await bhttp::async_write(stream_, answer, awaiting);
+    stream_.expires_never();
+    co_return !failed;
+}
+
 asio::awaitable<bool> session::write_refusal(const refusal& why,
                                              bool keep_alive)
 {
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -21,6 +21,13 @@
             std::move(detail)};
 }
 
+refusal no_store()
+{
+    return {refusal_kind::store_unavailable, run_outcome::not_run, true,
+            support::milliseconds(0),
+            "this process keeps no claims of idempotency keys"};
+}
+
 /// The name before the first dot or colon of a Host field.
 std::string_view host_label(std::string_view host)
 {
@@ -101,6 +108,21 @@
 {
 }
 
+void entry::set_keyed_calls(std::shared_ptr<keyed_calls> keyed)
+{
+    keyed_ = std::move(keyed);
+}
+
+boost::asio::awaitable<claim_answer>
+entry::claim(const call_head& head, support::time_point deadline) const
+{
+    if (head.key.empty() || head.repeatable)
+        co_return claim_answer();
+    if (!keyed_)
+        co_return claim_answer(no_store());
+    co_return co_await keyed_->claim(head, deadline);
+}
+
 support::call_id entry::next_call_id()
 {
     return static_cast<support::call_id>(++last_call_id_);
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -1,9 +1,11 @@
 // Executes the gate's actions.
 #include "galenarudder/proxy/gate_runtime.hpp"
 
+#include "galenarudder/http/client.hpp"
 #include "galenarudder/proxy/upstream_client.hpp"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -22,6 +24,13 @@
 /// Connections kept beyond the slots, so that one may be renewed.
 constexpr std::uint32_t spare_connections = 2;
 constexpr std::uint64_t own_entry_link = 0;
+constexpr auto metrics_interval = std::chrono::seconds(1);
+constexpr unsigned status_ok = 200;
+
+http::client_request probe_request(const std::string& path)
+{
+    return {"GET", path, "", {}};
+}
 
 } // namespace
 
@@ -46,7 +55,10 @@
     void perform(const std::vector<admission::action>& actions);
     void set_upstream(const config::endpoint& where,
                       std::uint32_t slots,
-                      std::uint32_t connections);
+                      std::uint32_t connections,
+                      const std::string& probe_path);
+    void report_to(telemetry::metrics& metrics,
+                   telemetry::decision_log& decisions);
     void drain(std::function<void()> drained);
     void check_drained();
 
@@ -66,19 +78,31 @@
     void finished(const attempt_key& key,
                   upstream_result how,
                   support::duration took);
+    void probe_if_due(support::time_point now);
+    asio::awaitable<void> probe(support::duration allowed);
+    void publish_metrics(support::time_point now);
 
     asio::strand<asio::io_context::executor_type> strand_;
     asio::steady_timer timer_;
     admission::gate gate_;
     config::endpoint upstream_;
+    std::string probe_path_;
     std::shared_ptr<upstream_client> client_;
     std::map<attempt_key, open_attempt> attempts_;
     std::function<void()> drained_;
+    telemetry::metrics* metrics_ = nullptr;
+    support::time_point metrics_due_;
+    admission::gate_counts published_;
+    std::uint64_t published_probes_ = 0;
+    support::duration published_probe_cost_{};
 };
 
 void gate_runtime::impl::tick()
 {
-    perform(gate_.on_tick(monotonic_clock::now()));
+    const support::time_point now = monotonic_clock::now();
+    perform(gate_.on_tick(now));
+    probe_if_due(now);
+    publish_metrics(now);
     timer_.expires_after(tick_interval);
     timer_.async_wait([weak = weak_from_this()](boost::system::error_code) {
         if (const auto self = weak.lock())
@@ -101,12 +125,91 @@
 {
     for (const admission::action& next : actions)
         std::visit([this](const auto& what) { execute(what); }, next);
+    check_drained();
+}
+
+void gate_runtime::impl::probe_if_due(support::time_point now)
+{
+    if (probe_path_.empty())
+        return;
+    const std::optional<support::duration> allowed = gate_.start_probe(now);
+    if (!allowed)
+        return;
+    asio::co_spawn(
+        strand_,
+        [self = shared_from_this(), allowed = *allowed]()
+            -> asio::awaitable<void> { co_await self->probe(allowed); },
+        asio::detached);
+}
+
+/// Only the time until the answer is of use: the gate knows the load itself.
+asio::awaitable<void> gate_runtime::impl::probe(support::duration allowed)
+{
+    http::client_request request = probe_request(probe_path_);
+    const auto answer =
+        co_await http::fetch(upstream_, std::move(request), allowed);
+    const bool answered = answer && answer.value().status == status_ok;
+    gate_.on_probe_ended(answered, monotonic_clock::now());
+}
+
+void gate_runtime::impl::report_to(telemetry::metrics& metrics,
+                                   telemetry::decision_log& decisions)
+{
+    metrics_ = &metrics;
+    gate_.set_decision_log(decisions);
+}
+
+void gate_runtime::impl::publish_metrics(support::time_point now)
+{
+    if (metrics_ == nullptr || now < metrics_due_)
+        return;
+    metrics_due_ = now + metrics_interval;
+    const support::load_report load = gate_.report(now);
+    metrics_->set("galenarudder_gate_running", "Calls that run at the upstream",
+                  load.running);
+    metrics_->set("galenarudder_gate_waiting", "Calls that wait at the gate",
+                  load.waiting);
+    metrics_->set("galenarudder_gate_limit", "Calls that the gate runs at once",
+                  load.limit);
+    metrics_->set("galenarudder_probe_window_share",
+                  "Share of the upstream's last 10 s spent on probes",
+                  support::to_ms(gate_.probes().spent(now)) /
+                      support::to_ms(admission::probe_budget::window));
+    if (client_) {
+        metrics_->set("galenarudder_upstream_connections",
+                      "Connections open to the upstream",
+                      static_cast<double>(client_->open_connections()));
+    }
+    const admission::gate_counts& counts = gate_.counts();
+    const auto add = [this](const char* name, const char* help,
+                            std::uint64_t total, std::uint64_t& published) {
+        metrics_->add(name, help, static_cast<double>(total - published));
+        published = total;
+    };
+    add("galenarudder_gate_started_total", "Calls sent to the upstream",
+        counts.started, published_.started);
+    add("galenarudder_gate_refused_deadline_total",
+        "Calls refused because their deadline cannot be met",
+        counts.refused_deadline, published_.refused_deadline);
+    add("galenarudder_gate_refused_overload_total",
+        "Calls refused because the queue was full", counts.refused_overload,
+        published_.refused_overload);
+    add("galenarudder_gate_shed_observed_total",
+        "Calls that shedding in mode observe let through", counts.observed,
+        published_.observed);
+    add("galenarudder_probes_total", "Probes of the upstream",
+        gate_.probes().count(), published_probes_);
+    const support::duration cost = gate_.probes().total_cost();
+    metrics_->add(
+        "galenarudder_probe_seconds_total", "Time spent on probes",
+        std::chrono::duration<double>(cost - published_probe_cost_).count());
+    published_probe_cost_ = cost;
 }
 
 void gate_runtime::impl::execute(const admission::start& begun)
 {
     const attempt_key key = begun.key;
-    open_attempt& attempt = attempts_.at(key);
+    const open_attempt attempt = attempts_.at(key);
     const std::weak_ptr<impl> weak = weak_from_this();
     auto load = [weak]() -> support::load_report {
         const auto self = weak.lock();
@@ -117,8 +220,12 @@
         if (const auto self = weak.lock())
             self->finished(key, how, took);
     };
-    attempt.running = client_->run(attempt.exchange, attempt.deadline,
-                                   std::move(load), std::move(done));
+    std::shared_ptr<upstream_call> running = client_->run(
+        attempt.exchange, attempt.deadline, std::move(load), std::move(done));
+    // The attempt may have ended already.
+    const auto found = attempts_.find(key);
+    if (found != attempts_.end())
+        found->second.running = std::move(running);
 }
 
 void gate_runtime::impl::execute(const admission::refuse& ended)
@@ -146,17 +253,18 @@
 {
     static constexpr admission::run_result results[] = {
         admission::run_result::answered, admission::run_result::failed,
-        admission::run_result::shed};
+        admission::run_result::shed, admission::run_result::failed};
     attempts_.erase(key);
     perform(gate_.on_ended(key, results[static_cast<std::size_t>(how)], took,
                            monotonic_clock::now()));
-    check_drained();
 }
 
 void gate_runtime::impl::set_upstream(const config::endpoint& where,
                                       std::uint32_t slots,
-                                      std::uint32_t connections)
+                                      std::uint32_t connections,
+                                      const std::string& probe_path)
 {
+    probe_path_ = probe_path;
     if (!client_ || upstream_ != where) {
         upstream_ = where;
         client_ = std::make_shared<upstream_client>(strand_, where);
@@ -170,7 +278,6 @@
 {
     drained_ = std::move(drained);
     perform(gate_.drain(monotonic_clock::now()));
-    check_drained();
 }
 
 void gate_runtime::impl::check_drained()
@@ -232,10 +339,20 @@
 
 void gate_runtime::set_upstream(const config::endpoint& where,
                                 std::uint32_t slots,
-                                std::uint32_t connections)
+                                std::uint32_t connections,
+                                const std::string& probe_path)
 {
-    impl_->on_strand(
-        [=](impl& self) { self.set_upstream(where, slots, connections); });
+    impl_->on_strand([=](impl& self) {
+        self.set_upstream(where, slots, connections, probe_path);
+    });
+}
+
+void gate_runtime::report_to(telemetry::metrics& metrics,
+                             telemetry::decision_log& decisions)
+{
+    impl_->on_strand([&metrics, &decisions](impl& self) {
+        self.report_to(metrics, decisions);
+    });
 }
 
 void gate_runtime::upstream_gone()
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -9,13 +9,17 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
+#include <cassert>
 #include <deque>
+#include <optional>
 
 namespace galenarudder::proxy {
 
@@ -31,22 +35,34 @@
 
 constexpr auto awaiting = asio::as_tuple(asio::use_awaitable);
 constexpr auto connect_timeout = std::chrono::seconds(1);
+/// An upstream that sends nothing for this long after the deadline, or
+/// between two parts of a body, is given up.
+constexpr auto silence_timeout = std::chrono::seconds(60);
+/// Bodies of refusals up to this size are read to keep the connection.
+constexpr std::size_t max_skipped_body_bytes = 64 * 1024;
+constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 constexpr support::milliseconds shed_retry_after{1000};
 
 /// One connection to the upstream with what was read ahead on it.
 struct connection
 {
-    explicit connection(const asio::any_io_executor& executor)
-        : stream(executor)
+    connection(const asio::any_io_executor& executor,
+               std::function<void()> closed)
+        : stream(executor), on_closed(std::move(closed))
     {
     }
+    ~connection() { on_closed(); }
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    std::function<void()> on_closed;
 };
 
 using connection_ptr = std::shared_ptr<connection>;
+using answer_parser = bhttp::response_parser<bhttp::buffer_body>;
 
 /// Whether the upstream has neither closed an idle connection nor sent
 /// anything on it.
@@ -95,8 +111,7 @@
     return request;
 }
 
-support::answer_head
-convert(const bhttp::response_parser<bhttp::buffer_body>& parser)
+support::answer_head convert(const answer_parser& parser)
 {
     const auto& received = parser.get();
     support::answer_head head;
@@ -121,9 +136,17 @@
                to_string(run_outcome::not_run);
 }
 
-refusal canceled_before_start()
+refusal canceled(run_outcome outcome)
 {
-    return {refusal_kind::canceled, run_outcome::not_run};
+    return {refusal_kind::canceled, outcome, true, support::milliseconds(0),
+            "the entry gave the call up"};
+}
+
+refusal late()
+{
+    return {refusal_kind::deadline_exceeded, run_outcome::not_run, false,
+            support::milliseconds(0),
+            "the deadline passed before the call was sent"};
 }
 
 refusal shed_by_upstream()
@@ -140,34 +163,66 @@
 
 } // namespace
 
+/// The connections of one upstream: those in use and those kept open.
 struct upstream_client::state
     : public std::enable_shared_from_this<upstream_client::state>
 {
     state(asio::any_io_executor run_on, config::endpoint where)
-        : executor(std::move(run_on)), upstream(std::move(where))
+        : executor(std::move(run_on)), upstream(std::move(where)),
+          room(executor)
     {
+        room.expires_at(asio::steady_timer::time_point::max());
     }
 
-    asio::awaitable<connection_ptr> take_connection();
+    asio::awaitable<connection_ptr>
+    take_connection(support::time_point deadline);
+    asio::awaitable<connection_ptr> connect(support::duration timeout);
+    asio::awaitable<void> warm();
+    asio::awaitable<void> wait_for_room(support::time_point deadline);
+    connection_ptr take_idle();
     void give_back(connection_ptr used);
+    void connection_closed();
 
     asio::any_io_executor executor;
     config::endpoint upstream;
     std::size_t max_connections = 1;
+    /// Connections that are open or being opened.
+    std::size_t open = 0;
     std::deque<connection_ptr> idle;
+    /// Its waiters wake when a connection was given back or closed.
+    asio::steady_timer room;
+    bool warming = false;
     bool closed = false;
 };
 
-asio::awaitable<connection_ptr> upstream_client::state::take_connection()
+void upstream_client::state::connection_closed()
+{
+    assert(open > 0 && "each open connection closes once");
+    --open;
+    room.cancel();
+}
+
+connection_ptr upstream_client::state::take_idle()
 {
     while (!idle.empty()) {
         connection_ptr kept = std::move(idle.back());
         idle.pop_back();
         if (is_quiet(*kept))
-            co_return kept;
+            return kept;
     }
-    auto made = std::make_shared<connection>(executor);
-    made->stream.expires_after(connect_timeout);
+    return nullptr;
+}
+
+asio::awaitable<connection_ptr>
+upstream_client::state::connect(support::duration timeout)
+{
+    ++open;
+    auto made =
+        std::make_shared<connection>(executor, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->connection_closed();
+        });
+    made->stream.expires_after(timeout);
     const tcp::endpoint remote(asio::ip::make_address(upstream.address),
                                upstream.port);
     const auto [failed] = co_await made->stream.async_connect(remote, awaiting);
@@ -179,12 +234,63 @@
     co_return made;
 }
 
+asio::awaitable<void>
+upstream_client::state::wait_for_room(support::time_point deadline)
+{
+    asio::steady_timer until(executor);
+    until.expires_at(
+        std::chrono::steady_clock::time_point(deadline.time_since_epoch()));
+    until.async_wait([weak = weak_from_this()](boost::system::error_code off) {
+        const auto self = weak.lock();
+        if (self && !off)
+            self->room.cancel();
+    });
+    co_await room.async_wait(awaiting);
+}
+
+/// Takes an idle connection or opens one, never more than the most allowed.
+asio::awaitable<connection_ptr>
+upstream_client::state::take_connection(support::time_point deadline)
+{
+    const auto self = shared_from_this();
+    for (;;) {
+        if (connection_ptr kept = take_idle())
+            co_return kept;
+        const support::duration left =
+            deadline - support::monotonic_clock::now();
+        if (left <= support::duration(0))
+            co_return nullptr;
+        if (open < max_connections) {
+            const support::duration timeout =
+                std::min<support::duration>(left, connect_timeout);
+            co_return co_await connect(timeout);
+        }
+        co_await wait_for_room(deadline);
+    }
+}
+
+/// Opens connections ahead, one after the other, so that calls do not wait
+/// for them and the upstream is not hit by many at once.
+asio::awaitable<void> upstream_client::state::warm()
+{
+    const auto self = shared_from_this();
+    warming = true;
+    while (!closed && open < max_connections) {
+        connection_ptr made = co_await connect(connect_timeout);
+        if (!made)
+            break;
+        give_back(std::move(made));
+    }
+    warming = false;
+}
+
 void upstream_client::state::give_back(connection_ptr used)
 {
-    if (closed || idle.size() >= max_connections)
+    if (closed || open > max_connections)
         return;
     used->stream.expires_never();
     idle.push_back(std::move(used));
+    room.cancel();
 }
 
 namespace {
@@ -194,7 +300,8 @@
                            public std::enable_shared_from_this<running_call>
 {
 public:
-    using take = std::function<asio::awaitable<connection_ptr>()>;
+    using take = std::function<asio::awaitable<connection_ptr>(
+        support::time_point deadline)>;
     using give = std::function<void(connection_ptr)>;
 
     running_call(asio::any_io_executor executor,
@@ -219,10 +326,13 @@
     asio::awaitable<void> run(take take_connection, give give_back);
 
 private:
+    std::optional<refusal> reason_not_to_start() const;
     asio::awaitable<upstream_result> exchange_messages();
+    asio::awaitable<bool> read_final_head();
+    asio::awaitable<void> skip_body();
+    refusal no_answer(const boost::system::error_code& failed) const;
     asio::awaitable<void> send_request();
-    asio::awaitable<bool>
-    forward_body(bhttp::response_parser<bhttp::buffer_body>& parser);
+    asio::awaitable<bool> forward_body();
     void deliver_head(support::answer_head head)
     {
         attempt_->deliver(link::answered{std::move(head), load_()});
@@ -240,6 +350,9 @@
     upstream_client::load_source load_;
     upstream_client::finished done_;
     connection_ptr connection_;
+    /// The answer that is read; made anew after each interim answer.
+    std::optional<answer_parser> parser_;
+    boost::system::error_code read_failure_;
     bool aborted_ = false;
     bool request_sent_ = false;
     bool bytes_sent_ = false;
@@ -250,15 +363,14 @@
 {
     const auto self = shared_from_this();
     const support::time_point begun = support::monotonic_clock::now();
-    connection_ = co_await take_connection();
+    connection_ = co_await take_connection(deadline_);
     upstream_result how = upstream_result::failed;
-    if (!connection_) {
-        how = refuse(
-            failure(run_outcome::not_run, "cannot connect to the upstream"),
-            upstream_result::failed);
-    } else if (aborted_) {
-        give_back(connection_);
-        how = refuse(canceled_before_start(), upstream_result::shed);
+    std::optional<refusal> why = reason_not_to_start();
+    if (why) {
+        if (connection_)
+            give_back(connection_);
+        how = refuse(std::move(*why), connection_ ? upstream_result::not_sent
+                                                  : upstream_result::failed);
     } else {
         how = co_await exchange_messages();
         if (reusable_ && request_sent_ && !aborted_)
@@ -269,6 +381,19 @@
     done_(how, support::monotonic_clock::now() - begun);
 }
 
+/// The last look before the first byte: a process that was paused since the
+/// gate started the call must not send it after its deadline.
+std::optional<refusal> running_call::reason_not_to_start() const
+{
+    if (aborted_)
+        return canceled(run_outcome::not_run);
+    if (support::monotonic_clock::now() >= deadline_)
+        return late();
+    if (!connection_)
+        return failure(run_outcome::not_run, "cannot connect to the upstream");
+    return std::nullopt;
+}
+
 asio::awaitable<void> running_call::send_request()
 {
     const auto self = shared_from_this();
@@ -311,43 +436,84 @@
             co_await self->send_request();
         },
         asio::detached);
-    bhttp::response_parser<bhttp::buffer_body> parser;
-    parser.body_limit(boost::none);
-    if (attempt_->head.method == "HEAD")
-        parser.skip(true);
-    const auto [failed, size] = co_await bhttp::async_read_header(
-        connection_->stream, connection_->buffer, parser, awaiting);
-    if (failed) {
-        co_return refuse(
-            failure(bytes_sent_ ? run_outcome::unknown : run_outcome::not_run,
-                    "the upstream closed the connection: " + failed.message()),
-            upstream_result::failed);
+    if (!co_await read_final_head()) {
+        co_return refuse(no_answer(read_failure_), upstream_result::failed);
     }
-    support::answer_head head = convert(parser);
+    support::answer_head head = convert(*parser_);
     if (is_shed(head)) {
+        co_await skip_body();
         co_return refuse(shed_by_upstream(), upstream_result::shed);
     }
     deliver_head(std::move(head));
-    const bool whole = co_await forward_body(parser);
-    reusable_ = whole && parser.get().keep_alive() && !parser.need_eof();
+    const bool whole = co_await forward_body();
+    reusable_ = whole && parser_->get().keep_alive() && !parser_->need_eof();
     co_return whole ? upstream_result::answered : upstream_result::failed;
 }
 
-asio::awaitable<bool>
-running_call::forward_body(bhttp::response_parser<bhttp::buffer_body>& parser)
+refusal running_call::no_answer(const boost::system::error_code& failed) const
+{
+    const run_outcome outcome =
+        bytes_sent_ ? run_outcome::unknown : run_outcome::not_run;
+    if (aborted_)
+        return canceled(outcome);
+    return failure(outcome, "the upstream gave no answer: " + failed.message());
+}
+
+/// Reads heads until one that is no interim answer (1xx).
+asio::awaitable<bool> running_call::read_final_head()
+{
+    do {
+        parser_.emplace();
+        parser_->body_limit(boost::none);
+        if (attempt_->head.method == "HEAD")
+            parser_->skip(true);
+        connection_->stream.expires_at(std::chrono::steady_clock::time_point(
+                                           deadline_.time_since_epoch()) +
+                                       silence_timeout);
+        const auto [failed, size] = co_await bhttp::async_read_header(
+            connection_->stream, connection_->buffer, *parser_, awaiting);
+        read_failure_ = failed;
+        if (failed)
+            co_return false;
+    } while (parser_->get().result_int() < status_ok);
+    co_return true;
+}
+
+/// Reads the small body of an answer that is not forwarded, so that the
+/// connection can be kept.
+asio::awaitable<void> running_call::skip_body()
+{
+    std::array<char, 4096> scratch{};
+    std::size_t skipped = 0;
+    while (!parser_->is_done() && skipped < max_skipped_body_bytes) {
+        parser_->get().body().data = scratch.data();
+        parser_->get().body().size = scratch.size();
+        connection_->stream.expires_after(silence_timeout);
+        const auto [failed, size] = co_await bhttp::async_read_some(
+            connection_->stream, connection_->buffer, *parser_, awaiting);
+        if (failed && failed != bhttp::error::need_buffer)
+            co_return;
+        skipped += size;
+    }
+    reusable_ = parser_->is_done() && parser_->get().keep_alive() &&
+                !parser_->need_eof();
+}
+
+asio::awaitable<bool> running_call::forward_body()
 {
     std::string part;
-    while (!parser.is_done()) {
+    while (!parser_->is_done()) {
         part.resize(link::max_body_part_bytes);
-        parser.get().body().data = part.data();
-        parser.get().body().size = part.size();
+        parser_->get().body().data = part.data();
+        parser_->get().body().size = part.size();
+        connection_->stream.expires_after(silence_timeout);
         const auto [failed, size] = co_await bhttp::async_read_some(
-            connection_->stream, connection_->buffer, parser, awaiting);
+            connection_->stream, connection_->buffer, *parser_, awaiting);
         if (failed && failed != bhttp::error::need_buffer) {
             attempt_->answer.cut();
             co_return false;
         }
-        part.resize(part.size() - parser.get().body().size);
+        part.resize(part.size() - parser_->get().body().size);
         if (part.empty())
             continue;
         link::body_chunk chunk = link::make_chunk(std::move(part), false);
@@ -374,7 +540,21 @@
 
 void upstream_client::set_max_connections(std::size_t count)
 {
-    state_->max_connections = count;
+    state_->max_connections = std::max<std::size_t>(1, count);
+    while (state_->open > state_->max_connections && !state_->idle.empty())
+        state_->idle.pop_front();
+    state_->room.cancel();
+    if (state_->warming)
+        return;
+    asio::co_spawn(
+        state_->executor,
+        [kept = state_]() -> asio::awaitable<void> { co_await kept->warm(); },
+        asio::detached);
+}
+
+std::size_t upstream_client::open_connections() const
+{
+    return state_->open;
 }
 
 std::shared_ptr<upstream_call>
@@ -386,7 +566,9 @@
     auto call = std::make_shared<running_call>(
         state_->executor, std::move(attempt), deadline,
         to_string(state_->upstream), std::move(load), std::move(done));
-    auto take = [kept = state_]() { return kept->take_connection(); };
+    auto take = [kept = state_](support::time_point until) {
+        return kept->take_connection(until);
+    };
     auto give = [kept = state_](connection_ptr used) {
         kept->give_back(std::move(used));
     };
--- a/lib/support/refusal.cpp
+++ b/lib/support/refusal.cpp
@@ -15,7 +15,7 @@
     std::string_view remedy;
 };
 
-constexpr std::array<refusal_row, 14> rows = {{
+constexpr std::array<refusal_row, 15> rows = {{
     {refusal_kind::no_such_service, "no-such-service", 404,
      "name a service of the configuration in Host or the first path segment"},
     {refusal_kind::no_upstream, "no-upstream", 503,
@@ -43,6 +43,8 @@
     {refusal_kind::too_deep, "too-deep", 508,
      "check for a loop of calls between services"},
     {refusal_kind::canceled, "canceled", 499, "none; the caller went away"},
+    {refusal_kind::answer_not_kept, "answer-not-kept", 409,
+     "the call ran once; read its result from the service"},
 }};
 
 const refusal_row& row_of(refusal_kind kind)
--- /dev/null
+++ b/test/process/test_once.py
@@ -0,0 +1,186 @@
+#!/usr/bin/env python3
+"""Calls with an Idempotency-Key run at most once, over real daemons."""
+
+import concurrent.futures
+import http.client
+import json
+import pathlib
+import signal
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "examples"))
+import run as example  # noqa: E402  pylint: disable=wrong-import-position
+
+TOPOLOGY = ROOT / "test/process/data/once"
+BUILD = "build"
+SAME_KEY_CALLS = 12
+KEYS = 20
+SLOW_CALL_MS = 1500
+
+
+def send(address, key, work_ms=4, body="a booking", timeout_s=10):
+    """Returns status, fields and body; status 0 when the connection broke."""
+    connection = http.client.HTTPConnection(address, 7100, timeout=timeout_s)
+    try:
+        connection.request("POST", f"/bookings/new?work_ms={work_ms}",
+                           body=body, headers={"Idempotency-Key": key})
+        answer = connection.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read().decode()
+    except (OSError, http.client.HTTPException):
+        return 0, {}, ""
+    finally:
+        connection.close()
+
+
+def kind_of(answer):
+    try:
+        return json.loads(answer[2]).get("kind")
+    except ValueError:
+        return None
+
+
+class AtMostOnce(unittest.TestCase):
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = example.Fleet(BUILD, TOPOLOGY)
+        cls.fleet.start()
+        cls.addresses = [vm["address"] for vm in cls.fleet.vms]
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.fleet.stop()
+
+    def runs(self, key):
+        """How often the upstreams ran the key's call."""
+        total = 0
+        for address in self.addresses:
+            counts = example.get_json(f"{address}:8080", "/stand-in/counts")
+            self.assertIsNotNone(counts)
+            total += counts["runs_by_key"].get(key, 0)
+        return total
+
+    def set_store(self, change):
+        host, port = self.fleet.store.rsplit(":", 1)
+        connection = http.client.HTTPConnection(host, int(port), timeout=5)
+        connection.request("PUT", f"/stand-in/set?{change}")
+        self.assertEqual(connection.getresponse().status, 204)
+        connection.close()
+
+    def test_same_key_at_every_entry_at_once(self):
+        with concurrent.futures.ThreadPoolExecutor(SAME_KEY_CALLS) as pool:
+            for number in range(KEYS):
+                key = f"concurrent-{number}"
+                jobs = [pool.submit(send, self.addresses[each % 3], key)
+                        for each in range(SAME_KEY_CALLS)]
+                answers = [job.result() for job in jobs]
+                self.assertEqual(self.runs(key), 1, answers)
+                for answer in answers:
+                    self.assertIn(answer[0], (200, 409), answer)
+                    if answer[0] == 409:
+                        self.assertEqual(kind_of(answer), "already-running")
+                self.assertTrue(any(answer[0] == 200 for answer in answers))
+
+    def test_second_call_gets_the_recorded_answer(self):
+        first = send(self.addresses[0], "recorded", body="what was booked")
+        self.assertEqual(first[0], 200)
+
+        def replayed():
+            second = send(self.addresses[1], "recorded", body="what was booked")
+            return second[0] == 200 and second
+
+        example.wait_for(replayed, "the outcome to be recorded")
+        second = send(self.addresses[2], "recorded", body="what was booked")
+        self.assertEqual(second[1].get("Galenarudder-Replayed"), "1")
+        self.assertEqual(second[2], "what was booked")
+        self.assertEqual(self.runs("recorded"), 1)
+
+    def test_answer_too_large_to_keep(self):
+        body = "x" * 4096
+        self.assertEqual(send(self.addresses[0], "large", body=body)[2], body)
+
+        def recorded():
+            return kind_of(send(self.addresses[1], "large")) == "answer-not-kept"
+
+        example.wait_for(recorded, "the status to be recorded")
+        self.assertEqual(self.runs("large"), 1)
+
+    def test_lost_store_answer(self):
+        self.set_store("lose_next_answer=1")
+        answer = send(self.addresses[0], "lost-answer")
+        self.assertEqual(answer[0], 200, answer)
+        self.assertEqual(self.runs("lost-answer"), 1)
+        again = send(self.addresses[1], "lost-answer")
+        self.assertIn(again[0], (200, 409))
+        self.assertEqual(self.runs("lost-answer"), 1)
+
+    def test_store_down(self):
+        self.set_store("down=1")
+        try:
+            answer = send(self.addresses[0], "down")
+            unkeyed = http.client.HTTPConnection(self.addresses[0], 7100,
+                                                 timeout=10)
+            unkeyed.request("POST", "/bookings/new", body="plain")
+            self.assertEqual(unkeyed.getresponse().status, 200)
+            unkeyed.close()
+        finally:
+            self.set_store("down=0")
+        problem = json.loads(answer[2])
+        self.assertEqual(problem["kind"], "store-unavailable")
+        self.assertEqual(problem["outcome"], "not-run")
+        self.assertEqual(self.runs("down"), 0)
+
+        def runs_now():
+            return send(self.addresses[1], "down")[0] == 200
+
+        example.wait_for(runs_now, "the key to be free")
+        self.assertEqual(self.runs("down"), 1)
+
+    def test_refused_call_leaves_the_key_free(self):
+        try:
+            for address in self.addresses:
+                self.set_upstream(address, "shed=1")
+            answer = send(self.addresses[0], "shed")
+            self.assertEqual(json.loads(answer[2])["outcome"], "not-run")
+        finally:
+            for address in self.addresses:
+                self.set_upstream(address, "shed=0")
+        example.wait_for(
+            lambda: send(self.addresses[1], "shed")[0] == 200,
+            "the key to be free")
+        self.assertEqual(self.runs("shed"), 1)
+
+    def set_upstream(self, address, change):
+        connection = http.client.HTTPConnection(address, 8080, timeout=5)
+        connection.request("PUT", f"/stand-in/set?{change}")
+        self.assertEqual(connection.getresponse().status, 204)
+        connection.close()
+
+    def test_z_daemon_killed_while_the_call_runs(self):
+        """The key stays claimed though the entry that claimed it is gone."""
+        vm = self.fleet.vms[2]
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            first = pool.submit(send, vm["address"], "killed", SLOW_CALL_MS)
+            example.wait_for(lambda: self.runs("killed") == 1,
+                             "the call to run")
+            process = self.fleet.daemons.pop(vm["member"])
+            process.send_signal(signal.SIGKILL)
+            process.wait()
+            self.assertEqual(first.result()[0], 0)
+        for address in self.addresses[:2]:
+            answer = send(address, "killed")
+            self.assertEqual(answer[0], 409, answer)
+            self.assertEqual(json.loads(answer[2])["outcome"], "unknown")
+        self.fleet.start_daemon(vm)
+        example.wait_for(lambda: example.port_is_open(f"{vm['address']}:7100"),
+                         "the new daemon")
+        answer = send(vm["address"], "killed")
+        self.assertEqual(answer[0], 409, answer)
+        self.assertEqual(self.runs("killed"), 1)
+
+
+if __name__ == "__main__":
+    BUILD = sys.argv.pop(1)
+    unittest.main(verbosity=2, warnings="ignore")
--- a/test/standins/standin_upstream/main.cpp
+++ b/test/standins/standin_upstream/main.cpp
@@ -235,7 +235,8 @@
     const json body = {{"service", FLAGS_service},
                        {"address", to_string(own)},
                        {"slots", FLAGS_slots},
-                       {"connections", FLAGS_connections}};
+                       {"connections", FLAGS_connections},
+                       {"probe_path", "/stand-in/load"}};
     for (;;) {
         http::client_request request = announce_request(body.dump());
         const auto done =
