Take service times within their chance variation for equal

Cause: argmin over reported service times followed their chance variation (all entries see the same smoothed value), so that all sent to one upstream. Change: only the part beyond 1.5 times the mean counts; own outstanding calls count in full beside the aged load of others.

--- a/include/galenarudder/routing/upstream_state.hpp
+++ b/include/galenarudder/routing/upstream_state.hpp
@@ -101,6 +101,8 @@
     std::atomic<std::uint32_t> sent_since_report{0};
     std::atomic<std::uint32_t> reported_running{0};
     std::atomic<std::uint32_t> reported_waiting{0};
+    /// Own calls among the reported ones.
+    std::atomic<std::uint32_t> own_in_report{0};
     /// Calls waiting at this rank or a more urgent one.
     std::array<std::atomic<std::uint32_t>, max_ranks> reported_ahead{};
     /// Calls that the gate runs at once; 0 before the first report.
--- a/lib/routing/estimate.cpp
+++ b/lib/routing/estimate.cpp
@@ -7,15 +7,17 @@
 
 namespace {
 
-/// Age at which a reported load counts half, in milliseconds.
-constexpr double load_half_age_ms = 100;
+/// Age at which a reported load counts half, in mean service times.
+constexpr double load_half_age_services = 0.5;
 /// Age at which a reported service time counts half, in milliseconds.
 constexpr double speed_half_age_ms = 2000;
+/// Ratio to the mean up to which a service time is taken for chance.
+constexpr double usual_variation = 1.5;
 /// Assumed before anything was measured, in milliseconds.
 constexpr double first_service_ms = 5;
 /// Share of a service time by which a full upstream costs more than an idle
 /// one while slots are left.
-constexpr double crowding = 0.5;
+constexpr double crowding = 1;
 /// What a failed attempt costs, in mean service times and in milliseconds.
 constexpr double failure_cost_services = 10;
 constexpr double failure_cost_ms = 50;
@@ -37,6 +39,15 @@
     return trust * reported + (1 - trust) * mean;
 }
 
+/// Service times vary by chance around the mean of a service; all entries see
+/// the same chance, so that following it would send them all to one upstream.
+/// Only what lies beyond is taken for a difference in speed.
+double clear_difference(double service_ms, double mean_ms)
+{
+    const double excess = service_ms - usual_variation * mean_ms;
+    return mean_ms + std::max(0.0, excess);
+}
+
 /// Milliseconds without any progress beyond what is normal.
 double stall_ms(const upstream_state& upstream,
                 double service_ms,
@@ -90,19 +101,25 @@
     double mean_service = service.mean_service_ms.load(relaxed);
     if (mean_service <= 0)
         mean_service = first_service_ms;
-    double load = mean_load;
+    double others = mean_load;
     double service_ms = mean_service;
     if (reported) {
         const double age =
             age_ms(upstream.reported_at_ns.load(relaxed), terms.now);
-        const double stated = upstream.reported_running.load(relaxed) +
-                              upstream.reported_ahead.at(rank).load(relaxed);
-        load = weighed(stated, mean_load, age, load_half_age_ms);
-        service_ms = weighed(upstream.reported_service_ms.load(relaxed),
-                             mean_service, age, speed_half_age_ms);
+        const double running =
+            std::min<double>(upstream.reported_running.load(relaxed), limit);
+        const double stated =
+            running + upstream.reported_ahead.at(rank).load(relaxed);
+        const double foreign =
+            std::max(0.0, stated - upstream.own_in_report.load(relaxed));
+        others = weighed(foreign, mean_load, age,
+                         load_half_age_services * mean_service);
+        const double stated_ms =
+            weighed(upstream.reported_service_ms.load(relaxed), mean_service,
+                    age, speed_half_age_ms);
+        service_ms = clear_difference(stated_ms, mean_service);
     }
-    load += upstream.sent_since_report.load(relaxed);
-    load = std::max<double>(load, upstream.outstanding.load(relaxed));
+    const double load = others + upstream.outstanding.load(relaxed);
     const double queued = std::max(0.0, load + 1 - limit) / limit;
     const double crowded = crowding * std::min(1.0, load / limit);
     const double trip = std::max(0.0, upstream.link->floor_ms.load(relaxed));
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -424,6 +424,9 @@
     state.reported_waiting.store(report.waiting, relaxed);
     state.reported_limit.store(report.limit, relaxed);
     state.reported_service_ms.store(report.service_ms, relaxed);
+    // The reporting call itself has ended.
+    const std::uint32_t own = state.outstanding.load(relaxed);
+    state.own_in_report.store(own > 0 ? own - 1 : 0, relaxed);
     state.sent_since_report.store(0, relaxed);
     if (report.age_ms > 0) {
         const std::int64_t age_ns = support::from_ms(report.age_ms).count();
