Weigh an entry's own calls under way beyond their place in the load

Cause: a paused upstream was still picked by entries with calls open there. Change: each own call under way costs half a service time more.

--- a/lib/routing/estimate.cpp
+++ b/lib/routing/estimate.cpp
@@ -18,6 +18,9 @@
 /// Share of a service time by which a full upstream costs more than an idle
 /// one while slots are left.
 constexpr double crowding = 1;
+/// Share of a service time that each own call under way costs beyond its
+/// place in the load: it is the only load known without delay.
+constexpr double own_call_weight = 0.5;
 /// What a failed attempt costs, in mean service times and in milliseconds.
 constexpr double failure_cost_services = 10;
 constexpr double failure_cost_ms = 50;
@@ -121,7 +124,8 @@
     }
     const double load = others + upstream.outstanding.load(relaxed);
     const double queued = std::max(0.0, load + 1 - limit) / limit;
-    const double crowded = crowding * std::min(1.0, load / limit);
+    const double crowded = crowding * std::min(1.0, load / limit) +
+                           own_call_weight * upstream.outstanding.load(relaxed);
     const double trip = std::max(0.0, upstream.link->floor_ms.load(relaxed));
     double cost = trip + service_ms * (1 + queued + crowded);
     cost += stall_ms(upstream, service_ms, terms.now);
