Trust reports for longer and count a stall from half a service time

Change: half age of a report 1.5 service times (was 0.5), crowding 0.5 (was 1), a stall counts from 0.5 service times without progress (was 2).

--- a/lib/routing/estimate.cpp
+++ b/lib/routing/estimate.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Age at which a reported load counts half, in mean service times.
-constexpr double load_half_age_services = 0.5;
+constexpr double load_half_age_services = 1.5;
 /// Age at which a reported service time counts half, in milliseconds.
 constexpr double speed_half_age_ms = 2000;
 /// Ratio to the mean up to which a service time is taken for chance.
@@ -17,7 +17,7 @@
 constexpr double first_service_ms = 5;
 /// Share of a service time by which a full upstream costs more than an idle
 /// one while slots are left.
-constexpr double crowding = 1;
+constexpr double crowding = 0.5;
 /// Share of a service time that each own call under way costs beyond its
 /// place in the load: it is the only load known without delay.
 constexpr double own_call_weight = 0.5;
@@ -27,7 +27,7 @@
 /// Age at which the last failure counts half, in milliseconds.
 constexpr double failure_half_age_ms = 1000;
 /// A stall shorter than this many service times is normal.
-constexpr double normal_stall_services = 2;
+constexpr double normal_stall_services = 0.5;
 constexpr double least_slow_start_share = 0.1;
 
 double age_ms(std::int64_t at_ns, support::time_point now)
