--- a/unittests/golden/shared_state_sessions.cpp
+++ b/unittests/golden/shared_state_sessions.cpp
@@ -166,7 +166,7 @@
     print_version(out, "another version 3", node);
     node.on_document("not a document", now);
     print_version(out, "a document that is malformed", node);
-    node.on_store_unavailable(now);
+    node.on_rollout_event(&rollout::rollout::on_store_unavailable, now);
     print_version(out, "the store is down", node);
     node.on_document(document_text(4, "c4"), now);
     print_version(out, "version 4 from a peer", node);
