Make property checks fail their tests; carry rank and time left on

Cause: rc::check only returns whether the property held, so the property tests could not fail. Found by mutants of claims.cpp: taking a lost answer for a swap was printed as falsified while the test passed. A release of another daemon's claim was caught by no test. Attempts carried the whole time of the call, whatever a claim or a first attempt had used of it. A rank was never raised, so nested calls of an urgent call lost its rank.

Ruled out: raising the rank for any caller (anyone could be urgent); the announced upstream alone may, by its address.

Change: CHECK around each rc::check, longer random sessions, a test of the release; the time left is counted when an attempt is sent; the entry takes the rank of calls from the announced upstream.

Conclusion: before it is trusted, a property test needs a mutant it kills.

--- a/include/galenarudder/proxy/entry.hpp
+++ b/include/galenarudder/proxy/entry.hpp
@@ -44,10 +44,17 @@
           gate_lookup find_gate);
 
     /// Finds service, route, rank and deadline of a request. \p head holds
-    /// method, target and fields as received; \p host the Host field.
+    /// method, target and fields as received; \p host the Host field; \p peer
+    /// the address that the request came from. Any caller may lower the rank
+    /// of the route; the announced upstream passes its own call's rank on and
+    /// may raise it.
     classification classify(support::call_head head,
                             std::string_view host,
-                            support::time_point now) const;
+                            support::time_point now,
+                            std::string_view peer = {}) const;
+
+    /// The upstream on this VM announced itself from \p address.
+    void set_upstream_address(const std::string& address);
 
     /// Set it before the first call. Without it keyed calls that must not
     /// repeat are refused.
@@ -70,6 +77,7 @@
     telemetry::metrics& metrics_;
     gate_lookup find_gate_;
     std::shared_ptr<keyed_calls> keyed_;
+    support::rcu_cell<std::string> upstream_address_;
     std::atomic<std::uint64_t> last_call_id_{0};
 };
 
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -162,6 +162,7 @@
         if (!self)
             return;
         self->on_control([what](impl& own) {
+            own.entry_.set_upstream_address(what.address.address);
             own.gate_->set_upstream(what.address, what.slots, what.connections,
                                     what.probe_path);
             own.perform(own.node_.on_announcement(what.service, what.slots,
--- a/lib/proxy/caller_server.cpp
+++ b/lib/proxy/caller_server.cpp
@@ -156,12 +156,14 @@
         call(const routing::router& router,
              classified_call accepted,
              const asio::any_io_executor& executor)
-            : flow(router, std::move(accepted.terms)),
+            : deadline(accepted.terms.deadline),
+              flow(router, std::move(accepted.terms)),
               head(std::move(accepted.head)),
               events(executor, event_channel_capacity), timer(executor)
         {
         }
 
+        support::time_point deadline;
         call_flow flow;
         support::call_head head;
         event_channel events;
@@ -205,6 +207,8 @@
     caller_server_state& server_;
     entry& entry_;
     beast::tcp_stream stream_;
+    /// The caller's address.
+    std::string peer_;
     beast::flat_buffer buffer_;
 };
 
@@ -213,6 +217,7 @@
 {
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
+    peer_ = stream_.socket().remote_endpoint(ignored).address().to_string();
 }
 
 asio::awaitable<void> session::run(std::shared_ptr<caller_server_state> keep)
@@ -265,7 +270,7 @@
     ++server_.open_calls;
     const std::string host(parser->get()[bhttp::field::host]);
     classification decided =
-        entry_.classify(convert(*parser), host, monotonic_clock::now());
+        entry_.classify(convert(*parser), host, monotonic_clock::now(), peer_);
     bool again = false;
     if (const auto* why = std::get_if<refusal>(&decided)) {
         entry_.metrics().refused("", "", *why);
@@ -332,7 +337,6 @@
     const support::time_point begun = monotonic_clock::now();
     const std::uint64_t body_limit = accepted.body_limit_bytes;
     accepted.terms.replayable = can_be_kept(accepted.head);
-    const support::time_point deadline = accepted.terms.deadline;
     auto current = std::make_shared<call>(entry_.router(), std::move(accepted),
                                           stream_.get_executor());
     const bool expects_continue =
@@ -345,7 +349,8 @@
         co_await write_refusal(*broken_off, false);
         co_return false;
     }
-    claim_answer claimed = co_await entry_.claim(current->head, deadline);
+    claim_answer claimed =
+        co_await entry_.claim(current->head, current->deadline);
     if (const auto* recorded = std::get_if<once::recorded_outcome>(&claimed)) {
         const bool again = may_keep_alive(*parser) && current->body_complete;
         co_return co_await write_recorded(*recorded, again) && again;
@@ -441,6 +446,8 @@
 {
     support::call_head head = current->head;
     head.id = entry_.next_call_id();
+    head.remaining = std::chrono::floor<support::milliseconds>(
+        current->deadline - monotonic_clock::now());
     auto exchange = std::make_shared<link::exchange>(std::move(head),
                                                      stream_.get_executor());
     const std::weak_ptr<call> weak = current;
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -78,13 +78,16 @@
     return value;
 }
 
-/// A caller may lower the route's rank, not raise it.
-std::size_t lowered_rank(const config::configuration& in_force,
+/// Ranks are positions, 0 for the most urgent.
+std::size_t rank_of_call(const config::configuration& in_force,
                          std::size_t of_route,
-                         std::string_view asked)
+                         std::string_view asked,
+                         bool may_raise)
 {
     const auto wanted = in_force.rank_index(asked);
-    return wanted ? std::max(of_route, *wanted) : of_route;
+    if (!wanted)
+        return of_route;
+    return may_raise ? *wanted : std::max(of_route, *wanted);
 }
 
 void drop_own_fields(std::vector<support::header_field>& fields)
@@ -104,10 +107,18 @@
              telemetry::metrics& metrics,
              gate_lookup find_gate)
     : router_(router), in_force_(in_force), metrics_(metrics),
-      find_gate_(std::move(find_gate))
+      find_gate_(std::move(find_gate)),
+      upstream_address_(std::make_unique<const std::string>())
 {
 }
 
+void entry::set_upstream_address(const std::string& address)
+{
+    if (*upstream_address_.read() == address)
+        return;
+    upstream_address_.replace(std::make_unique<const std::string>(address));
+}
+
 void entry::set_keyed_calls(std::shared_ptr<keyed_calls> keyed)
 {
     keyed_ = std::move(keyed);
@@ -130,7 +141,8 @@
 
 classification entry::classify(call_head head,
                                std::string_view host,
-                               support::time_point now) const
+                               support::time_point now,
+                               std::string_view peer) const
 {
     const auto in_force = in_force_.read();
     const config::service_policy* service = find_service(*in_force, host, head);
@@ -160,8 +172,11 @@
     }
     const std::size_t route_rank =
         in_force->rank_index(route->rank).value_or(in_force->ranks.size() - 1);
-    const std::size_t rank = lowered_rank(*in_force, route_rank,
-                                          find_field(head.fields, rank_field));
+    const bool from_upstream =
+        !peer.empty() && peer == *upstream_address_.read();
+    const std::size_t rank =
+        rank_of_call(*in_force, route_rank, find_field(head.fields, rank_field),
+                     from_upstream);
     const auto asked_ms = read_number(find_field(head.fields, deadline_field));
     head.remaining = route->deadline;
     if (asked_ms)
--- a/test/process/test_once.py
+++ b/test/process/test_once.py
@@ -7,6 +7,7 @@
 import pathlib
 import signal
 import sys
+import time
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -18,14 +19,19 @@
 SAME_KEY_CALLS = 12
 KEYS = 20
 SLOW_CALL_MS = 1500
+ROUTE_DEADLINE_MS = 4000
+PAUSED_DEADLINE_MS = 1500
 
 
-def send(address, key, work_ms=4, body="a booking", timeout_s=10):
+def send(address, key, work_ms=4, body="a booking", deadline_ms=None):
     """Returns status, fields and body; status 0 when the connection broke."""
-    connection = http.client.HTTPConnection(address, 7100, timeout=timeout_s)
+    connection = http.client.HTTPConnection(address, 7100, timeout=10)
+    fields = {"Idempotency-Key": key}
+    if deadline_ms is not None:
+        fields["Galenarudder-Deadline-Ms"] = str(deadline_ms)
     try:
         connection.request("POST", f"/bookings/new?work_ms={work_ms}",
-                           body=body, headers={"Idempotency-Key": key})
+                           body=body, headers=fields)
         answer = connection.getresponse()
         return answer.status, dict(answer.getheaders()), answer.read().decode()
     except (OSError, http.client.HTTPException):
@@ -116,6 +122,18 @@
         self.assertIn(again[0], (200, 409))
         self.assertEqual(self.runs("lost-answer"), 1)
 
+    def test_claim_takes_from_the_time_left(self):
+        slow_ms = 300
+        self.set_store(f"slow_ms={slow_ms}")
+        try:
+            answer = send(self.addresses[0], "slow-store")
+        finally:
+            self.set_store("slow_ms=0")
+        self.assertEqual(answer[0], 200)
+        # One read and one write came before the call.
+        self.assertLessEqual(int(answer[1]["Galenarudder-Deadline-Ms"]),
+                             ROUTE_DEADLINE_MS - 2 * slow_ms)
+
     def test_store_down(self):
         self.set_store("down=1")
         try:
@@ -158,6 +176,41 @@
         self.assertEqual(connection.getresponse().status, 204)
         connection.close()
 
+    def store_count(self, name):
+        return example.get_json(self.fleet.store, "/stand-in/counts")[name]
+
+    def test_paused_entry_dispatches_nothing_late(self):
+        """The entry is paused while its claim is written, until after the
+        call's deadline."""
+        vm = self.fleet.vms[1]
+        process = self.fleet.daemons[vm["member"]]
+        reads = self.store_count("reads")
+        self.set_store("slow_ms=300")
+        try:
+            with concurrent.futures.ThreadPoolExecutor(1) as pool:
+                started = time.monotonic()
+                call = pool.submit(send, vm["address"], "paused",
+                                   deadline_ms=PAUSED_DEADLINE_MS)
+                example.wait_for(lambda: self.store_count("reads") > reads,
+                                 "the claim to be read")
+                process.send_signal(signal.SIGSTOP)
+                example.wait_for(
+                    lambda: (time.monotonic() - started) * 1000
+                    > PAUSED_DEADLINE_MS, "the deadline to pass")
+                process.send_signal(signal.SIGCONT)
+                answer = call.result()
+        finally:
+            process.send_signal(signal.SIGCONT)
+            self.set_store("slow_ms=0")
+        # On a busy machine the pause may come after the claim was written;
+        # then the call was dispatched in time and ran.
+        if answer[0] != 200:
+            self.assertEqual(json.loads(answer[2])["outcome"], "not-run", answer)
+            self.assertEqual(self.runs("paused"), 0)
+            example.wait_for(lambda: send(vm["address"], "paused")[0] == 200,
+                             "the key to be free")
+        self.assertEqual(self.runs("paused"), 1)
+
     def test_z_daemon_killed_while_the_call_runs(self):
         """The key stays claimed though the entry that claimed it is gone."""
         vm = self.fleet.vms[2]
--- a/unittests/admission/concurrency_limit_test.cpp
+++ b/unittests/admission/concurrency_limit_test.cpp
@@ -111,7 +111,7 @@
 
 TEST_CASE("the limit stays between its floor and the slots")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         concurrency_limit limit;
         support::time_point now;
         const auto floor = *rc::gen::inRange<std::uint32_t>(0, 12);
@@ -132,7 +132,7 @@
             RC_ASSERT(limit.current() >=
                       std::min(std::max(1U, floor), limit.slots()));
         }
-    });
+    }));
 }
 
 } // namespace galenarudder::admission
--- a/unittests/admission/probe_budget_test.cpp
+++ b/unittests/admission/probe_budget_test.cpp
@@ -33,7 +33,7 @@
 
 TEST_CASE("probes stay inside their budget in any window")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         const double share = *rc::gen::inRange(0, 30) / 1000.0;
         probe_budget budget(share);
         const auto costs_ms =
@@ -58,7 +58,7 @@
             RC_ASSERT(within(spans, each.to) <= most);
             RC_ASSERT(within(spans, each.from + probe_budget::window) <= most);
         }
-    });
+    }));
 }
 
 TEST_CASE("a probe that is cut off is followed by another one later")
--- a/unittests/admission/rank_queue_test.cpp
+++ b/unittests/admission/rank_queue_test.cpp
@@ -118,7 +118,7 @@
 
 TEST_CASE("each rank with work keeps its minimum share, one call at most less")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         const auto normal_share = *rc::gen::inRange(0, 40) / 100.0;
         const auto bulk_share = *rc::gen::inRange(1, 40) / 100.0;
         const auto starts = *rc::gen::inRange(1, 2000);
@@ -153,12 +153,12 @@
                           ranks[lower].minimum_share * total - 2 * dearest);
             }
         }
-    });
+    }));
 }
 
 TEST_CASE("every call that was pushed leaves once, in order within its rank")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         rank_queue queue = make_queue(8);
         const auto steps =
             *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
@@ -192,7 +192,7 @@
             RC_ASSERT(queue.size() + left.size() == pushed);
             RC_ASSERT(queue.size() <= 8U);
         }
-    });
+    }));
 }
 
 } // namespace galenarudder::admission
--- /dev/null
+++ b/unittests/entry/entry_test.cpp
@@ -0,0 +1,187 @@
+// Classification of requests by the configuration in force.
+#include "galenarudder/proxy/entry.hpp"
+
+#include "galenarudder/proxy/http_fields.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace galenarudder::proxy {
+
+namespace {
+
+using support::refusal_kind;
+
+config::configuration two_services()
+{
+    config::configuration in_force = config::default_configuration();
+    config::service_policy kitcheck;
+    kitcheck.name = "kitcheck";
+    kitcheck.routes = {
+        {"GET", "/rescue", "urgent", true, support::milliseconds(1000), 0},
+        {"", "/", "normal", false, support::milliseconds(2000), 100}};
+    config::service_policy bookings;
+    bookings.name = "bookings";
+    bookings.routes = {
+        {"POST", "/", "normal", false, support::milliseconds(1500), 100}};
+    in_force.services = {kitcheck, bookings};
+    return in_force;
+}
+
+struct entry_under_test
+{
+    entry_under_test()
+        : in_force(
+              std::make_unique<const config::configuration>(two_services())),
+          under_test(router, in_force, metrics, [](const routing::choice&) {
+              return nullptr;
+          })
+    {
+    }
+
+    classification classify(const std::string& method,
+                            const std::string& target,
+                            const std::string& host,
+                            std::vector<support::header_field> fields = {},
+                            const std::string& peer = {})
+    {
+        support::call_head head;
+        head.method = method;
+        head.target = target;
+        head.fields = std::move(fields);
+        head.content_length = 10;
+        return under_test.classify(std::move(head), host, now, peer);
+    }
+
+    support::time_point now{std::chrono::hours(1)};
+    routing::router router{"bilbao"};
+    support::rcu_cell<config::configuration> in_force;
+    telemetry::metrics metrics;
+    entry under_test;
+};
+
+support::header_field field(std::string_view name, std::string value)
+{
+    return {std::string(name), std::move(value)};
+}
+
+} // namespace
+
+TEST_CASE("a request is sent to the service of its Host or first segment")
+{
+    struct row
+    {
+        std::string host;
+        std::string target;
+        std::string service;
+        std::string sent_target;
+        std::string rank;
+    };
+    const auto& [host, target, service, sent_target, rank] =
+        GENERATE(values<row>({
+            {"kitcheck.example:7100", "/a?b=1", "kitcheck", "/a?b=1", "normal"},
+            {"127.0.0.1:7100", "/bookings/new", "bookings", "/new", "normal"},
+            {"127.0.0.1:7100", "/bookings", "bookings", "/", "normal"},
+            {"127.0.0.1", "/bookings?x=1", "bookings", "/?x=1", "normal"},
+        }));
+    CAPTURE(host, target);
+    entry_under_test entry;
+    const auto decided = entry.classify("POST", target, host);
+    REQUIRE(std::holds_alternative<classified_call>(decided));
+    const auto& accepted = std::get<classified_call>(decided);
+    CHECK(accepted.head.service == service);
+    CHECK(accepted.head.target == sent_target);
+    CHECK(accepted.head.rank == rank);
+    CHECK(accepted.head.depth == 1);
+}
+
+TEST_CASE("a request that cannot be served is refused as not run")
+{
+    struct row
+    {
+        std::string method;
+        std::string target;
+        std::vector<support::header_field> fields;
+        refusal_kind kind;
+    };
+    const auto& [method, target, fields, kind] = GENERATE(values<row>({
+        {"POST", "/nothing", {}, refusal_kind::no_such_service},
+        {"GET", "/bookings", {}, refusal_kind::no_such_service},
+        {"GET", "/kitcheck/rescue", {}, refusal_kind::body_too_large},
+        {"POST",
+         "/bookings",
+         {field(depth_field, "26")},
+         refusal_kind::too_deep},
+    }));
+    CAPTURE(method, target);
+    entry_under_test entry;
+    const auto decided = entry.classify(method, target, "x", fields);
+    REQUIRE(std::holds_alternative<support::refusal>(decided));
+    CHECK(std::get<support::refusal>(decided).kind == kind);
+    CHECK(std::get<support::refusal>(decided).outcome ==
+          support::run_outcome::not_run);
+}
+
+TEST_CASE("callers lower the rank; only the announced upstream raises it")
+{
+    struct row
+    {
+        std::string asked;
+        std::string peer;
+        std::string rank;
+    };
+    const auto& [asked, peer, rank] = GENERATE(values<row>({
+        {"bulk", "10.0.0.9", "bulk"},
+        {"urgent", "10.0.0.9", "normal"},
+        {"urgent", "", "normal"},
+        {"urgent", "10.0.0.1", "urgent"},
+        {"bulk", "10.0.0.1", "bulk"},
+        {"unheard-of", "10.0.0.1", "normal"},
+    }));
+    CAPTURE(asked, peer);
+    entry_under_test entry;
+    entry.under_test.set_upstream_address("10.0.0.1");
+    const auto decided = entry.classify("POST", "/bookings", "x",
+                                        {field(rank_field, asked)}, peer);
+    CHECK(std::get<classified_call>(decided).head.rank == rank);
+}
+
+TEST_CASE("a caller shortens the deadline of the route, never lengthens it")
+{
+    struct row
+    {
+        std::string asked;
+        int remaining_ms;
+    };
+    const auto& [asked, remaining_ms] = GENERATE(values<row>({
+        {"200", 200},
+        {"9000", 1500},
+        {"-5", 1500},
+        {"soon", 1500},
+        {"0", 0},
+    }));
+    entry_under_test entry;
+    const auto decided = entry.classify("POST", "/bookings", "x",
+                                        {field(deadline_field, asked)});
+    const auto& accepted = std::get<classified_call>(decided);
+    CHECK(accepted.head.remaining == support::milliseconds(remaining_ms));
+    CHECK(accepted.terms.deadline ==
+          entry.now + support::milliseconds(remaining_ms));
+}
+
+TEST_CASE("the product's own fields are not passed on twice, the key is")
+{
+    entry_under_test entry;
+    const auto decided =
+        entry.classify("POST", "/bookings", "x",
+                       {field(key_field, "k"), field(rank_field, "bulk"),
+                        field(depth_field, "3"), field("Connection", "close"),
+                        field("X-Own", "kept")});
+    const auto& head = std::get<classified_call>(decided).head;
+    CHECK(head.key == "k");
+    CHECK(head.depth == 4);
+    REQUIRE(head.fields.size() == 2);
+    CHECK(head.fields[0].name == key_field);
+    CHECK(head.fields[1].value == "kept");
+}
+
+} // namespace galenarudder::proxy
--- a/unittests/once/claims_test.cpp
+++ b/unittests/once/claims_test.cpp
@@ -128,6 +128,9 @@
 }
 
 constexpr auto first = static_cast<ticket>(1);
+/// Of the random sessions.
+constexpr std::size_t steps_of_session = 300;
+constexpr std::uint64_t calls_per_key = 5;
 
 } // namespace
 
@@ -251,6 +254,29 @@
     CHECK(one.admitted == std::vector<ticket>{static_cast<ticket>(2)});
 }
 
+TEST_CASE("a claim given up leaves the claim of another daemon alone")
+{
+    fake_store store;
+    daemon one("one");
+    daemon other("other");
+    const instant at = start();
+    one.call(1, "k", at);
+    one.take(one.machine.on_read(one.reads.at(0).shard, "", 0, at));
+    one.reads.clear();
+    const auto lost = std::exchange(one.writes, {});
+    one.take(one.machine.on_write(lost[0].shard, write_result::unknown, at));
+    other.call(1, "k", at);
+    other.settle(store, at);
+    REQUIRE(other.admitted == std::vector<ticket>{first});
+    const instant after = later(at, support::milliseconds(1001));
+    one.take(one.machine.on_tick(after));
+    one.settle(store, after);
+    one.call(2, "k", after);
+    one.settle(store, after);
+    CHECK(one.admitted.empty());
+    CHECK(one.refusals.back().why.kind == refusal_kind::already_running);
+}
+
 TEST_CASE("a store that is down refuses at once as not run")
 {
     daemon one("one");
@@ -392,12 +418,11 @@
 
 TEST_CASE("a key runs at most once whatever the store and daemons do")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         fake_store store;
         std::vector<daemon> daemons;
         for (int number = 0; number < 3; ++number)
             daemons.emplace_back("daemon-" + std::to_string(number));
-        const std::vector<std::string> keys = {"a", "b"};
         std::map<std::string, int> runs;
         std::map<std::uint64_t, std::string> key_of;
         std::set<std::uint64_t> refused_not_run;
@@ -406,7 +431,8 @@
         instant at = start();
         const auto steps =
             *rc::gen::container<std::vector<std::pair<int, int>>>(
-                rc::gen::pair(rc::gen::inRange(0, 12), rc::gen::inRange(0, 3)));
+                steps_of_session,
+                rc::gen::pair(rc::gen::inRange(0, 14), rc::gen::inRange(0, 3)));
         const auto collect = [&](daemon& of) {
             for (const ticket who : std::exchange(of.admitted, {})) {
                 const auto id = static_cast<std::uint64_t>(who);
@@ -438,9 +464,10 @@
             at = later(at, support::milliseconds(7));
             if (what < 4) {
                 ++last_ticket;
-                key_of[last_ticket] = keys.at(last_ticket % 2);
+                key_of[last_ticket] =
+                    "k" + std::to_string(last_ticket / calls_per_key);
                 chosen.call(last_ticket, key_of[last_ticket], at,
-                            support::milliseconds(200));
+                            support::milliseconds(80));
             } else if (what < 6 && !chosen.reads.empty()) {
                 const read_shard read = chosen.reads.front();
                 chosen.reads.erase(chosen.reads.begin());
@@ -487,7 +514,7 @@
             }
             RC_ASSERT(!each.machine.pending());
         }
-    });
+    }));
 }
 
 } // namespace galenarudder::once
