--- a/lib/admission/concurrency_limit.cpp
+++ b/lib/admission/concurrency_limit.cpp
@@ -2,6 +2,7 @@
 #include "galenarudder/admission/concurrency_limit.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace galenarudder::admission {
 
@@ -105,7 +106,7 @@
 std::optional<limit_change> concurrency_limit::lower(support::time_point now)
 {
     const auto step = std::max<std::uint32_t>(
-        1, static_cast<std::uint32_t>(trial_step * slots_ + 0.5));
+        1, static_cast<std::uint32_t>(std::lround(trial_step * slots_)));
     const std::uint32_t wanted =
         std::max(floor_, limit_ > step ? limit_ - step : 1);
     if (wanted >= limit_) {
