Check whole sets, roll out without reading the store per daemon, and tell the truth about each change

Cause: documents were checked by name only, each daemon read the store every 500 ms (2,800 reads a second at 1,400 daemons), and apply could not tell what became of a write whose answer was lost.

Ruled out: one key per file (half a change can be in force), a watch per daemon (each is counted as a call), one elected distributor (needs an election).

Measured: unit_config, unit_rollout, unit_operators pass; test_configuration (store down after acceptance, set back, lost answer, replaced VM, unsigned document) and test_two_operators (10 races) pass, no reversion counted; test_examples passes.

Conclusion: store calls depend on failure domains; a change is accepted, rejected, or stated as not known.

--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -72,8 +72,37 @@
     share_window_ms,
     /// Time a claim of an idempotency key is kept, in milliseconds.
     claim_retention_ms,
+    /// Share of recent calls sent past an upstream of the own failure domain
+    /// to another domain, 0 to 1.
+    reroute_share,
+};
+inline constexpr std::size_t limit_count = 16;
+
+/// What the product itself knows of a limit.
+struct limit_facts
+{
+    std::string_view name;
+    std::string_view unit;
+    /// In force when the base document does not state the limit.
+    double first_value;
+    /// No document may state a bound outside of these.
+    double floor;
+    double ceiling;
+    /// The automation whose extent the limit caps; absent for a limit whose
+    /// value holds in every mode.
+    std::optional<automation> binds;
+    /// Whether it caps from above; from below otherwise.
+    bool smaller_is_tighter;
+};
+
+const limit_facts& facts(limit which);
+
+/// The bounds that the base document states for a limit.
+struct limit_bounds
+{
+    double min = 0;
+    double max = 0;
 };
-inline constexpr std::size_t limit_count = 15;
 
 /// One rank of work; ranks are ordered from most to least urgent.
 struct rank_policy
@@ -112,6 +141,7 @@
     std::vector<rank_policy> ranks;
     std::vector<service_policy> services;
     std::array<double, limit_count> limits{};
+    std::array<limit_bounds, limit_count> bounds{};
     std::array<automation_mode, automation_count> modes{};
 
     double value(limit which) const
@@ -122,6 +152,9 @@
     {
         return modes.at(static_cast<std::size_t>(which));
     }
+    /// Returns what binds an automated decision: in mode automatic the loosest
+    /// value that the base document's bounds admit, else the value in force.
+    double binding(limit which) const;
     /// Returns the service, or null when there is none of that name.
     const service_policy* find_service(std::string_view name) const;
     /// Returns the position of a rank, 0 for the most urgent.
--- a/include/galenarudder/config/schema.hpp
+++ b/include/galenarudder/config/schema.hpp
@@ -16,4 +16,9 @@
                                                 std::string_view file,
                                                 const char* schema);
 
+/// Checks a parsed document; the error names the path instead of the line.
+support::result<void> check_schema(const nlohmann::json& document,
+                                   std::string_view file,
+                                   const char* schema);
+
 } // namespace galenarudder::config
--- a/include/galenarudder/daemon/node.hpp
+++ b/include/galenarudder/daemon/node.hpp
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -27,8 +28,13 @@
 {
 };
 
-using node_action = std::
-    variant<membership::send_datagram, rollout::read_store, configure_gate>;
+using node_action = std::variant<membership::send_datagram,
+                                 rollout::read_store,
+                                 rollout::watch_store,
+                                 rollout::restore_store,
+                                 rollout::push_to_peer,
+                                 rollout::pull_from_peer,
+                                 configure_gate>;
 
 /// Control events come from one thread. The router and the configuration may
 /// be read from any thread.
@@ -46,7 +52,14 @@
     /// A configuration document came from the store, a peer or an operator.
     std::vector<node_action> on_document(std::string_view text,
                                          support::time_point now);
-    std::vector<node_action> on_store_unavailable(support::time_point now);
+    /// Passes one of the rollout's own events with what it carries.
+    template <typename Event, typename... Carried>
+    std::vector<node_action>
+    on_rollout_event(Event event, support::time_point now, Carried&&... carried)
+    {
+        return take((rollout_.*event)(std::forward<Carried>(carried)..., now),
+                    now);
+    }
     /// The upstream announced itself or repeated its heartbeat.
     std::vector<node_action> on_announcement(const std::string& service,
                                              std::uint32_t slots,
--- a/include/galenarudder/daemon/operator_port.hpp
+++ b/include/galenarudder/daemon/operator_port.hpp
@@ -24,8 +24,10 @@
     const daemon::node* node = nullptr;
     const config::daemon_settings* settings = nullptr;
     std::function<void()> drain;
-    /// An accepted configuration document handed over by an operator.
-    std::function<void(const std::string& text)> document;
+    /// An authenticated transfer handed over by a peer or an operator's tool;
+    /// \c sender is the peer's id or empty.
+    std::function<void(const std::string& encoded, const std::string& sender)>
+        transfer;
 };
 
 class operator_port
--- a/include/galenarudder/http/service.hpp
+++ b/include/galenarudder/http/service.hpp
@@ -24,6 +24,11 @@
     std::string value;
 };
 
+/// Returns the value of the first field of that name, whatever its case; empty
+/// when there is none.
+std::string_view field_or_empty(const std::vector<field>& fields,
+                                std::string_view name);
+
 struct request
 {
     std::string method;
--- a/lib/config/configuration.cpp
+++ b/lib/config/configuration.cpp
@@ -7,28 +7,27 @@
 
 namespace {
 
-struct limit_row
-{
-    std::string_view name;
-    double first_value;
-};
-
-constexpr std::array<limit_row, limit_count> limit_rows = {{
-    {"retry_share", 0.1},
-    {"hedge_share", 0.05},
-    {"hedge_percentile", 0.95},
-    {"eject_share", 0.5},
-    {"eject_error_rate", 0.5},
-    {"eject_ms", 2000},
-    {"slow_start_ms", 5000},
-    {"probe_share", 0.01},
-    {"load_queries_per_s", 20},
-    {"pick_samples", 3},
-    {"subset_size", 24},
-    {"queue_length", 128},
-    {"concurrency_min", 2},
-    {"share_window_ms", 1000},
-    {"claim_retention_ms", 86'400'000},
+constexpr double day_ms = 86'400'000;
+constexpr double no_floor = 0;
+constexpr auto binds_none = std::nullopt;
+
+constexpr std::array<limit_facts, limit_count> limit_rows = {{
+    {"retry_share", "share", 0.1, no_floor, 1, automation::retry, true},
+    {"hedge_share", "share", 0.05, no_floor, 1, automation::hedge, true},
+    {"hedge_percentile", "share", 0.95, 0.5, 1, binds_none, true},
+    {"eject_share", "share", 0.5, no_floor, 1, automation::eject, true},
+    {"eject_error_rate", "share", 0.5, 0.01, 1, binds_none, true},
+    {"eject_ms", "ms", 2000, no_floor, 600'000, binds_none, true},
+    {"slow_start_ms", "ms", 5000, no_floor, 600'000, binds_none, true},
+    {"probe_share", "share", 0.01, no_floor, 0.1, binds_none, true},
+    {"load_queries_per_s", "1/s", 20, no_floor, 1000, binds_none, true},
+    {"pick_samples", "count", 3, 1, 64, binds_none, true},
+    {"subset_size", "count", 24, 1, 1000, binds_none, true},
+    {"queue_length", "count", 128, 1, 100'000, binds_none, true},
+    {"concurrency_min", "count", 2, 1, 10'000, automation::adapt_limit, false},
+    {"share_window_ms", "ms", 1000, 10, 60'000, binds_none, true},
+    {"claim_retention_ms", "ms", day_ms, 60'000, 30 * day_ms, binds_none, true},
+    {"reroute_share", "share", 1, no_floor, 1, automation::reroute, true},
 }};
 
 constexpr std::array<std::string_view, automation_count> automation_names = {
@@ -57,6 +56,17 @@
 
 } // namespace
 
+double configuration::binding(limit which) const
+{
+    const std::size_t index = static_cast<std::size_t>(which);
+    const limit_facts& row = facts(which);
+    const bool free =
+        row.binds && mode(*row.binds) == automation_mode::automatic;
+    if (!free)
+        return limits.at(index);
+    return row.smaller_is_tighter ? bounds.at(index).max : bounds.at(index).min;
+}
+
 const service_policy* configuration::find_service(std::string_view name) const
 {
     for (const service_policy& service : services) {
@@ -97,9 +107,14 @@
     return automation_names.at(static_cast<std::size_t>(which));
 }
 
+const limit_facts& facts(limit which)
+{
+    return limit_rows.at(static_cast<std::size_t>(which));
+}
+
 std::string_view to_string(limit which)
 {
-    return limit_rows.at(static_cast<std::size_t>(which)).name;
+    return facts(which).name;
 }
 
 std::optional<limit> limit_from(std::string_view name)
@@ -125,8 +140,11 @@
 {
     configuration first;
     first.ranks = {{"urgent", 0, 1}, {"normal", 0.10, 0}, {"bulk", 0.05, 0}};
-    for (std::size_t index = 0; index < limit_count; ++index)
-        first.limits[index] = limit_rows[index].first_value;
+    for (std::size_t index = 0; index < limit_count; ++index) {
+        const double value = limit_rows[index].first_value;
+        first.limits[index] = value;
+        first.bounds[index] = {value, value};
+    }
     first.modes.fill(automation_mode::automatic);
     return first;
 }
--- a/lib/config/document.cpp
+++ b/lib/config/document.cpp
@@ -1,8 +1,13 @@
 // The stored form of base and overlays, and the merge for one site.
 #include "galenarudder/config/document.hpp"
 
+#include "document_schemas.hpp"
+#include "galenarudder/config/check.hpp"
 #include "galenarudder/config/schema.hpp"
 
+#include <algorithm>
+#include <map>
+
 namespace galenarudder::config {
 
 using nlohmann::json;
@@ -20,6 +25,17 @@
     "change_id": {"type": "string", "minLength": 1},
     "author": {"type": "string"},
     "note": {"type": "string"},
+    "time": {"type": "string"},
+    "history": {"type": "object", "maxProperties": 50,
+      "additionalProperties": {
+      "type": "object", "additionalProperties": false,
+      "required": ["version", "change_id", "author", "note", "time"],
+      "properties": {
+        "version": {"type": "integer", "minimum": 1},
+        "change_id": {"type": "string"},
+        "author": {"type": "string"},
+        "note": {"type": "string"},
+        "time": {"type": "string"}}}},
     "base": {"type": "object"},
     "overlays": {"type": "object"}
   }
@@ -75,32 +91,126 @@
         const std::optional<limit> which = limit_from(name);
         if (!which)
             continue;
-        const json& value = stated.is_object() ? stated.at("value") : stated;
-        into.limits.at(static_cast<std::size_t>(*which)) = value;
+        const std::size_t index = static_cast<std::size_t>(*which);
+        if (!stated.is_object()) {
+            into.limits.at(index) = stated;
+            continue;
+        }
+        into.limits.at(index) = stated.at("value");
+        into.bounds.at(index) = {stated.at("min"), stated.at("max")};
     }
 }
 
+const json& mode_name(const json& stated)
+{
+    return stated.is_object() ? stated.at("mode") : stated;
+}
+
 void read_modes(const json& body, configuration& into)
 {
     if (!body.contains("automation"))
         return;
     for (const auto& [name, stated] : body.at("automation").items()) {
         const auto which = automation_from(name);
-        const auto mode = automation_mode_from(stated.get<std::string>());
+        const auto mode =
+            automation_mode_from(mode_name(stated).get<std::string>());
         if (!which || !mode)
             continue;
         into.modes.at(static_cast<std::size_t>(*which)) = *mode;
     }
 }
 
-const overlay_document* find_overlay(const document& whole,
-                                     std::string_view site)
+json encode(const change_record& change)
 {
-    for (const overlay_document& overlay : whole.overlays) {
-        if (overlay.site == site)
-            return &overlay;
+    return {{"version", change.version},
+            {"change_id", change.change_id},
+            {"author", change.author},
+            {"note", change.note},
+            {"time", change.time}};
+}
+
+change_record decode_change(const json& stored)
+{
+    return {stored.at("version"), stored.at("change_id"), stored.at("author"),
+            stored.at("note"), stored.at("time")};
+}
+
+void read_history(const json& stored, document& into)
+{
+    const json history = stored.value("history", json::object());
+    for (const json& change : history)
+        into.history.push_back(decode_change(change));
+    std::sort(into.history.begin(), into.history.end(),
+              [](const change_record& left, const change_record& right) {
+                  return left.version > right.version;
+              });
+}
+
+error describe_finding(const finding& found)
+{
+    const std::string name =
+        found.site.empty() ? "base" : "overlay " + found.site;
+    return {error_kind::invalid_document,
+            name + ": " + found.pointer + ": " + found.message, found.remedy};
+}
+
+/// Finds where one setting of \p group is stated.
+value_origin origin_of(const document& whole,
+                       std::string_view site,
+                       const std::string& group,
+                       const std::string& name)
+{
+    const std::string pointer = "/" + group + "/" + name;
+    const json::json_pointer path(pointer);
+    const overlay_document* overlay = find_overlay(whole, site);
+    if (overlay != nullptr && overlay->body.contains(path))
+        return {"overlay " + overlay->site, pointer};
+    if (whole.base.contains(path))
+        return {"base", pointer};
+    return {"product", ""};
+}
+
+json stated_in_base(const document& whole,
+                    const std::string& group,
+                    const std::string& name)
+{
+    const json::json_pointer path("/" + group + "/" + name);
+    return whole.base.contains(path) ? whole.base.at(path) : json();
+}
+
+effective_value
+effective_limit(const document& whole, const configuration& merged, limit which)
+{
+    const std::string name(to_string(which));
+    const json stated = stated_in_base(whole, "limits", name);
+    const limit_bounds& bounds =
+        merged.bounds.at(static_cast<std::size_t>(which));
+    return {"limits/" + name,
+            merged.value(which),
+            bounds.min,
+            bounds.max,
+            stated.is_object() ? stated.value("mover", "base") : "base",
+            origin_of(whole, merged.site, "limits", name)};
+}
+
+effective_value effective_mode(const document& whole,
+                               const configuration& merged,
+                               automation which)
+{
+    const std::string name(to_string(which));
+    const json stated = stated_in_base(whole, "automation", name);
+    json loosest = stated.is_null() ? json("automatic") : stated;
+    std::string mover = "site";
+    if (stated.is_object()) {
+        loosest = stated.at("loosest");
+        mover = stated.at("mover");
     }
-    return nullptr;
+    return {"automation/" + name,
+            to_string(merged.mode(which)),
+            to_string(automation_mode::observe),
+            std::move(loosest),
+            std::move(mover),
+            origin_of(whole, merged.site, "automation", name)};
 }
 
 } // namespace
@@ -117,8 +227,10 @@
     whole.author = stored.at("author");
     whole.note = stored.at("note");
     whole.base = stored.at("base");
+    whole.time = stored.value("time", "");
     for (const auto& [site, body] : stored.at("overlays").items())
         whole.overlays.push_back({site, body});
+    read_history(stored, whole);
     auto checked = validate(whole);
     if (!checked)
         return std::move(checked).error();
@@ -130,22 +242,27 @@
     json overlays = json::object();
     for (const overlay_document& overlay : whole.overlays)
         overlays[overlay.site] = overlay.body;
+    // Keyed by version: a patch then holds only what was added and dropped.
+    json history = json::object();
+    for (const change_record& change : whole.history)
+        history[std::to_string(change.version)] = encode(change);
     return json{{"version", whole.version}, {"change_id", whole.change_id},
                 {"author", whole.author},   {"note", whole.note},
-                {"base", whole.base},       {"overlays", overlays}}
+                {"time", whole.time},       {"base", whole.base},
+                {"overlays", overlays},     {"history", history}}
         .dump();
 }
 
 support::result<void> validate(const document& whole)
 {
-    auto base_only = effective_for(whole, "");
-    if (!base_only)
-        return std::move(base_only).error();
+    BOOST_OUTCOME_TRYV(check_schema(whole.base, "base", base_schema));
     for (const overlay_document& overlay : whole.overlays) {
-        auto merged = effective_for(whole, overlay.site);
-        if (!merged)
-            return std::move(merged).error();
+        BOOST_OUTCOME_TRYV(check_schema(overlay.body, "overlay " + overlay.site,
+                                        overlay_schema));
     }
+    const std::vector<finding> findings = check_set(whole);
+    if (!findings.empty())
+        return describe_finding(findings.front());
     return boost::outcome_v2::success();
 }
 
@@ -172,4 +289,53 @@
     return merged;
 }
 
+std::vector<effective_value> effective_values(const document& whole,
+                                              std::string_view site)
+{
+    std::vector<effective_value> values;
+    const auto merged = effective_for(whole, site);
+    if (!merged)
+        return values;
+    for (std::size_t index = 0; index < limit_count; ++index) {
+        values.push_back(
+            effective_limit(whole, merged.value(), static_cast<limit>(index)));
+    }
+    for (std::size_t index = 0; index < automation_count; ++index) {
+        values.push_back(effective_mode(whole, merged.value(),
+                                        static_cast<automation>(index)));
+    }
+    return values;
+}
+
+const overlay_document* find_overlay(const document& whole,
+                                     std::string_view site)
+{
+    for (const overlay_document& overlay : whole.overlays) {
+        if (overlay.site == site)
+            return &overlay;
+    }
+    return nullptr;
+}
+
+change_record change_of(const document& whole)
+{
+    return {whole.version, whole.change_id, whole.author, whole.note,
+            whole.time};
+}
+
+bool same_content(const document& left, const document& right)
+{
+    std::map<std::string_view, const json*> bodies;
+    for (const overlay_document& overlay : left.overlays)
+        bodies[overlay.site] = &overlay.body;
+    if (left.base != right.base || bodies.size() != right.overlays.size())
+        return false;
+    for (const overlay_document& overlay : right.overlays) {
+        const auto same = bodies.find(overlay.site);
+        if (same == bodies.end() || *same->second != overlay.body)
+            return false;
+    }
+    return true;
+}
+
 } // namespace galenarudder::config
--- a/lib/config/schema.cpp
+++ b/lib/config/schema.cpp
@@ -1,6 +1,8 @@
 // Schema checks by valijson; the only source that includes it.
 #include "galenarudder/config/schema.hpp"
 
+#include "galenarudder/config/check.hpp"
+
 #include <nlohmann/json.hpp>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
@@ -36,7 +38,9 @@
     return pointer.empty() ? "/" : pointer;
 }
 
-error first_finding(valijson::ValidationResults& results, std::string_view file)
+/// The deepest finding names the cause; those above it only follow from it.
+valijson::ValidationResults::Error
+deepest_finding(valijson::ValidationResults& results)
 {
     valijson::ValidationResults::Error deepest;
     valijson::ValidationResults::Error finding;
@@ -44,10 +48,51 @@
         if (finding.context.size() >= deepest.context.size())
             deepest = finding;
     }
-    return {error_kind::invalid_document,
-            std::string(file) + ": " + pointer_of(deepest.context) + ": " +
-                deepest.description,
-            "correct the value at this path; unknown fields are rejected"};
+    return deepest;
+}
+
+/// Returns ", found VALUE" for a value that is short enough to print.
+std::string found_text(const nlohmann::json& document,
+                       const std::string& pointer)
+{
+    constexpr std::size_t max_printed_bytes = 60;
+    try {
+        const nlohmann::json::json_pointer path(pointer == "/" ? "" : pointer);
+        const std::string text = document.at(path).dump();
+        return text.size() <= max_printed_bytes ? "; found " + text : "";
+    } catch (const nlohmann::json::exception&) {
+        return "";
+    }
+}
+
+/// \p text is empty when the source is not at hand; no line is named then.
+support::result<void> check(const nlohmann::json& document,
+                            std::string_view text,
+                            std::string_view file,
+                            const char* schema)
+{
+    const nlohmann::json schema_document = nlohmann::json::parse(schema);
+    valijson::Schema rules;
+    valijson::SchemaParser parser;
+    parser.populateSchema(
+        valijson::adapters::NlohmannJsonAdapter(schema_document), rules);
+    valijson::Validator validator;
+    valijson::ValidationResults results;
+    const valijson::adapters::NlohmannJsonAdapter adapted(document);
+    if (validator.validate(rules, adapted, &results))
+        return boost::outcome_v2::success();
+    const auto deepest = deepest_finding(results);
+    const std::string pointer = pointer_of(deepest.context);
+    std::string where(file);
+    if (!text.empty()) {
+        const std::size_t line = line_of_pointer(text, pointer);
+        where += ": line " + std::to_string(std::max<std::size_t>(line, 1));
+    }
+    return error{error_kind::invalid_document,
+                 where + ": " + pointer + ": " + deepest.description +
+                     found_text(document, pointer),
+                 "correct the value at this path; unknown fields are "
+                 "rejected"};
 }
 
 } // namespace
@@ -65,17 +110,17 @@
                          line_of(text, failure.byte) + ": is not JSON",
                      "correct the syntax at this line"};
     }
-    const nlohmann::json schema_document = nlohmann::json::parse(schema);
-    valijson::Schema rules;
-    valijson::SchemaParser parser;
-    parser.populateSchema(
-        valijson::adapters::NlohmannJsonAdapter(schema_document), rules);
-    valijson::Validator validator;
-    valijson::ValidationResults results;
-    const valijson::adapters::NlohmannJsonAdapter adapted(document);
-    if (!validator.validate(rules, adapted, &results))
-        return first_finding(results, file);
+    auto checked = check(document, text, file, schema);
+    if (!checked)
+        return std::move(checked).error();
     return document;
 }
 
+support::result<void> check_schema(const nlohmann::json& document,
+                                   std::string_view file,
+                                   const char* schema)
+{
+    return check(document, "", file, schema);
+}
+
 } // namespace galenarudder::config
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -19,6 +19,20 @@
     return self;
 }
 
+/// Turns an action that the daemon carries out into the daemon's own.
+node_action pass_on(rollout::action action)
+{
+    return std::visit(
+        [](auto& what) -> node_action {
+            using kind = std::decay_t<decltype(what)>;
+            if constexpr (std::is_same_v<kind, rollout::adopt>)
+                return configure_gate{};
+            else
+                return std::move(what);
+        },
+        action);
+}
+
 void append(std::vector<node_action>& to, std::vector<node_action> more)
 {
     for (node_action& action : more)
@@ -37,7 +51,7 @@
               settings.introducers,
               settings.keys,
               seed),
-      rollout_(settings.member, seed)
+      rollout_(settings.member, settings.domain, seed)
 {
     router_.set_decision_log(decisions_);
 }
@@ -51,8 +65,10 @@
             taken.emplace_back(std::move(*datagram));
             continue;
         }
-        router_.on_record(std::get<membership::record_changed>(action).record,
-                          now);
+        const membership::member_record& record =
+            std::get<membership::record_changed>(action).record;
+        router_.on_record(record, now);
+        rollout_.on_member(record, now);
     }
     return taken;
 }
@@ -64,7 +80,7 @@
     for (rollout::action& action : actions) {
         const auto* adopted = std::get_if<rollout::adopt>(&action);
         if (adopted == nullptr) {
-            taken.emplace_back(std::get<rollout::read_store>(action));
+            taken.push_back(pass_on(std::move(action)));
             continue;
         }
         auto effective = config::effective_for(adopted->whole, domain_);
@@ -99,7 +115,11 @@
                                            std::string_view payload,
                                            support::time_point now)
 {
-    return take(member_.on_datagram(from, payload, now), now);
+    const std::uint64_t dropped = member_.counters().datagrams_dropped;
+    auto actions = member_.on_datagram(from, payload, now);
+    if (member_.counters().datagrams_dropped == dropped)
+        rollout_.on_word(now);
+    return take(std::move(actions), now);
 }
 
 std::vector<node_action> node::on_document(std::string_view text,
@@ -108,11 +128,6 @@
     return take(rollout_.on_document(text, now), now);
 }
 
-std::vector<node_action> node::on_store_unavailable(support::time_point now)
-{
-    return take(rollout_.on_store_unavailable(now), now);
-}
-
 std::vector<node_action> node::on_announcement(const std::string& service,
                                                std::uint32_t slots,
                                                support::time_point now)
--- a/lib/daemon/operator_port.cpp
+++ b/lib/daemon/operator_port.cpp
@@ -2,6 +2,7 @@
 #include "galenarudder/daemon/operator_port.hpp"
 
 #include "galenarudder/daemon/node.hpp"
+#include "galenarudder/daemon/node_report.hpp"
 #include "galenarudder/http/service.hpp"
 
 #include <boost/asio/bind_executor.hpp>
@@ -16,7 +17,11 @@
 
 namespace {
 
+constexpr const char* json_type = "application/json";
+constexpr unsigned status_ok = 200;
 constexpr unsigned status_accepted = 202;
+constexpr unsigned status_no_content = 204;
+constexpr unsigned status_forbidden = 403;
 constexpr unsigned status_not_found = 404;
 
 json describe(const membership::member_record& record)
@@ -33,6 +38,15 @@
             {"configuration_version", record.configuration_version}};
 }
 
+http::response problem(unsigned status, const support::error& failure)
+{
+    const json body = {{"title", to_string(failure.kind)},
+                       {"status", status},
+                       {"detail", failure.message},
+                       {"remedy", failure.remedy}};
+    return {status, "application/problem+json", body.dump(), {}};
+}
+
 http::response not_served()
 {
     const json body = {{"title", "not-found"},
@@ -75,8 +89,12 @@
     http::response status(const http::request&);
     http::response members(const http::request&);
     http::response configuration(const http::request&);
+    http::response transfer_since(const http::request& received);
     http::response take_configuration(const http::request& received);
     http::response drain(const http::request&);
+    http::response decisions(const http::request&);
+    http::response history(const http::request&);
+    http::response snapshot(const http::request&);
 
     operator_handlers handlers_;
     http::service service_;
@@ -90,6 +108,9 @@
     {"GET", "/v1/configuration", &impl::configuration},
     {"PUT", "/v1/configuration", &impl::take_configuration},
     {"POST", "/v1/drain", &impl::drain},
+    {"GET", "/v1/decisions", &impl::decisions},
+    {"GET", "/v1/history", &impl::history},
+    {"GET", "/v1/snapshot", &impl::snapshot},
 };
 
 asio::awaitable<http::response>
@@ -107,12 +128,15 @@
 
 http::response operator_port::impl::metrics(const http::request&)
 {
-    return {200, "text/plain; version=0.0.4", handlers_.metrics(), {}};
+    return {status_ok,
+            "text/plain; version=0.0.4",
+            handlers_.metrics() + render_node_metrics(*handlers_.node),
+            {}};
 }
 
 http::response operator_port::impl::health(const http::request&)
 {
-    return {200, "application/json", R"({"status":"ok"})", {}};
+    return {status_ok, json_type, R"({"status":"ok"})", {}};
 }
 
 http::response operator_port::impl::status(const http::request&)
@@ -121,7 +145,7 @@
     json body = describe(self);
     body["version"] = GALENARUDDER_VERSION;
     body["known_members"] = handlers_.node->member().records().size();
-    return {200, "application/json", body.dump(), {}};
+    return {status_ok, json_type, body.dump(), {}};
 }
 
 http::response operator_port::impl::members(const http::request&)
@@ -129,28 +153,78 @@
     json list = json::array();
     for (const auto& record : handlers_.node->member().records())
         list.push_back(describe(record));
-    return {200, "application/json", list.dump(), {}};
+    return {status_ok, json_type, list.dump(), {}};
 }
 
-http::response operator_port::impl::configuration(const http::request&)
+http::response operator_port::impl::configuration(const http::request& received)
 {
+    if (received.parameter("from") != nullptr)
+        return transfer_since(received);
     const config::document* current = handlers_.node->rollout().current();
     if (current == nullptr)
-        return {status_not_found, "application/json", "{}", {}};
-    return {200, "application/json", config::serialize(*current), {}};
+        return {status_not_found, json_type, "{}", {}};
+    return {status_ok, json_type, config::serialize(*current), {}};
+}
+
+/// Answers a peer that is behind with a signed transfer.
+http::response
+operator_port::impl::transfer_since(const http::request& received)
+{
+    const std::string* hash = received.parameter("hash");
+    const rollout::document_id theirs{
+        std::strtoull(received.parameter("from")->c_str(), nullptr, 10),
+        hash == nullptr ? std::string() : *hash};
+    std::string encoded = handlers_.node->rollout().transfer_for(theirs);
+    if (encoded.empty())
+        return {status_no_content, "", "", {}};
+    const config::shared_key& key = handlers_.settings->keys.front();
+    std::vector<http::field> fields = {
+        {rollout::key_id_field, key.id},
+        {rollout::signature_field, rollout::sign_transfer(key, encoded)}};
+    return {status_ok, json_type, std::move(encoded), std::move(fields)};
 }
 
 http::response
 operator_port::impl::take_configuration(const http::request& received)
 {
-    handlers_.document(received.body);
-    return {status_accepted, "application/json", "{}", {}};
+    const auto authentic = rollout::verify_transfer(
+        handlers_.settings->keys,
+        http::field_or_empty(received.fields, rollout::key_id_field),
+        http::field_or_empty(received.fields, rollout::signature_field),
+        received.body);
+    if (!authentic)
+        return problem(status_forbidden, authentic.error());
+    const std::string* sender = received.parameter("sender");
+    handlers_.transfer(received.body,
+                       sender == nullptr ? std::string() : *sender);
+    const json body = {{"version", handlers_.node->rollout().version()}};
+    return {status_accepted, json_type, body.dump(), {}};
 }
 
 http::response operator_port::impl::drain(const http::request&)
 {
     handlers_.drain();
-    return {status_accepted, "application/json", "{}", {}};
+    return {status_accepted, json_type, "{}", {}};
+}
+
+http::response operator_port::impl::decisions(const http::request&)
+{
+    const auto now = support::monotonic_clock::now();
+    return {status_ok, json_type, render_decisions(*handlers_.node, now), {}};
+}
+
+http::response operator_port::impl::history(const http::request&)
+{
+    return {status_ok, json_type, render_history(*handlers_.node), {}};
+}
+
+http::response operator_port::impl::snapshot(const http::request&)
+{
+    const std::string& site = handlers_.settings->domain;
+    return {status_ok,
+            "application/jsonl",
+            render_snapshot(*handlers_.node, site),
+            {}};
 }
 
 operator_port::operator_port(asio::io_context& io, operator_handlers handlers)
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -5,6 +5,7 @@
 #include "galenarudder/daemon/announcement_port.hpp"
 #include "galenarudder/daemon/node.hpp"
 #include "galenarudder/daemon/operator_port.hpp"
+#include "galenarudder/daemon/rollout_runtime.hpp"
 #include "galenarudder/link/hub.hpp"
 #include "galenarudder/proxy/caller_server.hpp"
 #include "galenarudder/proxy/entry.hpp"
@@ -38,7 +39,6 @@
 
 constexpr auto awaiting = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t max_datagram_bytes = 64 * 1024;
-constexpr support::milliseconds store_timeout{1000};
 /// Time for the drain notice to spread before the daemon leaves.
 constexpr auto leave_delay = std::chrono::milliseconds(500);
 /// Outcomes of keyed calls get this many further delays to reach the store.
@@ -76,7 +76,12 @@
     void tick();
     void perform(const std::vector<node_action>& actions);
     void execute(const membership::send_datagram& datagram);
-    void execute(const rollout::read_store&);
+    /// Actions of the rollout.
+    template <typename Action>
+    void execute(const Action& action)
+    {
+        rollout_.execute(action);
+    }
     void execute(const configure_gate&);
     void drain(std::string_view asked_by);
     void leave();
@@ -85,6 +90,7 @@
     std::shared_ptr<link::gate_port> gate_of(const routing::choice& target);
     link::hub_handlers hub_handlers();
     announcement_handlers announcement_events();
+    rollout_runtime::performer rollout_performer();
     operator_handlers operator_events();
     template <typename Work>
     void on_control(Work work)
@@ -107,6 +113,7 @@
     std::unique_ptr<operator_port> operators_;
     store::consul_store store_;
     std::shared_ptr<proxy::keyed_calls> keyed_;
+    rollout_runtime rollout_;
     udp::socket gossip_;
     asio::steady_timer timer_;
     asio::signal_set signals_;
@@ -124,6 +131,7 @@
              metrics_,
              [this](const routing::choice& target) { return gate_of(target); }),
       callers_(io_, entry_), store_(control_, settings_.store),
+      rollout_(control_, store_, node_, settings_, rollout_performer()),
       gossip_(control_), timer_(control_), signals_(control_, SIGTERM, SIGINT)
 {
 }
@@ -186,6 +194,15 @@
     return handlers;
 }
 
+rollout_runtime::performer runtime::impl::rollout_performer()
+{
+    return [this](const std::vector<node_action>& actions) {
+        const auto kept = weak_from_this().lock();
+        if (kept)
+            kept->perform(actions);
+    };
+}
+
 operator_handlers runtime::impl::operator_events()
 {
     operator_handlers handlers;
@@ -194,8 +211,11 @@
     handlers.node = &node_;
     handlers.settings = &settings_;
     handlers.drain = [this] { drain("operator"); };
-    handlers.document = [this](const std::string& text) {
-        perform(node_.on_document(text, monotonic_clock::now()));
+    handlers.transfer = [this](const std::string& encoded,
+                               const std::string& sender) {
+        perform(node_.on_rollout_event(&rollout::rollout::on_transfer,
+                                       monotonic_clock::now(), encoded,
+                                       sender));
     };
     return handlers;
 }
@@ -292,23 +312,6 @@
     gossip_.send_to(asio::buffer(datagram.payload), to, 0, ignored);
 }
 
-void runtime::impl::execute(const rollout::read_store&)
-{
-    store_.get(store::configuration_key, store_timeout,
-               [weak = weak_from_this()](
-                   support::result<store::versioned_value> found) {
-                   const auto self = weak.lock();
-                   if (!self)
-                       return;
-                   const support::time_point now = monotonic_clock::now();
-                   const bool present = found && found.value().index != 0;
-                   self->perform(
-                       present
-                           ? self->node_.on_document(found.value().value, now)
-                           : self->node_.on_store_unavailable(now));
-               });
-}
-
 void runtime::impl::execute(const configure_gate&)
 {
     const auto in_force = node_.configuration().read();
--- a/lib/http/service.cpp
+++ b/lib/http/service.cpp
@@ -116,6 +116,16 @@
 
 } // namespace
 
+std::string_view field_or_empty(const std::vector<field>& fields,
+                                std::string_view name)
+{
+    for (const field& sent : fields) {
+        if (beast::iequals(sent.name, name))
+            return sent.value;
+    }
+    return {};
+}
+
 const std::string* request::parameter(std::string_view name) const
 {
     for (const field& sent : query) {
--- /dev/null
+++ b/lib/rollout/transfer.cpp
@@ -0,0 +1,182 @@
+// Patches by nlohmann's diff, hashes by xxHash, signatures by HMAC.
+#include "galenarudder/rollout/transfer.hpp"
+
+#include "galenarudder/config/schema.hpp"
+#include "galenarudder/support/hmac.hpp"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace galenarudder::rollout {
+
+using nlohmann::json;
+using support::error;
+using support::error_kind;
+
+namespace {
+
+constexpr const char* transfer_schema = R"({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["from", "to", "body"],
+  "properties": {
+    "from": {"$ref": "#/definitions/document"},
+    "to": {"$ref": "#/definitions/document"},
+    "body": {"type": "string"}
+  },
+  "definitions": {
+    "document": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["version", "hash"],
+      "properties": {
+        "version": {"type": "integer", "minimum": 0},
+        "hash": {"type": "string", "maxLength": 64}}}
+  }
+})";
+
+/// Keeps these signatures apart from those of datagrams under the same key.
+constexpr std::string_view signing_context = "galenarudder-configuration\n";
+
+std::string hexadecimal(std::string_view bytes)
+{
+    static constexpr char digits[] = "0123456789abcdef";
+    std::string text;
+    for (const char letter : bytes) {
+        const auto byte = static_cast<unsigned char>(letter);
+        text += digits[byte >> 4];
+        text += digits[byte & 15];
+    }
+    return text;
+}
+
+std::string signed_text(std::string_view encoded)
+{
+    return std::string(signing_context) + std::string(encoded);
+}
+
+json encode(const document_id& id)
+{
+    return {{"version", id.version}, {"hash", id.hash}};
+}
+
+document_id decode_id(const json& fields)
+{
+    return {fields.at("version"), fields.at("hash")};
+}
+
+error wrong_base(const transfer& received)
+{
+    return {error_kind::conflict,
+            "the patch starts from another document of version " +
+                std::to_string(received.from.version),
+            "fetch the whole document"};
+}
+
+} // namespace
+
+std::string hash_of(std::string_view stored)
+{
+    const XXH128_hash_t hash = XXH3_128bits(stored.data(), stored.size());
+    XXH128_canonical_t canonical;
+    XXH128_canonicalFromHash(&canonical, hash);
+    return hexadecimal(
+        {reinterpret_cast<const char*>(canonical.digest), sizeof(canonical)});
+}
+
+std::string encode(const transfer& sent)
+{
+    return json{{"from", encode(sent.from)},
+                {"to", encode(sent.to)},
+                {"body", sent.body}}
+        .dump();
+}
+
+support::result<transfer> decode_transfer(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(
+        const json fields,
+        config::parse_and_check(text, "transfer", transfer_schema));
+    transfer received;
+    received.from = decode_id(fields.at("from"));
+    received.to = decode_id(fields.at("to"));
+    received.body = fields.at("body");
+    return received;
+}
+
+transfer make_transfer(std::string_view from,
+                       std::uint64_t from_version,
+                       std::string_view to,
+                       std::uint64_t to_version)
+{
+    transfer made;
+    made.to = {to_version, hash_of(to)};
+    made.body = std::string(to);
+    if (from.empty())
+        return made;
+    const json before = json::parse(from, nullptr, false);
+    const json after = json::parse(to, nullptr, false);
+    if (before.is_discarded() || after.is_discarded())
+        return made;
+    std::string patch = json::diff(before, after).dump();
+    if (patch.size() >= made.body.size())
+        return made;
+    made.from = {from_version, hash_of(from)};
+    made.body = std::move(patch);
+    return made;
+}
+
+support::result<std::string> apply_transfer(std::string_view held,
+                                            const transfer& received)
+{
+    std::string result = received.body;
+    if (received.from.version != 0) {
+        if (held.empty() || hash_of(held) != received.from.hash)
+            return wrong_base(received);
+        try {
+            const json patch = json::parse(received.body);
+            result = json::parse(held).patch(patch).dump();
+        } catch (const json::exception& failure) {
+            return error{error_kind::malformed_message,
+                         std::string("the patch cannot be applied: ") +
+                             failure.what(),
+                         "fetch the whole document"};
+        }
+    }
+    if (hash_of(result) == received.to.hash)
+        return result;
+    return error{error_kind::malformed_message,
+                 "the document does not have the hash stated for version " +
+                     std::to_string(received.to.version),
+                 "fetch the whole document"};
+}
+
+std::string sign_transfer(const config::shared_key& key,
+                          std::string_view encoded)
+{
+    return hexadecimal(support::sign(key.secret, signed_text(encoded)));
+}
+
+support::result<void> verify_transfer(std::span<const config::shared_key> keys,
+                                      std::string_view key_id,
+                                      std::string_view signature,
+                                      std::string_view encoded)
+{
+    for (const config::shared_key& key : keys) {
+        if (key.id != key_id)
+            continue;
+        // Equal length and content of the text forms is decided by comparing
+        // signatures of both, so that the time taken tells nothing.
+        const std::string expected = sign_transfer(key, encoded);
+        if (support::verify(key.secret, expected,
+                            support::sign(key.secret, signature)))
+            return boost::outcome_v2::success();
+    }
+    return error{
+        error_kind::unauthenticated,
+        "the signature of the configuration is not of this fleet",
+        "sign with a key of the daemons' settings: Galenarudder-Key-Id "
+        "and Galenarudder-Signature"};
+}
+
+} // namespace galenarudder::rollout
--- a/test/standins/standin_store/main.cpp
+++ b/test/standins/standin_store/main.cpp
@@ -111,6 +111,13 @@
     return support::from_ms(in_ms ? number : number * 1000);
 }
 
+/// How long a blocking query may wait.
+support::duration wait_of(const http::request& received)
+{
+    const std::string* wait = received.parameter("wait");
+    return parse_span(wait != nullptr ? *wait : "60s");
+}
+
 http::response not_found()
 {
     return {404, "text/plain", "", {}};
@@ -209,9 +216,8 @@
     const std::string* known = received.parameter("index");
     if (known != nullptr) {
         ++counts_.watches;
-        const std::string* wait = received.parameter("wait");
-        co_await wait_for_change(key, std::stoull(*known),
-                                 parse_span(wait ? *wait : "60s"));
+        const support::duration wait = wait_of(received);
+        co_await wait_for_change(key, std::stoull(*known), wait);
     } else {
         ++counts_.reads;
     }
