--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -72,11 +72,8 @@
     share_window_ms,
     /// Time a claim of an idempotency key is kept, in milliseconds.
     claim_retention_ms,
-    /// Share of recent calls sent past an upstream of the own failure domain
-    /// to another domain, 0 to 1.
-    reroute_share,
 };
-inline constexpr std::size_t limit_count = 16;
+inline constexpr std::size_t limit_count = 15;
 
 /// What the product itself knows of a limit.
 struct limit_facts
--- a/include/galenarudder/daemon/node.hpp
+++ b/include/galenarudder/daemon/node.hpp
@@ -52,6 +52,7 @@
     /// A configuration document came from the store, a peer or an operator.
     std::vector<node_action> on_document(std::string_view text,
                                          support::time_point now);
+    std::vector<node_action> on_store_unavailable(support::time_point now);
     /// Passes one of the rollout's own events with what it carries.
     template <typename Event, typename... Carried>
     std::vector<node_action>
--- a/include/galenarudder/daemon/node_report.hpp
+++ b/include/galenarudder/daemon/node_report.hpp
@@ -19,7 +19,9 @@
 std::string render_history(const node& reported);
 
 /// JSON lines: a trace header with the configuration in force at \p site, then
-/// one line with members and the whole document.
-std::string render_snapshot(const node& reported, const std::string& site);
+/// one line with members, load and the whole document.
+std::string render_snapshot(const node& reported,
+                            const std::string& site,
+                            support::time_point now);
 
 } // namespace galenarudder::daemon
--- a/include/galenarudder/routing/router.hpp
+++ b/include/galenarudder/routing/router.hpp
@@ -16,6 +16,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace galenarudder::telemetry {
 class decision_log;
@@ -51,6 +52,20 @@
     leaving
 };
 
+/// What the router knows of one upstream's load, for diagnosis.
+struct upstream_load
+{
+    support::member_id member;
+    /// Calls that this entry sent and that have not ended.
+    std::uint32_t outstanding = 0;
+    std::uint32_t reported_running = 0;
+    std::uint32_t reported_waiting = 0;
+    double service_ms = 0;
+    /// Recent share of failed attempts, 0 to 1.
+    double error_rate = 0;
+    bool ejected = false;
+};
+
 class router
 {
 public:
@@ -89,6 +104,8 @@
                    const support::load_report& report,
                    support::time_point now) const;
 
+    /// Control thread: the load of every upstream known, by member.
+    std::vector<upstream_load> loads(support::time_point now) const;
     /// The limits in force for attempts and picks.
     routing_limits limits() const;
     /// Where decisions are recorded; may be null.
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -128,6 +128,11 @@
     return take(rollout_.on_document(text, now), now);
 }
 
+std::vector<node_action> node::on_store_unavailable(support::time_point now)
+{
+    return on_rollout_event(&rollout::rollout::on_store_unavailable, now);
+}
+
 std::vector<node_action> node::on_announcement(const std::string& service,
                                                std::uint32_t slots,
                                                support::time_point now)
--- a/lib/daemon/node_report.cpp
+++ b/lib/daemon/node_report.cpp
@@ -109,6 +109,17 @@
             {"configuration_version", record.configuration_version}};
 }
 
+json encode(const routing::upstream_load& load)
+{
+    return {{"member", load.member},
+            {"outstanding", load.outstanding},
+            {"running", load.reported_running},
+            {"waiting", load.reported_waiting},
+            {"service_ms", load.service_ms},
+            {"error_rate", load.error_rate},
+            {"ejected", load.ejected}};
+}
+
 /// The base document with the site's values in place of its own.
 json effective_base(const config::document& whole, const std::string& site)
 {
@@ -202,14 +213,20 @@
     return list.dump(2) + "\n";
 }
 
-std::string render_snapshot(const node& reported, const std::string& site)
+std::string render_snapshot(const node& reported,
+                            const std::string& site,
+                            support::time_point now)
 {
+    json loads = json::array();
+    for (const routing::upstream_load& load : reported.router().loads(now))
+        loads.push_back(encode(load));
     json members = json::array();
     for (const auto& record : reported.member().records())
         members.push_back(encode(record));
     json state = {{"taken_by", reported.member().self().id},
                   {"site", site},
                   {"members", members},
+                  {"load", loads},
                   {"watches_store", reported.rollout().watches()}};
     const config::document* current = reported.rollout().current();
     if (current != nullptr)
--- a/lib/daemon/operator_port.cpp
+++ b/lib/daemon/operator_port.cpp
@@ -221,9 +221,10 @@
 http::response operator_port::impl::snapshot(const http::request&)
 {
     const std::string& site = handlers_.settings->domain;
+    const auto now = support::monotonic_clock::now();
     return {status_ok,
             "application/jsonl",
-            render_snapshot(*handlers_.node, site),
+            render_snapshot(*handlers_.node, site, now),
             {}};
 }
 
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -274,6 +274,20 @@
     state_->publish();
 }
 
+std::vector<upstream_load> router::loads(support::time_point now) const
+{
+    const auto now_ns = now.time_since_epoch().count();
+    std::vector<upstream_load> all;
+    for (const auto& [member, known] : state_->states) {
+        all.push_back(
+            {member, known->outstanding.load(), known->reported_running.load(),
+             known->reported_waiting.load(), known->reported_service_ms.load(),
+             known->error_rate.load(),
+             known->ejected_until_ns.load() > now_ns});
+    }
+    return all;
+}
+
 void router::set_decision_log(telemetry::decision_log& log)
 {
     state_->decisions = &log;
--- a/test/process/test_configuration.py
+++ b/test/process/test_configuration.py
@@ -2,7 +2,9 @@
 """An accepted configuration comes into force everywhere and stays, with the
 store down, set back or losing its answer."""
 
+import http.client
 import json
+import subprocess
 import sys
 
 from configuration_fleet import ConfigurationFleet, example, expect
@@ -99,10 +101,18 @@
     expect([change["version"] for change in history] == [4, 3, 2, 1], history)
     found = fleet.tool("history", "--change", history[2]["change_id"])
     expect(found.returncode == 0 and "replaced" in found.stdout, found.stdout)
-    lines = fleet.tool("snapshot").stdout.splitlines()
+    taken = fleet.tool("snapshot").stdout
+    lines = taken.splitlines()
     header, snapshot = json.loads(lines[0]), json.loads(lines[1])
     expect(header["format"] == "galenarudder-trace-1", header)
     expect(len(snapshot["snapshot"]["members"]) == len(fleet.vms), snapshot)
+    expect("load" in snapshot["snapshot"], snapshot)
+    trace = fleet.files / "snapshot.jsonl"
+    trace.write_text(taken)
+    replayed = subprocess.run(
+        [fleet.build / "galenarudder-replay", "--trace", trace],
+        capture_output=True, text=True, timeout=30, check=False)
+    expect(replayed.returncode == 0, replayed.stderr)
     decisions = json.loads(fleet.tool("decisions", "--output", "json").stdout)
     expect(len(decisions["counts"]) == 18, decisions)
 
@@ -110,7 +120,6 @@
 def unsigned_documents_are_refused(fleet):
     forged = fleet.stored()
     forged["version"] = 99
-    import http.client
     host, port = fleet.vms[0]["address"], 7105
     connection = http.client.HTTPConnection(host, port, timeout=5)
     connection.request("PUT", "/v1/configuration", body=json.dumps(
--- a/tools/galenarudder-replay/trace.cpp
+++ b/tools/galenarudder-replay/trace.cpp
@@ -168,6 +168,9 @@
                 whole = std::move(head).value();
                 continue;
             }
+            // Written by galenarudderctl snapshot; nothing to replay.
+            if (parsed.contains("snapshot"))
+                continue;
             trace_event event = read_event(parsed);
             if (auto wrong = check(*whole, event))
                 return malformed(number, wrong->message);
