--- a/test/replay/run.py
+++ b/test/replay/run.py
@@ -16,10 +16,11 @@
 HERE = pathlib.Path(__file__).resolve().parent
 
 
-def replay(build, path, policy=""):
+def replay(build, path, policy="", observe=""):
     """Returns the bytes that galenarudder-replay prints."""
     command = [str(pathlib.Path(build) / "galenarudder-replay"),
-               "--trace", str(path), "--policy", policy, "--output", "json"]
+               "--trace", str(path), "--policy", policy, "--observe", observe,
+               "--output", "json"]
     done = subprocess.run(command, stdout=subprocess.PIPE, check=True)
     return done.stdout
 
--- a/tools/galenarudder-replay/main.cpp
+++ b/tools/galenarudder-replay/main.cpp
@@ -12,8 +12,13 @@
 
 DEFINE_string(trace, "", "file with a trace of format galenarudder-trace-1");
 DEFINE_string(policy, "", "name of the pick strategy; empty for the default");
+DEFINE_string(observe,
+              "",
+              "automations that only observe, separated by commas");
 DEFINE_string(output, "json", "only json");
 
+namespace config = galenarudder::config;
+
 namespace {
 
 constexpr int exit_invalid = 2;
@@ -32,6 +37,21 @@
     return names;
 }
 
+/// Sets the named automations to observe; returns a name that is unknown.
+std::string set_observe(config::configuration& in_force, std::string names)
+{
+    std::istringstream list(std::move(names));
+    std::string name;
+    while (std::getline(list, name, ',')) {
+        const auto which = config::automation_from(name);
+        if (!which)
+            return name;
+        in_force.modes.at(static_cast<std::size_t>(*which)) =
+            config::automation_mode::observe;
+    }
+    return {};
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -49,9 +69,13 @@
         return fail("cannot read " + FLAGS_trace + "; name it with --trace");
     std::ostringstream text;
     text << file.rdbuf();
-    const auto given = galenarudder::replay::parse_trace(text.str());
+    auto given = galenarudder::replay::parse_trace(text.str());
     if (!given)
         return fail(describe(given.error()));
+    const std::string unknown =
+        set_observe(given.value().in_force, FLAGS_observe);
+    if (!unknown.empty())
+        return fail("unknown automation " + unknown + " in --observe");
     galenarudder::replay::replay run(given.value());
     std::cout << run.run(FLAGS_policy) << '\n';
     return 0;
