Replace whole-table gossip by SWIM; add leases, swap resolution, introducers

Cause: the first form sent the whole table as unauthenticated CBOR ten times a second, knew no failures, and could not restart or heal a member.

Change: SWIM with relays, suspicion that confirmations shorten, Lifeguard's local health, incarnations; CBOR behind an HMAC checked first, a replay window per sender and life; digests per failure domain with 64 buckets; byte budget; drain and leave told at once; introducer directory in the store under a lease; lease keeper that gives up before the store does; swaps resolved by reading back; rate budget and counters of the store; stand-in store with counts by kind and restore. rapidcheck runs with one seed.

Result: unit_membership 619 and unit_store 615 assertions pass; the process test passes (start with the store down, SIGSTOP, SIGKILL, leave).

--- a/include/galenarudder/daemon/node.hpp
+++ b/include/galenarudder/daemon/node.hpp
@@ -15,6 +15,7 @@
 #include "galenarudder/telemetry/decision_log.hpp"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -55,6 +56,13 @@
     std::vector<node_action> on_upstream_gone(support::time_point now);
     /// The upstream, an operator or a signal asks to leave.
     std::vector<node_action> on_drain(support::time_point now);
+    /// All work ended; the daemon is about to stop.
+    std::vector<node_action> on_left(support::time_point now);
+    /// Introducers were found in the store's directory.
+    void on_introducers(std::span<const config::endpoint> found)
+    {
+        member_.add_introducers(found);
+    }
 
     const routing::router& router() const { return router_; }
     const support::rcu_cell<config::configuration>& configuration() const
--- a/include/galenarudder/membership/member.hpp
+++ b/include/galenarudder/membership/member.hpp
@@ -29,6 +29,8 @@
 struct record_changed
 {
     member_record record;
+    /// Nothing but the configuration version changed.
+    bool only_version = false;
 };
 
 using action = std::variant<send_datagram, record_changed>;
@@ -39,9 +41,26 @@
     std::uint64_t datagrams_sent = 0;
     std::uint64_t bytes_sent = 0;
     std::uint64_t datagrams_received = 0;
+    std::uint64_t bytes_received = 0;
+    /// All that were not taken; the reasons are counted below.
     std::uint64_t datagrams_dropped = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t oversized = 0;
+    std::uint64_t unauthenticated = 0;
+    std::uint64_t replayed = 0;
+    /// Sent by a process of the member that has been replaced since.
+    std::uint64_t former_life = 0;
+    /// Meant for another member.
+    std::uint64_t misdirected = 0;
+    std::uint64_t probes_failed = 0;
     std::uint64_t suspicions = 0;
+    /// Members declared dead by this one or on another's word.
+    std::uint64_t deaths = 0;
     std::uint64_t refutations = 0;
+    /// Gossip and anti-entropy that waited for the byte budget.
+    std::uint64_t held_back = 0;
+    /// Spans in which this process did not run.
+    std::uint64_t pauses = 0;
 };
 
 class member
@@ -67,7 +86,8 @@
     std::vector<action> on_tick(support::time_point now);
 
     /// Changes the own record's service, slots, state or configuration
-    /// version; id, incarnation and addresses stay.
+    /// version and tells some members at once; id, incarnation and addresses
+    /// stay.
     std::vector<action> update_self(const member_record& changed,
                                     support::time_point now);
 
@@ -75,6 +95,15 @@
     void add_introducers(std::span<const config::endpoint> found);
 
     const member_record& self() const;
+    /// The record of one member; null when it is unknown.
+    const member_record* find(std::string_view id) const;
+    /// Number of known members that are present, the own one included.
+    std::size_t live_count() const;
+    /// Present members of the own failure domain that come before this one in
+    /// the order of their hashes.
+    std::size_t rank_in_domain() const;
+    /// Bytes that may be sent at once; the budget's use for metrics.
+    double budget_left() const;
     /// All known records, the own one included, ordered by id.
     std::vector<member_record> records() const;
     const member_counters& counters() const;
--- a/include/galenarudder/store/consul_store.hpp
+++ b/include/galenarudder/store/consul_store.hpp
@@ -7,15 +7,39 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <cstdint>
 #include <memory>
 
 namespace galenarudder::store {
 
+/// What one daemon may ask of the store; a call beyond it fails at once with
+/// store_unavailable, and nothing is sent.
+struct store_limits
+{
+    double reads_per_second = 50;
+    double read_burst = 100;
+    double writes_per_second = 50;
+    double write_burst = 100;
+};
+
+/// Calls since the start, for metrics.
+struct store_counters
+{
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t over_budget = 0;
+    /// Calls that failed for any reason but the budget.
+    std::uint64_t failures = 0;
+};
+
 class consul_store final : public platform_store
 {
 public:
     /// Callbacks run on \p executor.
-    consul_store(boost::asio::any_io_executor executor, config::endpoint where);
+    consul_store(boost::asio::any_io_executor executor,
+                 config::endpoint where,
+                 const store_limits& limits = {});
     ~consul_store() override;
 
     void get(const std::string& key,
@@ -41,9 +65,12 @@
                       support::duration timeout,
                       callback<void> done) override;
 
+    /// Safe from any thread.
+    store_counters counters() const;
+
 private:
     struct state;
-    std::unique_ptr<state> state_;
+    std::shared_ptr<state> state_;
 };
 
 } // namespace galenarudder::store
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -51,8 +51,9 @@
             taken.emplace_back(std::move(*datagram));
             continue;
         }
-        router_.on_record(std::get<membership::record_changed>(action).record,
-                          now);
+        const auto& changed = std::get<membership::record_changed>(action);
+        if (!changed.only_version)
+            router_.on_record(changed.record, now);
     }
     return taken;
 }
@@ -145,4 +146,11 @@
     return change_self(self, now);
 }
 
+std::vector<node_action> node::on_left(support::time_point now)
+{
+    membership::member_record self = member_.self();
+    self.state = membership::member_state::left;
+    return change_self(self, now);
+}
+
 } // namespace galenarudder::daemon
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -3,6 +3,8 @@
 #include "galenarudder/daemon/runtime.hpp"
 
 #include "galenarudder/daemon/announcement_port.hpp"
+#include "galenarudder/daemon/introducer_runtime.hpp"
+#include "galenarudder/daemon/membership_metrics.hpp"
 #include "galenarudder/daemon/node.hpp"
 #include "galenarudder/daemon/operator_port.hpp"
 #include "galenarudder/link/hub.hpp"
@@ -107,6 +109,7 @@
     std::unique_ptr<operator_port> operators_;
     store::consul_store store_;
     std::shared_ptr<proxy::keyed_calls> keyed_;
+    introducer_runtime introducers_;
     udp::socket gossip_;
     asio::steady_timer timer_;
     asio::signal_set signals_;
@@ -124,6 +127,7 @@
              metrics_,
              [this](const routing::choice& target) { return gate_of(target); }),
       callers_(io_, entry_), store_(control_, settings_.store),
+      introducers_(control_, store_, node_, std::random_device{}()),
       gossip_(control_), timer_(control_), signals_(control_, SIGTERM, SIGINT)
 {
 }
@@ -190,7 +194,11 @@
 {
     operator_handlers handlers;
     handlers.executor = control_;
-    handlers.metrics = [this] { return metrics_.render(); };
+    handlers.metrics = [this] {
+        set_metrics(metrics_, node_.member());
+        set_metrics(metrics_, store_.counters());
+        return metrics_.render();
+    };
     handlers.node = &node_;
     handlers.settings = &settings_;
     handlers.drain = [this] { drain("operator"); };
@@ -228,7 +236,10 @@
             if (self && !canceled)
                 self->drain("signal");
         });
-    on_control([](impl& self) { self.tick(); });
+    on_control([](impl& self) {
+        self.introducers_.start();
+        self.tick();
+    });
     return boost::outcome_v2::success();
 }
 
@@ -349,6 +360,7 @@
 void runtime::impl::leave()
 {
     telemetry::log_change("left");
+    perform(node_.on_left(monotonic_clock::now()));
     leave_when_recorded(max_leave_checks);
 }
 
--- /dev/null
+++ b/lib/store/backoff.cpp
@@ -0,0 +1,21 @@
+// Exponential delays with jitter, so that daemons do not retry in step.
+#include "galenarudder/store/backoff.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace galenarudder::store {
+
+support::duration backoff(const backoff_limits& limits,
+                          unsigned failures,
+                          support::random_engine& random)
+{
+    constexpr unsigned max_doublings = 20;
+    const unsigned doublings = std::min(failures, max_doublings);
+    const support::duration whole =
+        std::min(limits.longest, limits.first * (std::int64_t{1} << doublings));
+    const double share = 0.5 + 0.5 * support::uniform_unit(random);
+    return support::from_ms(support::to_ms(whole) * share);
+}
+
+} // namespace galenarudder::store
--- a/lib/store/consul_store.cpp
+++ b/lib/store/consul_store.cpp
@@ -2,10 +2,16 @@
 #include "galenarudder/store/consul_store.hpp"
 
 #include "galenarudder/http/client.hpp"
+#include "galenarudder/support/rate_budget.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <mutex>
 
 namespace galenarudder::store {
 
@@ -42,27 +48,36 @@
             "read the key back to learn whether the write took effect"};
 }
 
-std::string base64_decode(std::string_view text)
-{
-    static constexpr std::string_view alphabet =
-        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-    std::string plain;
-    std::uint32_t bits = 0;
-    int count = 0;
-    for (const char letter : text) {
-        const std::size_t digit = alphabet.find(letter);
-        if (digit == std::string_view::npos)
-            break;
-        bits = (bits << 6) | static_cast<std::uint32_t>(digit);
-        count += 6;
-        if (count < 8)
-            continue;
-        count -= 8;
-        plain += static_cast<char>((bits >> count) & 0xff);
-    }
+support::result<std::string> base64_decode(std::string_view text)
+{
+    std::string plain(text.size() / 4 * 3, '\0');
+    const int size =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(plain.data()),
+                        reinterpret_cast<const unsigned char*>(text.data()),
+                        static_cast<int>(text.size()));
+    if (size < 0)
+        return unavailable("the store's value is not base64");
+    // The library decodes padding to zero bytes.
+    const std::size_t padding =
+        text.ends_with("==") ? 2 : (text.ends_with("=") ? 1 : 0);
+    plain.resize(static_cast<std::size_t>(size) - padding);
     return plain;
 }
 
+/// Encodes each part of a key's path.
+std::string encode_key(std::string_view key)
+{
+    std::string encoded;
+    for (std::size_t begin = 0; begin <= key.size();) {
+        const std::size_t end = std::min(key.find('/', begin), key.size());
+        if (begin != 0)
+            encoded += '/';
+        encoded += http::percent_encode(key.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    return encoded;
+}
+
 support::result<versioned_value> parse_value(const http_result& answer)
 {
     if (!answer)
@@ -76,8 +91,11 @@
     try {
         const json entry = json::parse(answer.value().body).at(0);
         versioned_value found;
-        if (!entry.at("Value").is_null())
-            found.value = base64_decode(entry.at("Value").get<std::string>());
+        if (!entry.at("Value").is_null()) {
+            BOOST_OUTCOME_TRY(
+                found.value,
+                base64_decode(entry.at("Value").get_ref<const std::string&>()));
+        }
         found.index = entry.at("ModifyIndex");
         found.lease = entry.value("Session", "");
         return found;
@@ -138,30 +156,87 @@
 
 struct consul_store::state
 {
+    using counter = std::uint64_t store_counters::*;
+
     asio::any_io_executor executor;
     config::endpoint where;
+    support::rate_budget reads;
+    support::rate_budget writes;
+    store_counters counters;
+    std::mutex guard;
+
+    /// Takes a token and counts the call; watches take a read's.
+    bool admit(support::rate_budget& budget, counter kind)
+    {
+        const std::lock_guard lock(guard);
+        const bool admitted =
+            budget.try_take(1, support::monotonic_clock::now());
+        ++(counters.*(admitted ? kind : &store_counters::over_budget));
+        return admitted;
+    }
 
-    template <typename T>
-    void send(http::client_request request,
-              support::duration timeout,
-              support::result<T> (*parse)(const http_result&),
-              callback<T> done)
+    void count_failure()
     {
-        asio::co_spawn(
-            executor,
-            [to = where, request = std::move(request), timeout, parse,
-             done = std::move(done)]() -> asio::awaitable<void> {
-                done(parse(co_await http::fetch(to, request, timeout)));
-            },
-            asio::detached);
+        const std::lock_guard lock(guard);
+        ++counters.failures;
     }
 };
 
+namespace {
+
+error over_budget()
+{
+    return {error_kind::store_unavailable,
+            "this daemon's budget of store calls is spent",
+            "retry later; see galenarudder_store_over_budget_total"};
+}
+
+/// Sends a request that was admitted, or fails it; \c done runs on the
+/// executor in both cases.
+template <typename T, typename State>
+void send(const std::shared_ptr<State>& state,
+          bool admitted,
+          http::client_request request,
+          support::duration timeout,
+          support::result<T> (*parse)(const http_result&),
+          callback<T> done)
+{
+    if (!admitted) {
+        asio::post(state->executor,
+                   [done = std::move(done)] { done(over_budget()); });
+        return;
+    }
+    asio::co_spawn(
+        state->executor,
+        [state, request = std::move(request), timeout, parse,
+         done = std::move(done)]() -> asio::awaitable<void> {
+            const http_result answer =
+                co_await http::fetch(state->where, request, timeout);
+            support::result<T> parsed = parse(answer);
+            if (!parsed)
+                state->count_failure();
+            done(std::move(parsed));
+        },
+        asio::detached);
+}
+
+} // namespace
+
 consul_store::consul_store(asio::any_io_executor executor,
-                           config::endpoint where)
-    : state_(
-          std::make_unique<state>(state{std::move(executor), std::move(where)}))
+                           config::endpoint where,
+                           const store_limits& limits)
+    : state_(std::make_shared<state>(
+          std::move(executor),
+          std::move(where),
+          support::rate_budget(limits.reads_per_second, limits.read_burst),
+          support::rate_budget(limits.writes_per_second, limits.write_burst)))
+{
+}
+
+store_counters consul_store::counters() const
 {
+    const std::lock_guard lock(state_->guard);
+    return state_->counters;
 }
 
 consul_store::~consul_store() = default;
@@ -170,8 +245,10 @@
                        support::duration timeout,
                        callback<versioned_value> done)
 {
-    state_->send<versioned_value>({"GET", "/v1/kv/" + key, "", {}}, timeout,
-                                  parse_value, std::move(done));
+    send<versioned_value>(state_,
+                          state_->admit(state_->reads, &store_counters::reads),
+                          {"GET", "/v1/kv/" + encode_key(key), "", {}}, timeout,
+                          parse_value, std::move(done));
 }
 
 void consul_store::compare_and_swap(const std::string& key,
@@ -182,11 +259,13 @@
                                     callback<swap_outcome> done)
 {
     std::string target =
-        "/v1/kv/" + key + "?cas=" + std::to_string(expected_index);
+        "/v1/kv/" + encode_key(key) + "?cas=" + std::to_string(expected_index);
     if (!lease.empty())
         target += "&acquire=" + http::percent_encode(lease);
-    state_->send<swap_outcome>({"PUT", std::move(target), std::move(value), {}},
-                               timeout, parse_swap, std::move(done));
+    send<swap_outcome>(state_,
+                       state_->admit(state_->writes, &store_counters::writes),
+                       {"PUT", std::move(target), std::move(value), {}},
+                       timeout, parse_swap, std::move(done));
 }
 
 void consul_store::watch(const std::string& key,
@@ -194,11 +273,13 @@
                          support::duration wait,
                          callback<versioned_value> done)
 {
-    const std::string target = "/v1/kv/" + key +
+    const std::string target = "/v1/kv/" + encode_key(key) +
                                "?index=" + std::to_string(known_index) +
                                "&wait=" + seconds_text(wait);
-    state_->send<versioned_value>({"GET", target, "", {}}, wait + watch_grace,
-                                  parse_value, std::move(done));
+    send<versioned_value>(
+        state_, state_->admit(state_->reads, &store_counters::watches),
+        {"GET", target, "", {}}, wait + watch_grace, parse_value,
+        std::move(done));
 }
 
 void consul_store::grant_lease(support::duration ttl,
@@ -206,24 +287,28 @@
                                callback<std::string> done)
 {
     const json body = {{"TTL", seconds_text(ttl)}, {"Behavior", "delete"}};
-    state_->send<std::string>({"PUT", "/v1/session/create", body.dump(), {}},
-                              timeout, parse_lease, std::move(done));
+    send<std::string>(state_,
+                      state_->admit(state_->writes, &store_counters::writes),
+                      {"PUT", "/v1/session/create", body.dump(), {}}, timeout,
+                      parse_lease, std::move(done));
 }
 
 void consul_store::renew_lease(const std::string& lease,
                                support::duration timeout,
                                callback<void> done)
 {
-    state_->send<void>({"PUT", "/v1/session/renew/" + lease, "", {}}, timeout,
-                       parse_done, std::move(done));
+    send<void>(state_, state_->admit(state_->writes, &store_counters::writes),
+               {"PUT", "/v1/session/renew/" + lease, "", {}}, timeout,
+               parse_done, std::move(done));
 }
 
 void consul_store::revoke_lease(const std::string& lease,
                                 support::duration timeout,
                                 callback<void> done)
 {
-    state_->send<void>({"PUT", "/v1/session/destroy/" + lease, "", {}}, timeout,
-                       parse_done, std::move(done));
+    send<void>(state_, state_->admit(state_->writes, &store_counters::writes),
+               {"PUT", "/v1/session/destroy/" + lease, "", {}}, timeout,
+               parse_done, std::move(done));
 }
 
 } // namespace galenarudder::store
--- /dev/null
+++ b/test/standins/standin_members/main.cpp
@@ -0,0 +1,193 @@
+// Stand-in for many members behind one UDP socket: introduces them to one
+// daemon and answers its probes, so that the daemon holds a large fleet.
+#include "galenarudder/membership/wire.hpp"
+#include "galenarudder/support/random.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <gflags/gflags.h>
+
+#include <array>
+#include <functional>
+#include <iostream>
+#include <unordered_map>
+
+DEFINE_string(listen, "127.2.3.240:7103", "address of the members' socket");
+DEFINE_string(daemon, "127.2.3.1:7103", "gossip address of the daemon");
+DEFINE_string(daemon_id, "reservas-1", "the daemon's member id");
+DEFINE_string(key_id, "example", "id of the shared key");
+DEFINE_string(secret, "an-example-secret-only", "the shared key");
+DEFINE_uint64(members, 1399, "members to play");
+DEFINE_uint64(messages_per_s, 20, "datagrams a second once all are introduced");
+
+namespace galenarudder::standins {
+
+namespace asio = boost::asio;
+using namespace membership;
+using asio::ip::udp;
+
+namespace {
+
+constexpr std::size_t records_per_datagram = 8;
+constexpr std::size_t services = 180;
+constexpr std::size_t domains = 8;
+constexpr std::uint64_t life = 1000;
+
+struct played_member
+{
+    member_record record;
+    std::uint64_t sequence = 0;
+};
+
+} // namespace
+
+class members
+{
+public:
+    members(asio::io_context& io,
+            const config::endpoint& own,
+            const config::endpoint& daemon)
+        : socket_(io, to_udp(own)), timer_(io), daemon_(to_udp(daemon)),
+          keys_({{FLAGS_key_id, FLAGS_secret}})
+    {
+        for (std::size_t number = 0; number < FLAGS_members; ++number)
+            add(number, own);
+    }
+
+    void start()
+    {
+        receive();
+        tick();
+    }
+
+private:
+    static udp::endpoint to_udp(const config::endpoint& where)
+    {
+        return {asio::ip::make_address(where.address), where.port};
+    }
+
+    void add(std::size_t number, const config::endpoint& own)
+    {
+        member_record record;
+        record.id = "played-member-" + std::to_string(number);
+        record.incarnation = life;
+        record.state = member_state::alive;
+        record.gossip = own;
+        const std::string host = "127.2." + std::to_string(4 + number / 250) +
+                                 "." + std::to_string(number % 250 + 1);
+        record.link = {host, 7102};
+        record.operators = {host, 7105};
+        record.domain = "domain-" + std::to_string(number % domains);
+        record.service = "service-" + std::to_string(number % services);
+        record.slots = 9;
+        by_hash_[hash_of(record.id)] = played_.size();
+        played_.push_back({record});
+    }
+
+    message from(std::size_t number, message_body body)
+    {
+        played_member& sender = played_[number];
+        message sent;
+        sent.sender = sender.record.id;
+        sent.life = life;
+        sent.incarnation = sender.record.incarnation;
+        sent.sequence = ++sender.sequence;
+        sent.target = hash_of(FLAGS_daemon_id);
+        sent.body = std::move(body);
+        return sent;
+    }
+
+    void send(const message& sent)
+    {
+        boost::system::error_code ignored;
+        socket_.send_to(asio::buffer(encode(sent, keys_.front())), daemon_, 0,
+                        ignored);
+    }
+
+    void tick()
+    {
+        constexpr std::uint64_t ticks_per_s = 20;
+        if (introduced_ < played_.size())
+            introduce();
+        else
+            for (std::uint64_t count = 0;
+                 count < FLAGS_messages_per_s / ticks_per_s; ++count)
+                send(from(support::uniform_below(random_, played_.size()),
+                          gossip{}));
+        timer_.expires_after(std::chrono::milliseconds(1000 / ticks_per_s));
+        timer_.async_wait([this](boost::system::error_code canceled) {
+            if (!canceled)
+                tick();
+        });
+    }
+
+    void introduce()
+    {
+        message sent = from(introduced_, sync{});
+        for (std::size_t count = 0;
+             count < records_per_datagram && introduced_ < played_.size();
+             ++count)
+            sent.records.push_back(played_[introduced_++].record);
+        send(sent);
+        // A lost datagram is made good: the next round starts over.
+        if (introduced_ == played_.size() && rounds_++ < 2)
+            introduced_ = 0;
+    }
+
+    void receive()
+    {
+        socket_.async_receive_from(
+            asio::buffer(buffer_), from_,
+            [this](boost::system::error_code failed, std::size_t size) {
+                if (!failed)
+                    answer(std::string_view(buffer_.data(), size));
+                receive();
+            });
+    }
+
+    void answer(std::string_view datagram)
+    {
+        const auto received = decode(datagram, keys_);
+        if (!received)
+            return;
+        const auto target = by_hash_.find(received.value().target);
+        if (target == by_hash_.end())
+            return;
+        if (const auto* asked = std::get_if<probe>(&received.value().body))
+            send(from(target->second, ack{asked->number}));
+    }
+
+    udp::socket socket_;
+    asio::steady_timer timer_;
+    udp::endpoint daemon_;
+    udp::endpoint from_;
+    std::array<char, 2048> buffer_{};
+    std::vector<config::shared_key> keys_;
+    std::vector<played_member> played_;
+    std::unordered_map<member_hash, std::size_t> by_hash_;
+    std::size_t introduced_ = 0;
+    unsigned rounds_ = 0;
+    support::random_engine random_{1};
+};
+
+} // namespace galenarudder::standins
+
+int main(int argc, char** argv)
+{
+    using namespace galenarudder;
+    gflags::SetUsageMessage(
+        "standin_members --listen ADDRESS --daemon ADDRESS");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto own = config::parse_endpoint(FLAGS_listen);
+    const auto daemon = config::parse_endpoint(FLAGS_daemon);
+    if (!own || !daemon) {
+        std::cerr << "--listen and --daemon take an address with a port\n";
+        return 2;
+    }
+    boost::asio::io_context io{1};
+    standins::members played(io, own.value(), daemon.value());
+    played.start();
+    io.run();
+    return 0;
+}
--- a/test/standins/standin_store/main.cpp
+++ b/test/standins/standin_store/main.cpp
@@ -1,5 +1,6 @@
 // Stand-in for the platform's key-value service: compare-and-swap, sessions
-// as leases, blocking queries; can be down, slow, or lose one answer.
+// as leases, blocking queries; can be down, slow, lose one answer or be
+// restored to an old value.
 #include "galenarudder/http/service.hpp"
 #include "galenarudder/support/time.hpp"
 
@@ -12,6 +13,7 @@
 
 #include <iostream>
 #include <map>
+#include <vector>
 
 DEFINE_string(listen, "127.0.0.1:8500", "address to serve");
 
@@ -21,11 +23,22 @@
 using nlohmann::json;
 using support::monotonic_clock;
 
+struct former_value
+{
+    std::string value;
+    std::uint64_t index = 0;
+};
+
+/// As many former values of a key are kept for a restore.
+constexpr std::size_t max_history = 64;
+
 struct entry
 {
     std::string value;
     std::uint64_t index = 0;
     std::string session;
+    /// Values and indices before this one, oldest first.
+    std::vector<former_value> history;
 };
 
 struct session
@@ -44,12 +57,16 @@
 };
 
 /// Calls since the start, shown by /stand-in/counts; a blocking query counts
-/// as a watch.
+/// as a watch. Reads, writes and watches are totals over the kinds.
 struct counts
 {
-    std::uint64_t reads = 0;
-    std::uint64_t writes = 0;
+    std::uint64_t gets = 0;
+    std::uint64_t swaps = 0;
     std::uint64_t watches = 0;
+    std::uint64_t lease_grants = 0;
+    std::uint64_t lease_renewals = 0;
+    std::uint64_t lease_ends = 0;
+    std::uint64_t lapsed_leases = 0;
 };
 
 class store
@@ -68,6 +85,7 @@
     http::response renew(const std::string& id);
     http::response destroy(const std::string& id);
     http::response set(const http::request& received);
+    http::response restore(const http::request& received);
     http::response show_counts() const;
     asio::awaitable<void> wait_for_change(const std::string& key,
                                           std::uint64_t index,
@@ -146,6 +164,8 @@
         co_return set(received);
     if (received.path == "/stand-in/counts")
         co_return show_counts();
+    if (received.path == "/stand-in/restore")
+        co_return restore(received);
     http::response withheld;
     withheld.withheld = true;
     if (behaviour_.down)
@@ -171,10 +191,9 @@
         const std::string key(path.substr(kv_prefix.size()));
         if (received.method == "GET")
             co_return co_await get(key, received);
-        ++counts_.writes;
+        ++counts_.swaps;
         co_return put(key, received);
     }
-    ++counts_.writes;
     if (path == "/v1/session/create")
         co_return make_session(received);
     if (path.starts_with(renew_prefix))
@@ -213,7 +232,7 @@
         co_await wait_for_change(key, std::stoull(*known),
                                  parse_span(wait ? *wait : "60s"));
     } else {
-        ++counts_.reads;
+        ++counts_.gets;
     }
     const auto found = entries_.find(key);
     if (found == entries_.end())
@@ -232,6 +251,10 @@
     if (lease != nullptr && !sessions_.contains(*lease))
         return plain("false");
     entry& held = entries_[key];
+    if (held.index != 0)
+        held.history.push_back({std::move(held.value), held.index});
+    if (held.history.size() > max_history)
+        held.history.erase(held.history.begin());
     held.value = std::move(received.body);
     held.index = ++last_index_;
     held.session = lease != nullptr ? *lease : std::string();
@@ -240,6 +263,7 @@
 
 http::response store::make_session(const http::request& received)
 {
+    ++counts_.lease_grants;
     const json body = json::parse(received.body, nullptr, false);
     if (body.is_discarded())
         return {400, "text/plain", "malformed session", {}};
@@ -254,6 +278,7 @@
 
 http::response store::renew(const std::string& id)
 {
+    ++counts_.lease_renewals;
     const auto found = sessions_.find(id);
     if (found == sessions_.end())
         return not_found();
@@ -263,6 +288,7 @@
 
 http::response store::destroy(const std::string& id)
 {
+    ++counts_.lease_ends;
     const auto found = sessions_.find(id);
     if (found != sessions_.end()) {
         const bool deletes_keys = found->second.deletes_keys;
@@ -282,6 +308,7 @@
         }
         const std::string id = next->first;
         const bool deletes_keys = next->second.deletes_keys;
+        ++counts_.lapsed_leases;
         next = sessions_.erase(next);
         end_session(id, deletes_keys);
     }
@@ -314,11 +341,40 @@
     return {204, "", "", {}};
 }
 
+/// Brings back a key's value and index from before its last \c back changes,
+/// as a restore of the service from a backup does.
+http::response store::restore(const http::request& received)
+{
+    const std::string* key = received.parameter("key");
+    const std::string* back = received.parameter("back");
+    const auto found = entries_.find(key != nullptr ? *key : "");
+    if (found == entries_.end())
+        return not_found();
+    entry& held = found->second;
+    const std::size_t steps = back != nullptr ? std::stoul(*back) : 1;
+    if (steps == 0 || steps > held.history.size())
+        return {409, "text/plain", "no such former value", {}};
+    held.history.resize(held.history.size() - steps + 1);
+    held.value = std::move(held.history.back().value);
+    held.index = held.history.back().index;
+    held.history.pop_back();
+    return {204, "", "", {}};
+}
+
 http::response store::show_counts() const
 {
-    return plain(json{{"reads", counts_.reads},
-                      {"writes", counts_.writes},
-                      {"watches", counts_.watches}}
+    const std::uint64_t writes = counts_.swaps + counts_.lease_grants +
+                                 counts_.lease_renewals + counts_.lease_ends;
+    return plain(json{{"reads", counts_.gets},
+                      {"writes", writes},
+                      {"watches", counts_.watches},
+                      {"kinds",
+                       {{"gets", counts_.gets},
+                        {"swaps", counts_.swaps},
+                        {"lease_grants", counts_.lease_grants},
+                        {"lease_renewals", counts_.lease_renewals},
+                        {"lease_ends", counts_.lease_ends},
+                        {"lapsed_leases", counts_.lapsed_leases}}}}
                      .dump());
 }
 
--- /dev/null
+++ b/unittests/membership/introducer_directory_test.cpp
@@ -0,0 +1,304 @@
+// The directory over a store kept in memory: slots are claimed and freed, lost
+// answers resolve, calls do not grow with the fleet.
+#include "galenarudder/membership/introducer_directory.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+using namespace galenarudder;
+using namespace galenarudder::membership;
+using support::milliseconds;
+using support::time_point;
+
+namespace {
+
+/// A store in memory with leases; answers at once.
+struct memory_store
+{
+    std::map<std::string, store::versioned_value> values;
+    std::map<std::string, time_point> leases;
+    std::uint64_t index = 0;
+    std::uint64_t calls = 0;
+    bool down = false;
+    bool loses_answers = false;
+
+    void lapse(time_point now)
+    {
+        for (auto next = leases.begin(); next != leases.end();) {
+            if (next->second > now) {
+                ++next;
+                continue;
+            }
+            std::erase_if(values, [&](const auto& one) {
+                return one.second.lease == next->first;
+            });
+            next = leases.erase(next);
+        }
+    }
+};
+
+support::error store_down()
+{
+    return {support::error_kind::store_unavailable, "down", "wait"};
+}
+
+struct claimant
+{
+    introducer_directory directory;
+    std::size_t rank = 0;
+    bool alone = false;
+    std::vector<config::endpoint> found;
+
+    void perform(std::vector<directory_action> actions,
+                 memory_store& platform,
+                 time_point now);
+    void tick(memory_store& platform, time_point now)
+    {
+        perform(directory.on_tick(
+                    alone, [&] { return rank; }, now),
+                platform, now);
+    }
+
+    std::vector<directory_action>
+    answer(const read_slot& read, memory_store& platform, time_point now)
+    {
+        if (platform.down)
+            return directory.on_slot(read.key, store_down(), now);
+        return directory.on_slot(read.key, platform.values[read.key], now);
+    }
+    std::vector<directory_action>
+    answer(const claim_slot& claim, memory_store& platform, time_point now)
+    {
+        if (platform.down)
+            return directory.on_claimed(claim.key, store_down(), now);
+        store::versioned_value& held = platform.values[claim.key];
+        if (held.index != claim.expected_index) {
+            return directory.on_claimed(
+                claim.key, store::swap_outcome::index_mismatch, now);
+        }
+        held = {claim.value, ++platform.index, claim.lease};
+        if (platform.loses_answers)
+            return directory.on_claimed(claim.key, store_down(), now);
+        return directory.on_claimed(claim.key, store::swap_outcome::swapped,
+                                    now);
+    }
+    std::vector<directory_action>
+    answer(const introducer_found& one, memory_store&, time_point)
+    {
+        found.push_back(one.gossip);
+        return {};
+    }
+    std::vector<directory_action> answer(const store::grant_wanted& grant,
+                                         memory_store& platform,
+                                         time_point now)
+    {
+        if (platform.down)
+            return directory.on_granted(grant.request, store_down(), now);
+        const std::string lease = "lease-" + std::to_string(++platform.index);
+        platform.leases[lease] = now + grant.ttl;
+        return directory.on_granted(grant.request, lease, now);
+    }
+    std::vector<directory_action> answer(const store::renew_wanted& renew,
+                                         memory_store& platform,
+                                         time_point now)
+    {
+        if (platform.down)
+            return directory.on_renewed(renew.request, store_down(), now);
+        const auto held = platform.leases.find(renew.lease);
+        if (held == platform.leases.end()) {
+            return directory.on_renewed(
+                renew.request,
+                support::error{support::error_kind::not_found, "lapsed",
+                               "grant"},
+                now);
+        }
+        held->second = now + milliseconds(60000);
+        return directory.on_renewed(renew.request, boost::outcome_v2::success(),
+                                    now);
+    }
+};
+
+void claimant::perform(std::vector<directory_action> actions,
+                       memory_store& platform,
+                       time_point now)
+{
+    for (const directory_action& action : actions) {
+        if (!std::holds_alternative<introducer_found>(action))
+            ++platform.calls;
+        perform(
+            std::visit(
+                [&](const auto& what) { return answer(what, platform, now); },
+                action),
+            platform, now);
+    }
+}
+
+member_record record_of(std::size_t number)
+{
+    member_record record;
+    record.id = "member-" + std::to_string(number);
+    record.domain = "bilbao";
+    record.gossip = {"10.0.0." + std::to_string(number + 1), 7103};
+    return record;
+}
+
+struct domain_fleet
+{
+    memory_store platform;
+    std::vector<std::unique_ptr<claimant>> members;
+    time_point now{milliseconds(1000)};
+
+    explicit domain_fleet(std::size_t size)
+    {
+        for (std::size_t number = 0; number < size; ++number) {
+            members.push_back(std::make_unique<claimant>(claimant{
+                introducer_directory(record_of(number), number + 1), number}));
+        }
+    }
+
+    void run(std::chrono::seconds span)
+    {
+        for (const time_point end = now + span; now < end;
+             now += milliseconds(500)) {
+            platform.lapse(now);
+            for (const auto& member : members) {
+                if (member)
+                    member->tick(platform, now);
+            }
+        }
+    }
+
+    std::size_t taken() const
+    {
+        std::size_t count = 0;
+        for (unsigned slot = 0; slot < slots_per_domain; ++slot) {
+            const auto held =
+                platform.values.find(introducer_key("bilbao", slot));
+            const bool claimed =
+                held != platform.values.end() && !held->second.lease.empty();
+            count += claimed ? 1 : 0;
+        }
+        return count;
+    }
+};
+
+} // namespace
+
+TEST_CASE("the slots of a domain are claimed by its first members",
+          "[introducers]")
+{
+    domain_fleet fleet(10);
+    fleet.run(std::chrono::seconds(600));
+    CHECK(fleet.taken() == slots_per_domain);
+    std::set<std::string> holders;
+    for (unsigned slot = 0; slot < slots_per_domain; ++slot) {
+        const auto& value =
+            fleet.platform.values[introducer_key("bilbao", slot)];
+        const auto holder = parse_introducer(value.value);
+        REQUIRE(holder);
+        holders.insert(holder.value().member);
+    }
+    CHECK(holders.size() == slots_per_domain);
+    CHECK(fleet.platform.values[domains_key].value == R"(["bilbao"])");
+}
+
+TEST_CASE("a dead holder's slot is claimed by the next", "[introducers]")
+{
+    domain_fleet fleet(5);
+    fleet.run(std::chrono::seconds(600));
+    fleet.members[0].reset();
+    for (std::size_t number = 1; number < 5; ++number)
+        --fleet.members[number]->rank;
+    fleet.run(std::chrono::seconds(600));
+    CHECK(fleet.taken() == slots_per_domain);
+}
+
+TEST_CASE("calls to the store are flat in the number of members",
+          "[introducers]")
+{
+    const auto calls_of = [](std::size_t size) {
+        domain_fleet fleet(size);
+        fleet.run(std::chrono::seconds(600));
+        const std::uint64_t before = fleet.platform.calls;
+        fleet.run(std::chrono::seconds(600));
+        return fleet.platform.calls - before;
+    };
+    const std::uint64_t few = calls_of(4);
+    const std::uint64_t many = calls_of(200);
+    CHECK(many <= few + few / 5);
+    // Per holder a renewal each 20 s and a look each 30 s, with jitter.
+    CHECK(many <= slots_per_domain * (600 / 20 + 600 / 15));
+}
+
+TEST_CASE("a claim whose answer was lost is found by reading", "[introducers]")
+{
+    domain_fleet fleet(3);
+    fleet.platform.loses_answers = true;
+    fleet.run(std::chrono::seconds(600));
+    CHECK(fleet.taken() == slots_per_domain);
+    std::set<std::string> held;
+    for (const auto& member : fleet.members)
+        held.insert(member->directory.held());
+    CHECK(held.size() == slots_per_domain);
+    CHECK_FALSE(held.contains(""));
+}
+
+TEST_CASE("a lone member reads until it finds an introducer", "[introducers]")
+{
+    domain_fleet fleet(3);
+    fleet.run(std::chrono::seconds(600));
+    fleet.members.push_back(std::make_unique<claimant>(
+        claimant{introducer_directory(record_of(7), 7), 3, true}));
+    claimant& lone = *fleet.members.back();
+    // With the store down it retries with growing delays.
+    fleet.platform.down = true;
+    const std::uint64_t before = fleet.platform.calls;
+    fleet.run(std::chrono::seconds(30));
+    CHECK(lone.found.empty());
+    CHECK(fleet.platform.calls - before < 40);
+    fleet.platform.down = false;
+    fleet.run(std::chrono::seconds(30));
+    CHECK_FALSE(lone.found.empty());
+    CHECK(lone.directory.held().empty());
+}
+
+TEST_CASE("a member of a new domain finds the others by the list",
+          "[introducers]")
+{
+    domain_fleet fleet(3);
+    fleet.run(std::chrono::seconds(600));
+    member_record stranger = record_of(9);
+    stranger.domain = "oviedo";
+    fleet.members.push_back(std::make_unique<claimant>(
+        claimant{introducer_directory(stranger, 9), 0, true}));
+    fleet.run(std::chrono::seconds(60));
+    CHECK_FALSE(fleet.members.back()->found.empty());
+}
+
+TEST_CASE("a paused holder knows that its slot is gone", "[introducers]")
+{
+    domain_fleet fleet(1);
+    fleet.run(std::chrono::seconds(300));
+    claimant& holder = *fleet.members[0];
+    REQUIRE_FALSE(holder.directory.held().empty());
+    const time_point later = fleet.now + std::chrono::seconds(120);
+    (void)holder.directory.on_tick(
+        false, [] { return 9; }, later);
+    CHECK(holder.directory.held().empty());
+}
+
+TEST_CASE("foreign values in a slot are passed over", "[introducers]")
+{
+    const std::string value =
+        GENERATE(std::string(), std::string("x"), std::string("[]"),
+                 std::string(R"({"member":1,"gossip":"10.0.0.1:1"})"),
+                 std::string(R"({"member":"m","gossip":"no address"})"));
+    CHECK_FALSE(parse_introducer(value));
+    introducer_directory directory(record_of(1), 1);
+    const auto actions = directory.on_slot(
+        introducer_key("bilbao", 0), store::versioned_value{value, 3, "lease"},
+        time_point{milliseconds(1000)});
+    CHECK(actions.empty());
+}
