--- a/include/galenarudder/store/consul_store.hpp
+++ b/include/galenarudder/store/consul_store.hpp
@@ -16,10 +16,10 @@
 /// store_unavailable, and nothing is sent.
 struct store_limits
 {
-    double reads_per_second = 50;
-    double read_burst = 100;
-    double writes_per_second = 50;
-    double write_burst = 100;
+    double reads_per_second = 100;
+    double read_burst = 200;
+    double writes_per_second = 100;
+    double write_burst = 200;
 };
 
 /// Calls since the start, for metrics.
