--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -65,10 +65,10 @@
             taken.emplace_back(std::move(*datagram));
             continue;
         }
-        const membership::member_record& record =
-            std::get<membership::record_changed>(action).record;
-        router_.on_record(record, now);
-        rollout_.on_member(record, now);
+        const auto& changed = std::get<membership::record_changed>(action);
+        if (!changed.only_version)
+            router_.on_record(changed.record, now);
+        rollout_.on_member(changed.record, now);
     }
     return taken;
 }
@@ -165,4 +165,11 @@
     return change_self(self, now);
 }
 
+std::vector<node_action> node::on_left(support::time_point now)
+{
+    membership::member_record self = member_.self();
+    self.state = membership::member_state::left;
+    return change_self(self, now);
+}
+
 } // namespace galenarudder::daemon
