--- a/unittests/golden/shared_state_sessions.cpp
+++ b/unittests/golden/shared_state_sessions.cpp
@@ -118,8 +118,11 @@
     whole.change_id = change_id;
     whole.author = "ane";
     whole.note = "golden session";
+    const nlohmann::json route = {{"prefix", "/"}, {"rank", "normal"}};
+    const nlohmann::json service = {{"name", "pedidos"},
+                                    {"routes", nlohmann::json::array({route})}};
     whole.base = {{"format", "galenarudder-base-1"},
-                  {"services", nlohmann::json::array()}};
+                  {"services", nlohmann::json::array({service})}};
     return config::serialize(whole);
 }
 
