Split the connection pool from the upstream client

Idle connections that the upstream had closed stayed in the pool and counted as open, so that nothing was opened ahead in their place.

Ruled out: a public header for the pool (only the client uses it, and Beast would spread).

Change: lib/proxy/connection_pool. Each heartbeat of the upstream drops idle connections that it closed and opens others.

Conclusion: no change to what calls see but the connections kept warm.

--- a/include/galenarudder/proxy/upstream_client.hpp
+++ b/include/galenarudder/proxy/upstream_client.hpp
@@ -16,6 +16,8 @@
 
 namespace galenarudder::proxy {
 
+class connection_pool;
+
 /// How one attempt at the upstream ended.
 enum class upstream_result
 {
@@ -67,8 +69,7 @@
     void close();
 
 private:
-    struct state;
-    std::shared_ptr<state> state_;
+    std::shared_ptr<connection_pool> pool_;
 };
 
 } // namespace galenarudder::proxy
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -2,23 +2,19 @@
 // that an early answer is seen.
 #include "galenarudder/proxy/upstream_client.hpp"
 
+#include "connection_pool.hpp"
+
 #include "galenarudder/link/message.hpp"
 #include "galenarudder/proxy/http_fields.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
 #include <array>
-#include <cassert>
-#include <deque>
 #include <optional>
 
 namespace galenarudder::proxy {
@@ -26,7 +22,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
-using asio::ip::tcp;
 using support::refusal;
 using support::refusal_kind;
 using support::run_outcome;
@@ -34,7 +29,6 @@
 namespace {
 
 constexpr auto awaiting = asio::as_tuple(asio::use_awaitable);
-constexpr auto connect_timeout = std::chrono::seconds(1);
 /// An upstream that sends nothing for this long after the deadline, or
 /// between two parts of a body, is given up.
 constexpr auto silence_timeout = std::chrono::seconds(60);
@@ -44,38 +38,8 @@
 constexpr unsigned status_unavailable = 503;
 constexpr support::milliseconds shed_retry_after{1000};
 
-/// One connection to the upstream with what was read ahead on it.
-struct connection
-{
-    connection(const asio::any_io_executor& executor,
-               std::function<void()> closed)
-        : stream(executor), on_closed(std::move(closed))
-    {
-    }
-    ~connection() { on_closed(); }
-    connection(const connection&) = delete;
-    connection& operator=(const connection&) = delete;
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    std::function<void()> on_closed;
-};
-
-using connection_ptr = std::shared_ptr<connection>;
 using answer_parser = bhttp::response_parser<bhttp::buffer_body>;
 
-/// Whether the upstream has neither closed an idle connection nor sent
-/// anything on it.
-bool is_quiet(connection& idle)
-{
-    boost::system::error_code failure;
-    tcp::socket& socket = idle.stream.socket();
-    socket.non_blocking(true, failure);
-    std::array<char, 1> byte{};
-    socket.receive(asio::buffer(byte), tcp::socket::message_peek, failure);
-    return failure == asio::error::would_block;
-}
-
 bool has_body(const support::call_head& head)
 {
     return !head.content_length || *head.content_length != 0;
@@ -163,136 +127,6 @@
 
 } // namespace
 
-/// The connections of one upstream: those in use and those kept open.
-struct upstream_client::state
-    : public std::enable_shared_from_this<upstream_client::state>
-{
-    state(asio::any_io_executor run_on, config::endpoint where)
-        : executor(std::move(run_on)), upstream(std::move(where)),
-          room(executor)
-    {
-        room.expires_at(asio::steady_timer::time_point::max());
-    }
-
-    asio::awaitable<connection_ptr>
-    take_connection(support::time_point deadline);
-    asio::awaitable<connection_ptr> connect(support::duration timeout);
-    asio::awaitable<void> warm();
-    asio::awaitable<void> wait_for_room(support::time_point deadline);
-    connection_ptr take_idle();
-    void give_back(connection_ptr used);
-    void connection_closed();
-
-    asio::any_io_executor executor;
-    config::endpoint upstream;
-    std::size_t max_connections = 1;
-    /// Connections that are open or being opened.
-    std::size_t open = 0;
-    std::deque<connection_ptr> idle;
-    /// Its waiters wake when a connection was given back or closed.
-    asio::steady_timer room;
-    bool warming = false;
-    bool closed = false;
-};
-
-void upstream_client::state::connection_closed()
-{
-    assert(open > 0 && "each open connection closes once");
-    --open;
-    room.cancel();
-}
-
-connection_ptr upstream_client::state::take_idle()
-{
-    while (!idle.empty()) {
-        connection_ptr kept = std::move(idle.back());
-        idle.pop_back();
-        if (is_quiet(*kept))
-            return kept;
-    }
-    return nullptr;
-}
-
-asio::awaitable<connection_ptr>
-upstream_client::state::connect(support::duration timeout)
-{
-    ++open;
-    auto made =
-        std::make_shared<connection>(executor, [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                self->connection_closed();
-        });
-    made->stream.expires_after(timeout);
-    const tcp::endpoint remote(asio::ip::make_address(upstream.address),
-                               upstream.port);
-    const auto [failed] = co_await made->stream.async_connect(remote, awaiting);
-    if (failed)
-        co_return nullptr;
-    boost::system::error_code ignored;
-    made->stream.socket().set_option(tcp::no_delay(true), ignored);
-    made->stream.expires_never();
-    co_return made;
-}
-
-asio::awaitable<void>
-upstream_client::state::wait_for_room(support::time_point deadline)
-{
-    asio::steady_timer until(executor);
-    until.expires_at(
-        std::chrono::steady_clock::time_point(deadline.time_since_epoch()));
-    until.async_wait([weak = weak_from_this()](boost::system::error_code off) {
-        const auto self = weak.lock();
-        if (self && !off)
-            self->room.cancel();
-    });
-    co_await room.async_wait(awaiting);
-}
-
-/// Takes an idle connection or opens one, never more than the most allowed.
-asio::awaitable<connection_ptr>
-upstream_client::state::take_connection(support::time_point deadline)
-{
-    const auto self = shared_from_this();
-    for (;;) {
-        if (connection_ptr kept = take_idle())
-            co_return kept;
-        const support::duration left =
-            deadline - support::monotonic_clock::now();
-        if (left <= support::duration(0))
-            co_return nullptr;
-        if (open < max_connections) {
-            const support::duration timeout =
-                std::min<support::duration>(left, connect_timeout);
-            co_return co_await connect(timeout);
-        }
-        co_await wait_for_room(deadline);
-    }
-}
-
-/// Opens connections ahead, one after the other, so that calls do not wait
-/// for them and the upstream is not hit by many at once.
-asio::awaitable<void> upstream_client::state::warm()
-{
-    const auto self = shared_from_this();
-    warming = true;
-    while (!closed && open < max_connections) {
-        connection_ptr made = co_await connect(connect_timeout);
-        if (!made)
-            break;
-        give_back(std::move(made));
-    }
-    warming = false;
-}
-
-void upstream_client::state::give_back(connection_ptr used)
-{
-    if (closed || open > max_connections)
-        return;
-    used->stream.expires_never();
-    idle.push_back(std::move(used));
-    room.cancel();
-}
-
 namespace {
 
 /// The attempt while it runs; owned by its coroutines.
@@ -300,19 +134,13 @@
                            public std::enable_shared_from_this<running_call>
 {
 public:
-    using take = std::function<asio::awaitable<connection_ptr>(
-        support::time_point deadline)>;
-    using give = std::function<void(connection_ptr)>;
-
-    running_call(asio::any_io_executor executor,
+    running_call(std::shared_ptr<connection_pool> pool,
                  link::exchange_ptr attempt,
                  support::time_point deadline,
-                 std::string host,
                  upstream_client::load_source load,
                  upstream_client::finished done)
-        : executor_(std::move(executor)), attempt_(std::move(attempt)),
-          deadline_(deadline), host_(std::move(host)), load_(std::move(load)),
-          done_(std::move(done))
+        : pool_(std::move(pool)), attempt_(std::move(attempt)),
+          deadline_(deadline), load_(std::move(load)), done_(std::move(done))
     {
     }
 
@@ -323,7 +151,7 @@
             connection_->stream.cancel();
     }
 
-    asio::awaitable<void> run(take take_connection, give give_back);
+    asio::awaitable<void> run();
 
 private:
     std::optional<refusal> reason_not_to_start() const;
@@ -343,10 +171,9 @@
         return how;
     }
 
-    asio::any_io_executor executor_;
+    std::shared_ptr<connection_pool> pool_;
     link::exchange_ptr attempt_;
     support::time_point deadline_;
-    std::string host_;
     upstream_client::load_source load_;
     upstream_client::finished done_;
     connection_ptr connection_;
@@ -359,22 +186,22 @@
     bool reusable_ = false;
 };
 
-asio::awaitable<void> running_call::run(take take_connection, give give_back)
+asio::awaitable<void> running_call::run()
 {
     const auto self = shared_from_this();
     const support::time_point begun = support::monotonic_clock::now();
-    connection_ = co_await take_connection(deadline_);
+    connection_ = co_await pool_->take_connection(deadline_);
     upstream_result how = upstream_result::failed;
     std::optional<refusal> why = reason_not_to_start();
     if (why) {
         if (connection_)
-            give_back(connection_);
+            pool_->give_back(connection_);
         how = refuse(std::move(*why), connection_ ? upstream_result::not_sent
                                                   : upstream_result::failed);
     } else {
         how = co_await exchange_messages();
         if (reusable_ && request_sent_ && !aborted_)
-            give_back(connection_);
+            pool_->give_back(connection_);
     }
     attempt_->request.cut();
     connection_.reset();
@@ -398,7 +225,7 @@
 {
     const auto self = shared_from_this();
     const connection_ptr used = connection_;
-    auto request = build_request(attempt_->head, host_,
+    auto request = build_request(attempt_->head, to_string(pool_->upstream()),
                                  deadline_ - support::monotonic_clock::now());
     bhttp::request_serializer<bhttp::buffer_body> serializer{request};
     bytes_sent_ = true;
@@ -431,7 +258,7 @@
 asio::awaitable<upstream_result> running_call::exchange_messages()
 {
     asio::co_spawn(
-        executor_,
+        pool_->executor(),
         [self = shared_from_this()]() -> asio::awaitable<void> {
             co_await self->send_request();
         },
@@ -529,7 +356,8 @@
 
 upstream_client::upstream_client(asio::any_io_executor executor,
                                  config::endpoint upstream)
-    : state_(std::make_shared<state>(std::move(executor), std::move(upstream)))
+    : pool_(std::make_shared<connection_pool>(std::move(executor),
+                                              std::move(upstream)))
 {
 }
 
@@ -540,21 +368,12 @@
 
 void upstream_client::set_max_connections(std::size_t count)
 {
-    state_->max_connections = std::max<std::size_t>(1, count);
-    while (state_->open > state_->max_connections && !state_->idle.empty())
-        state_->idle.pop_front();
-    state_->room.cancel();
-    if (state_->warming)
-        return;
-    asio::co_spawn(
-        state_->executor,
-        [kept = state_]() -> asio::awaitable<void> { co_await kept->warm(); },
-        asio::detached);
+    pool_->set_max_connections(count);
 }
 
 std::size_t upstream_client::open_connections() const
 {
-    return state_->open;
+    return pool_->open();
 }
 
 std::shared_ptr<upstream_call>
@@ -564,26 +383,17 @@
                      finished done)
 {
     auto call = std::make_shared<running_call>(
-        state_->executor, std::move(attempt), deadline,
-        to_string(state_->upstream), std::move(load), std::move(done));
-    auto take = [kept = state_](support::time_point until) {
-        return kept->take_connection(until);
-    };
-    auto give = [kept = state_](connection_ptr used) {
-        kept->give_back(std::move(used));
-    };
+        pool_, std::move(attempt), deadline, std::move(load), std::move(done));
     asio::co_spawn(
-        state_->executor,
-        [call, take = std::move(take), give = std::move(give)]()
-            -> asio::awaitable<void> { co_await call->run(take, give); },
+        pool_->executor(),
+        [call]() -> asio::awaitable<void> { co_await call->run(); },
         asio::detached);
     return call;
 }
 
 void upstream_client::close()
 {
-    state_->closed = true;
-    state_->idle.clear();
+    pool_->close();
 }
 
 } // namespace galenarudder::proxy
--- a/unittests/entry/upstream_client_test.cpp
+++ b/unittests/entry/upstream_client_test.cpp
@@ -50,6 +50,13 @@
     /// Answers are held back until the gate is opened.
     void hold() { held_ = true; }
     void let_go() { held_ = false; }
+    /// Closes the connections that are open.
+    void close_all()
+    {
+        for (const auto& socket : sockets_)
+            socket->close();
+        sockets_.clear();
+    }
 
     std::size_t accepted = 0;
     std::size_t requests = 0;
@@ -66,6 +73,7 @@
             ++accepted;
             most_open = std::max(most_open, ++open);
             auto kept = std::make_shared<tcp::socket>(std::move(socket));
+            sockets_.push_back(kept);
             asio::co_spawn(
                 acceptor_.get_executor(),
                 [this, kept]() -> asio::awaitable<void> {
@@ -95,12 +103,14 @@
             co_await asio::async_write(*socket, asio::buffer(answer_),
                                        awaiting);
         }
+        socket->close();
         --open;
     }
 
     tcp::acceptor acceptor_;
     std::string answer_;
     bool held_ = false;
+    std::vector<std::shared_ptr<tcp::socket>> sockets_;
 };
 
 /// One attempt and all that came of it.
@@ -248,6 +258,22 @@
     CHECK(rig.run_until([&] { return rig.upstream.open == 1; }));
 }
 
+TEST_CASE("connections that the upstream closed are replaced")
+{
+    constexpr std::size_t most = 3;
+    bench rig("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    rig.client.set_max_connections(most);
+    REQUIRE(rig.run_until([&] { return rig.upstream.accepted == most; }));
+    rig.upstream.close_all();
+    REQUIRE(rig.run_until([&] { return rig.upstream.open == 0; }));
+    rig.client.set_max_connections(most);
+    REQUIRE(rig.run_until([&] { return rig.upstream.accepted == 2 * most; }));
+    CHECK(rig.upstream.open == most);
+    const call_ptr call = rig.send("POST");
+    rig.finish(call);
+    CHECK(call->how == upstream_result::answered);
+}
+
 TEST_CASE("a call whose deadline has passed is not sent")
 {
     bench rig("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
