Let a base leave out its ranks, as documents in use do

Measured: unit_config, unit_rollout, unit_operators, test_configuration and test_two_operators pass.

--- a/lib/config/check.cpp
+++ b/lib/config/check.cpp
@@ -27,6 +27,14 @@
     return json(number).dump();
 }
 
+/// KIND "NAME"
+std::string quoted(std::string_view kind, std::string_view name)
+{
+    std::string text(kind);
+    text.append(" \"").append(name).append("\"");
+    return text;
+}
+
 std::string range_text(double low, double high)
 {
     return "[" + number_text(low) + ", " + number_text(high) + "]";
@@ -82,13 +90,18 @@
 
 void set_checker::check_ranks()
 {
+    if (!whole_.base.contains("ranks")) {
+        for (const rank_policy& rank : default_configuration().ranks)
+            ranks_.insert(rank.name);
+        return;
+    }
     double shares = 0;
     std::size_t index = 0;
     for (const json& rank : whole_.base.at("ranks")) {
         const std::string pointer = "/ranks/" + std::to_string(index++);
         const std::string name = rank.at("name");
         if (!ranks_.insert(name).second) {
-            add(pointer + "/name", "rank \"" + name + "\" is stated twice",
+            add(pointer + "/name", quoted("rank", name) + " is stated twice",
                 "remove or rename one of them");
         }
         shares += rank.value("minimum_share", 0.0);
@@ -109,7 +122,7 @@
         const std::string pointer = "/services/" + std::to_string(index++);
         const std::string name = service.at("name");
         if (!names.insert(name).second) {
-            add(pointer + "/name", "service \"" + name + "\" is stated twice",
+            add(pointer + "/name", quoted("service", name) + " is stated twice",
                 "merge the two or rename one");
         }
         const std::string strategy = service.value("strategy", "");
@@ -119,7 +132,7 @@
                       strategy) != known_strategies.end();
         if (!known) {
             add(pointer + "/strategy",
-                "strategy \"" + strategy + "\" does not exist",
+                quoted("strategy", strategy) + " does not exist",
                 "use expected_completion, random, round_robin, "
                 "least_outstanding or power_of_two, or leave it out");
         }
@@ -132,25 +145,25 @@
     std::set<std::string> seen;
     std::size_t index = 0;
     for (const json& route : service.at("routes")) {
-        const std::string here = pointer + "/routes/" + std::to_string(index++);
+        std::string here = pointer + "/routes/";
+        here += std::to_string(index++);
         const std::string rank = route.at("rank");
         if (!ranks_.contains(rank)) {
-            add(here + "/rank", "rank \"" + rank + "\" is not in /ranks",
+            add(here + "/rank", quoted("rank", rank) + " is not in /ranks",
                 "state the rank in /ranks or use one that is there");
         }
-        const std::string method = route.value("method", "");
-        const std::string prefix = route.value("prefix", "/");
-        if (seen.insert(method + " " + prefix).second)
+        const std::string matched =
+            route.value("method", "") + " " + route.value("prefix", "/");
+        if (seen.insert(matched).second)
             continue;
-        add(here + "/prefix",
-            "route \"" + method + " " + prefix + "\" is stated twice",
+        add(here + "/prefix", quoted("route", matched) + " is stated twice",
             "remove one; the first route that matches is used");
     }
 }
 
 void set_checker::unknown_limit(const std::string& name)
 {
-    add("/limits/" + name, "limit \"" + name + "\" does not exist",
+    add("/limits/" + name, quoted("limit", name) + " does not exist",
         "correct the name; docs/operators/configuration.md lists all limits");
 }
 
@@ -202,9 +215,10 @@
         const std::string loosest = stated.at("loosest");
         if (tightness(mode) >= tightness(loosest))
             continue;
-        add("/automation/" + name + "/mode",
+        const std::string pointer = "/automation/" + name;
+        add(pointer + "/mode",
             "the mode " + mode + " is looser than the bound " + loosest,
-            "tighten the mode or loosen /automation/" + name + "/loosest");
+            "tighten the mode or loosen the bound beside it");
     }
 }
 
--- a/lib/config/document_schemas.hpp
+++ b/lib/config/document_schemas.hpp
@@ -7,7 +7,7 @@
 inline constexpr const char* base_schema = R"({
   "type": "object",
   "additionalProperties": false,
-  "required": ["format", "ranks", "services"],
+  "required": ["format", "services"],
   "properties": {
     "format": {"enum": ["galenarudder-base-1"]},
     "ranks": {"type": "array", "minItems": 1, "maxItems": 16, "items": {
