--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -72,37 +72,8 @@
     share_window_ms,
     /// Time a claim of an idempotency key is kept, in milliseconds.
     claim_retention_ms,
-    /// Share of recent calls sent past an upstream of the own failure domain
-    /// to another domain, 0 to 1.
-    reroute_share,
-};
-inline constexpr std::size_t limit_count = 16;
-
-/// What the product itself knows of a limit.
-struct limit_facts
-{
-    std::string_view name;
-    std::string_view unit;
-    /// In force when the base document does not state the limit.
-    double first_value;
-    /// No document may state a bound outside of these.
-    double floor;
-    double ceiling;
-    /// The automation whose extent the limit caps; absent for a limit whose
-    /// value holds in every mode.
-    std::optional<automation> binds;
-    /// Whether it caps from above; from below otherwise.
-    bool smaller_is_tighter;
-};
-
-const limit_facts& facts(limit which);
-
-/// The bounds that the base document states for a limit.
-struct limit_bounds
-{
-    double min = 0;
-    double max = 0;
 };
+inline constexpr std::size_t limit_count = 15;
 
 /// What the product itself knows of a limit.
 struct limit_facts
--- a/lib/config/configuration.cpp
+++ b/lib/config/configuration.cpp
@@ -27,7 +27,6 @@
     {"concurrency_min", "count", 2, 1, 10'000, automation::adapt_limit, false},
     {"share_window_ms", "ms", 1000, 10, 60'000, binds_none, true},
     {"claim_retention_ms", "ms", day_ms, 60'000, 30 * day_ms, binds_none, true},
-    {"reroute_share", "share", 1, no_floor, 1, automation::reroute, true},
 }};
 
 constexpr std::array<std::string_view, automation_count> automation_names = {
