--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -162,7 +162,9 @@
     handlers.link_closed = [gate = gate_](link::connection_id from) {
         gate->link_closed(from);
     };
-    handlers.gate_draining = [](const support::member_id&) {};
+    handlers.gate_draining = [this](const support::member_id& member) {
+        node_.router().on_leaving(member, monotonic_clock::now());
+    };
     return handlers;
 }
 
--- a/lib/routing/fleet_view.cpp
+++ b/lib/routing/fleet_view.cpp
@@ -68,7 +68,8 @@
     std::map<std::string, std::vector<ordered_candidate>> by_domain;
     for (candidate& upstream : all) {
         const std::uint64_t hash = rendezvous_hash(own_member, upstream.member);
-        by_domain[upstream.domain].push_back({hash, std::move(upstream)});
+        auto& in_domain = by_domain[upstream.domain];
+        in_domain.push_back({hash, std::move(upstream)});
     }
     std::size_t longest = 0;
     for (auto& [domain, upstreams] : by_domain) {
--- a/tools/galenarudder-replay/fake_upstream.cpp
+++ b/tools/galenarudder-replay/fake_upstream.cpp
@@ -178,7 +178,7 @@
             std::max(counts_.new_work_after_drain_ms,
                      support::to_ms(clock_.now() - *drained_at_));
     }
-    running_call& call = found->second.running.emplace();
+    running_call& call = found->second.running.emplace(running_call());
     call.started_at = clock_.now();
     call.updated_at = clock_.now();
     call.fails = fails_fast_;
