--- a/include/galenarudder/membership/member.hpp
+++ b/include/galenarudder/membership/member.hpp
@@ -94,6 +94,11 @@
     /// Adds introducers found in the store's directory.
     void add_introducers(std::span<const config::endpoint> found);
 
+    /// Takes records that are known from elsewhere, such as a snapshot,
+    /// without passing them on.
+    std::vector<action> load(std::span<const member_record> records,
+                             support::time_point now);
+
     const member_record& self() const;
     /// The record of one member; null when it is unknown.
     const member_record* find(std::string_view id) const;
--- a/include/galenarudder/membership/suspicion.hpp
+++ b/include/galenarudder/membership/suspicion.hpp
@@ -6,6 +6,9 @@
 #include "galenarudder/membership/wire.hpp"
 #include "galenarudder/support/time.hpp"
 
+#include <optional>
+#include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace galenarudder::membership {
@@ -37,4 +40,34 @@
     support::time_point started_;
 };
 
+/// All open suspicions; each operation costs at most the logarithm of their
+/// number.
+class suspicion_list
+{
+public:
+    /// Returns the suspicion of a member; null when there is none.
+    const suspicion* find(member_hash suspect) const;
+    /// Opens a suspicion of a member that is not suspect yet.
+    void open(suspicion opened);
+    /// Counts one more accuser of a suspect; returns whether it matters.
+    bool confirm(member_hash suspect, member_hash accuser);
+    void close(member_hash suspect);
+    /// Moves all deadlines by a span in which this process did not run.
+    void postpone(support::duration span);
+    /// The suspect whose deadline passed first, if any has.
+    std::optional<member_hash> expired(support::time_point now) const;
+
+private:
+    struct due
+    {
+        support::time_point at;
+        member_hash suspect = 0;
+
+        friend auto operator<=>(const due&, const due&) = default;
+    };
+
+    std::unordered_map<member_hash, suspicion> open_;
+    std::set<due> by_deadline_;
+};
+
 } // namespace galenarudder::membership
--- a/lib/membership/member.cpp
+++ b/lib/membership/member.cpp
@@ -271,6 +271,14 @@
     }
 }
 
+std::vector<action> member::load(std::span<const member_record> records,
+                                 support::time_point now)
+{
+    for (const member_record& known : records)
+        state_->take_record(known, false, now);
+    return state_->take_actions();
+}
+
 const member_record& member::self() const
 {
     return state_->table.self().record;
--- a/lib/membership/member_news.cpp
+++ b/lib/membership/member_news.cpp
@@ -62,7 +62,7 @@
     told.incarnation = known.record.incarnation;
     told.content = known.content;
     const bool suspected =
-        accuser != 0 && find_suspicion(known.hash) != nullptr;
+        accuser != 0 && suspicions.find(known.hash) != nullptr;
     told.state = suspected ? member_state::suspect : known.stated;
     told.accuser = suspected ? accuser : 0;
     return told;
@@ -73,7 +73,7 @@
     // A member that is held for suspect or dead has to hear of it first.
     const bool accused =
         target != nullptr && target != &table.self() &&
-        (find_suspicion(target->hash) != nullptr || !is_live(target->stated));
+        (suspicions.find(target->hash) != nullptr || !is_live(target->stated));
     if (accused && room >= status_bytes) {
         sent.statuses.push_back(status_of(*target, table.self().hash));
         room -= status_bytes;
@@ -192,7 +192,7 @@
                 std::max(heard.configuration_version,
                          known->record.configuration_version);
         }
-        clear_suspicion(hash);
+        suspicions.close(hash);
         table.replace(*known, std::move(next), now);
         if (returned)
             expect_probe_of(*known);
@@ -210,7 +210,7 @@
     const bool returned = !is_live(known.stated) && is_live(told);
     if (told == member_state::dead)
         ++counters.deaths;
-    clear_suspicion(known.hash);
+    suspicions.close(known.hash);
     member_record next = known.record;
     next.incarnation = incarnation;
     next.state = told;
--- a/lib/membership/member_probe.cpp
+++ b/lib/membership/member_probe.cpp
@@ -46,8 +46,7 @@
     round.reset();
     relayed.clear();
     next_probe = now + jittered(probe_interval);
-    for (suspicion& open : suspicions)
-        open.postpone(gap);
+    suspicions.postpone(gap);
 }
 
 void member::state::expect_probe_of(const peer& added)
@@ -193,36 +192,18 @@
     });
 }
 
-const suspicion* member::state::find_suspicion(member_hash member) const
-{
-    for (const suspicion& open : suspicions) {
-        if (open.suspect() == member)
-            return &open;
-    }
-    return nullptr;
-}
-
-void member::state::clear_suspicion(member_hash member)
-{
-    std::erase_if(suspicions, [&](const suspicion& open) {
-        return open.suspect() == member;
-    });
-}
-
 void member::state::suspect(peer& known,
                             member_hash accuser,
                             support::time_point now)
 {
-    for (suspicion& open : suspicions) {
-        if (open.suspect() != known.hash)
-            continue;
-        if (open.confirm(accuser))
+    if (suspicions.find(known.hash) != nullptr) {
+        if (suspicions.confirm(known.hash, accuser))
             news.push({known.hash, news_kind::status, accuser});
         return;
     }
     ++counters.suspicions;
-    suspicions.emplace_back(known.hash, known.record.incarnation, accuser,
-                            table.live().size() + 1, now);
+    suspicions.open({known.hash, known.record.incarnation, accuser,
+                     table.live().size() + 1, now});
     news.push({known.hash, news_kind::status, accuser});
     // A draining member stays draining, so that it gets no new work.
     if (known.stated != member_state::alive)
@@ -233,15 +214,10 @@
 
 void member::state::suspicion_tick(support::time_point now)
 {
-    std::vector<member_hash> expired;
-    for (const suspicion& open : suspicions) {
-        if (now >= open.deadline())
-            expired.push_back(open.suspect());
-    }
-    for (const member_hash hash : expired) {
-        peer* known = table.find(hash);
+    while (const std::optional<member_hash> expired = suspicions.expired(now)) {
+        peer* known = table.find(*expired);
         if (known == nullptr) {
-            clear_suspicion(hash);
+            suspicions.close(*expired);
             continue;
         }
         change_state(*known, known->record.incarnation, member_state::dead,
--- a/lib/membership/member_state.hpp
+++ b/lib/membership/member_state.hpp
@@ -99,8 +99,6 @@
     void relay_tick(support::time_point now);
     void suspect(peer& known, member_hash accuser, support::time_point now);
     void suspicion_tick(support::time_point now);
-    void clear_suspicion(member_hash member);
-    const suspicion* find_suspicion(member_hash member) const;
     void expect_probe_of(const peer& added);
     void forgive_pause(support::time_point now);
     void change_health(int steps);
@@ -166,7 +164,7 @@
     std::uint64_t next_probe_number = 1;
     support::time_point next_probe{};
     std::vector<relayed_probe> relayed;
-    std::vector<suspicion> suspicions;
+    suspicion_list suspicions;
     /// Lifeguard's local health: 0 is healthy; timeouts grow with it.
     int health_penalty = 0;
 
--- a/lib/membership/suspicion.cpp
+++ b/lib/membership/suspicion.cpp
@@ -3,6 +3,7 @@
 #include "galenarudder/membership/suspicion.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <cmath>
 
 namespace galenarudder::membership {
@@ -54,4 +55,57 @@
     return started_ + support::from_ms(longest - (longest - shortest) * share);
 }
 
+const suspicion* suspicion_list::find(member_hash suspect) const
+{
+    const auto found = open_.find(suspect);
+    return found == open_.end() ? nullptr : &found->second;
+}
+
+void suspicion_list::open(suspicion opened)
+{
+    const member_hash suspect = opened.suspect();
+    assert(!open_.contains(suspect) && "the member is not suspect yet");
+    by_deadline_.insert({opened.deadline(), suspect});
+    open_.emplace(suspect, std::move(opened));
+}
+
+bool suspicion_list::confirm(member_hash suspect, member_hash accuser)
+{
+    const auto found = open_.find(suspect);
+    if (found == open_.end())
+        return false;
+    const support::time_point before = found->second.deadline();
+    if (!found->second.confirm(accuser))
+        return false;
+    by_deadline_.erase({before, suspect});
+    by_deadline_.insert({found->second.deadline(), suspect});
+    return true;
+}
+
+void suspicion_list::close(member_hash suspect)
+{
+    const auto found = open_.find(suspect);
+    if (found == open_.end())
+        return;
+    by_deadline_.erase({found->second.deadline(), suspect});
+    open_.erase(found);
+}
+
+void suspicion_list::postpone(support::duration span)
+{
+    by_deadline_.clear();
+    for (auto& [suspect, opened] : open_) {
+        opened.postpone(span);
+        by_deadline_.insert({opened.deadline(), suspect});
+    }
+}
+
+std::optional<member_hash>
+suspicion_list::expired(support::time_point now) const
+{
+    if (by_deadline_.empty() || by_deadline_.begin()->at > now)
+        return std::nullopt;
+    return by_deadline_.begin()->suspect;
+}
+
 } // namespace galenarudder::membership
--- a/lib/membership/wire.cpp
+++ b/lib/membership/wire.cpp
@@ -376,11 +376,22 @@
 
 std::uint32_t content_hash(const member_record& record)
 {
-    json fields = encode_record(record);
-    fields[1] = 0;
-    fields[2] = 0;
-    fields[12] = 0;
-    const std::vector<std::uint8_t> bytes = json::to_cbor(fields);
+    std::string bytes;
+    const auto add_text = [&](const std::string& text) {
+        bytes += text;
+        bytes += '\0';
+    };
+    const auto add_endpoint = [&](const config::endpoint& where) {
+        add_text(where.address);
+        add_text(std::to_string(where.port));
+    };
+    add_text(record.id);
+    add_endpoint(record.gossip);
+    add_endpoint(record.link);
+    add_endpoint(record.operators);
+    add_text(record.domain);
+    add_text(record.service);
+    add_text(std::to_string(record.slots));
     return static_cast<std::uint32_t>(XXH64(bytes.data(), bytes.size(), 0));
 }
 
--- a/test/fakes/membership_fleet.hpp
+++ b/test/fakes/membership_fleet.hpp
@@ -25,6 +25,8 @@
     std::uint64_t seed = 1;
     /// Introducers that everyone knows: the first few members.
     std::size_t introducers = 3;
+    /// Whether everyone knows everyone from the start.
+    bool acquainted = false;
 };
 
 /// One process of a member; null when it does not run.
@@ -45,6 +47,13 @@
     {
         for (std::size_t index = 0; index < options.members; ++index)
             add();
+        if (!options.acquainted)
+            return;
+        std::vector<membership::member_record> all;
+        for (const slot& one : slots_)
+            all.push_back(one.first);
+        for (const slot& one : slots_)
+            one.core->load(all, now_);
     }
 
     /// Adds one more member and starts it; returns its index.
