--- a/include/galenarudder/membership/introducer_directory.hpp
+++ b/include/galenarudder/membership/introducer_directory.hpp
@@ -101,6 +101,7 @@
 private:
     std::vector<directory_action> take(std::vector<store::lease_action> more);
     std::string next_key(bool alone);
+    support::duration interval(bool alone);
     void on_domains(const store::versioned_value& found,
                     std::vector<directory_action>& actions);
     void on_own_slot(const std::string& key,
@@ -121,6 +122,8 @@
     /// Whether the own domain is known to be in the list.
     bool listed_ = false;
     std::vector<std::string> domains_;
+    /// Reads at the shorter interval that a candidate has left.
+    unsigned eager_reads_;
     unsigned reads_ = 0;
     unsigned failures_ = 0;
     support::time_point next_read_{};
--- a/lib/membership/introducer_directory.cpp
+++ b/lib/membership/introducer_directory.cpp
@@ -22,6 +22,8 @@
 constexpr support::milliseconds longest_retry{15000};
 /// Of so many reads of a lone member, one reads the list of domains.
 constexpr unsigned reads_per_list = 4;
+/// Reads of a candidate without a slot before it turns to the longer interval.
+constexpr unsigned max_eager_reads = 8;
 constexpr std::size_t max_domains_listed = 64;
 
 support::error malformed()
@@ -68,7 +70,7 @@
 introducer_directory::introducer_directory(member_record self,
                                            std::uint64_t seed)
     : self_(std::move(self)), random_(seed), lease_(lease_ttl, random_()),
-      domains_({self_.domain})
+      domains_({self_.domain}), eager_reads_(max_eager_reads)
 {
 }
 
@@ -87,6 +89,19 @@
     return actions;
 }
 
+support::duration introducer_directory::interval(bool alone)
+{
+    if (alone)
+        return alone_interval;
+    if (!held_.empty())
+        eager_reads_ = max_eager_reads;
+    const bool eager = candidate_ && held_.empty() && eager_reads_ > 0;
+    if (!eager)
+        return check_interval;
+    --eager_reads_;
+    return claim_retry;
+}
+
 std::string introducer_directory::next_key(bool alone)
 {
     // A claim whose answer was lost is resolved before anything else.
@@ -117,8 +132,7 @@
     if (now < next_read_)
         return actions;
     candidate_ = rank_in_domain() < slots_per_domain;
-    next_read_ =
-        now + jittered(alone ? alone_interval : check_interval, random_);
+    next_read_ = now + jittered(interval(alone), random_);
     if (alone || candidate_ || !held_.empty() || !unresolved_.empty())
         actions.emplace_back(read_slot{next_key(alone)});
     return actions;
