Authenticate links, bound bodies on them, answer bad requests

Cause: links took any peer; a part that came after its reader had gone closed the whole link; a call whose link broke was always unknown; nested CBOR could exhaust the stack before any check; a malformed head or a slow one got no answer (Beast's timeout closes the socket); a large body was marked as replayable in part; a chunked body over the limit went on to the upstream. Ruled out: MAC on each frame (TLS would be the answer there); detecting a caller's end by peeking (misses it behind pipelined bytes). Change: challenge and response by HMAC with the shared keys, pings and a silence timeout that allows for this process's own pauses, numbered calls and a gate that states which calls of a closed link did not run, a window for each body and one for each link, small bodies inside call and answer messages. caller_server is split into connection, session and server: 4xx problem documents, HEAD, HTTP/1.0, pipelining, a watch for callers that leave, a drain that closes idle connections. An operator's drain no longer keeps a later SIGTERM from ending the daemon. Latency histograms take no lock; link, membership and decision counters are in /metrics.

--- a/include/galenarudder/daemon/node.hpp
+++ b/include/galenarudder/daemon/node.hpp
@@ -78,6 +78,11 @@
         member_.add_introducers(found);
     }
 
+    /// A gate sent a drain notice by its link; no new call is sent to it, even
+    /// before its membership record says so.
+    void on_gate_draining(const support::member_id& member,
+                          support::time_point now);
+
     const routing::router& router() const { return router_; }
     const support::rcu_cell<config::configuration>& configuration() const
     {
--- a/include/galenarudder/link/body_pipe.hpp
+++ b/include/galenarudder/link/body_pipe.hpp
@@ -37,6 +37,8 @@
     bool try_write(body_chunk chunk);
     /// Waits for the next chunk; nothing once the pipe is cut.
     boost::asio::awaitable<std::optional<body_chunk>> read();
+    /// Returns a chunk that is there already, or nothing.
+    std::optional<body_chunk> try_read();
     /// Ends both sides before the last chunk.
     void cut();
 
--- a/include/galenarudder/link/hub.hpp
+++ b/include/galenarudder/link/hub.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace galenarudder::link {
 
@@ -32,6 +33,10 @@
 struct hub_counters
 {
     std::atomic<std::uint64_t> malformed_messages{0};
+    /// Handshakes that failed, and messages that came before one.
+    std::atomic<std::uint64_t> unauthenticated{0};
+    /// Links closed because the peer was silent or slow to open one.
+    std::atomic<std::uint64_t> links_timed_out{0};
     std::atomic<std::uint64_t> late_answers{0};
     std::atomic<std::uint64_t> links_opened{0};
     std::atomic<std::uint64_t> links_lost{0};
@@ -42,6 +47,7 @@
 public:
     hub(boost::asio::io_context& io,
         support::member_id self,
+        std::vector<config::shared_key> keys,
         hub_handlers handlers);
     ~hub();
     hub(const hub&) = delete;
@@ -55,6 +61,8 @@
 
     /// Tells every entry with a link to this gate to send no new calls.
     void announce_drain();
+    /// Entries that open a link from now on may send calls.
+    void announce_ready();
     void stop();
 
     const hub_counters& counters() const;
--- a/include/galenarudder/link/websocket_endpoint.hpp
+++ b/include/galenarudder/link/websocket_endpoint.hpp
@@ -19,9 +19,10 @@
 struct websocket_handlers
 {
     std::function<void(connection_id, bool inbound)> opened;
-    std::function<void(connection_id, std::string payload)> received;
+    std::function<void(connection_id, bool inbound, std::string payload)>
+        received;
     /// Also called when an outbound connection could not be opened.
-    std::function<void(connection_id)> closed;
+    std::function<void(connection_id, bool inbound)> closed;
 };
 
 /// Listens and connects; runs one thread of its own.
--- a/include/galenarudder/support/refusal.hpp
+++ b/include/galenarudder/support/refusal.hpp
@@ -37,6 +37,8 @@
     /// An earlier call with the same idempotency key was answered; the answer
     /// is too large to be given again.
     answer_not_kept,
+    head_too_large,
+    request_timeout,
 };
 
 /// A refusal as sent to the caller and between daemons.
--- a/include/galenarudder/telemetry/metrics.hpp
+++ b/include/galenarudder/telemetry/metrics.hpp
@@ -8,9 +8,17 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace galenarudder::telemetry {
 
+/// A label of a series.
+struct metric_label
+{
+    std::string name;
+    std::string value;
+};
+
 /// Safe from any thread.
 class metrics
 {
@@ -20,7 +28,8 @@
     metrics(const metrics&) = delete;
     metrics& operator=(const metrics&) = delete;
 
-    /// A caller got a whole answer.
+    /// A caller got a whole answer. Takes no lock once the series of this
+    /// service and rank is there.
     void answered(std::string_view service,
                   std::string_view rank,
                   support::duration latency);
@@ -33,6 +42,11 @@
     add(const std::string& name, const std::string& help, double amount = 1);
     /// Sets a gauge without labels; made at first use.
     void set(const std::string& name, const std::string& help, double value);
+    /// Sets a counter that another part counts, to its total.
+    void set_total(const std::string& name,
+                   const std::string& help,
+                   const std::vector<metric_label>& labels,
+                   double total);
 
     /// Everything in Prometheus' text exposition format.
     std::string render() const;
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -172,4 +172,15 @@
     return change_self(self, now);
 }
 
+void node::on_gate_draining(const support::member_id& member,
+                            support::time_point now)
+{
+    for (membership::member_record record : member_.records()) {
+        if (record.id != member)
+            continue;
+        record.state = membership::member_state::draining;
+        router_.on_record(record, now);
+    }
+}
+
 } // namespace galenarudder::daemon
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -2,6 +2,8 @@
 // all threads.
 #include "galenarudder/daemon/runtime.hpp"
 
+#include "collect_metrics.hpp"
+
 #include "galenarudder/daemon/announcement_port.hpp"
 #include "galenarudder/daemon/introducer_runtime.hpp"
 #include "galenarudder/daemon/membership_metrics.hpp"
@@ -86,9 +88,11 @@
     }
     void execute(const configure_gate&);
     void drain(std::string_view asked_by);
+    void start_drain(std::string_view asked_by);
+    void leave_if_drained();
     void leave();
     void leave_when_recorded(unsigned checks_left);
-    void part_drained();
+    void feed_metrics();
     std::shared_ptr<link::gate_port> gate_of(const routing::choice& target);
     link::hub_handlers hub_handlers();
     announcement_handlers announcement_events();
@@ -120,8 +124,13 @@
     udp::socket gossip_;
     asio::steady_timer timer_;
     asio::signal_set signals_;
+    /// The gate refuses new work.
     bool draining_ = false;
-    unsigned parts_to_drain_ = 0;
+    /// The gate has no work left.
+    bool gate_drained_ = false;
+    /// SIGTERM came: the daemon leaves once gate and callers are drained.
+    bool leaving_ = false;
+    bool callers_drained_ = false;
 };
 
 runtime::impl::impl(config::daemon_settings settings)
@@ -162,7 +171,15 @@
     handlers.link_closed = [gate = gate_](link::connection_id from) {
         gate->link_closed(from);
     };
-    handlers.gate_draining = [](const support::member_id&) {};
+    handlers.gate_draining =
+        [weak = weak_from_this()](const support::member_id& member) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->on_control([member](impl& own) {
+                own.node_.on_gate_draining(member, monotonic_clock::now());
+            });
+        };
     return handlers;
 }
 
@@ -215,6 +232,7 @@
     handlers.metrics = [this] {
         set_metrics(metrics_, node_.member());
         set_metrics(metrics_, store_.counters());
+        feed_metrics();
         return metrics_.render();
     };
     handlers.node = &node_;
@@ -236,7 +254,8 @@
                                                   settings_.member + "-" +
                                                       unique_start_name());
     entry_.set_keyed_calls(keyed_);
-    hub_ = std::make_unique<link::hub>(io_, settings_.member, hub_handlers());
+    hub_ = std::make_unique<link::hub>(io_, settings_.member, settings_.keys,
+                                       hub_handlers());
     announcements_ =
         std::make_unique<announcement_port>(io_, announcement_events());
     operators_ = std::make_unique<operator_port>(io_, operator_events());
@@ -334,30 +353,48 @@
         support::from_ms(in_force->value(config::limit::claim_retention_ms)));
 }
 
+/// A signal after an operator's or upstream's drain still ends the daemon.
 void runtime::impl::drain(std::string_view asked_by)
 {
-    if (draining_)
+    if (!draining_)
+        start_drain(asked_by);
+    if (asked_by != "signal" || leaving_)
         return;
+    leaving_ = true;
+    telemetry::log_change("leaving");
+    callers_.drain([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->on_control([](impl& own) {
+            own.callers_drained_ = true;
+            own.leave_if_drained();
+        });
+    });
+}
+
+void runtime::impl::start_drain(std::string_view asked_by)
+{
     draining_ = true;
+    gate_drained_ = false;
     telemetry::log_change("draining asked_by=" + std::string(asked_by));
     perform(node_.on_drain(monotonic_clock::now()));
     hub_->announce_drain();
-    const bool leaves = asked_by == "signal";
-    parts_to_drain_ = 2;
-    const auto drained = [weak = weak_from_this()] {
+    gate_->drain([weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (self)
-            self->on_control([](impl& own) { own.part_drained(); });
-    };
-    gate_->drain(drained);
-    if (leaves)
-        callers_.drain(drained);
+        if (!self)
+            return;
+        self->on_control([](impl& own) {
+            telemetry::log_change("gate drained");
+            own.gate_drained_ = true;
+            own.leave_if_drained();
+        });
+    });
 }
 
-void runtime::impl::part_drained()
+void runtime::impl::leave_if_drained()
 {
-    --parts_to_drain_;
-    if (parts_to_drain_ == 0)
+    if (leaving_ && gate_drained_ && callers_drained_)
         leave();
 }
 
@@ -382,6 +419,14 @@
         });
 }
 
+void runtime::impl::feed_metrics()
+{
+    collect(node_, metrics_);
+    collect(hub_->counters(), metrics_);
+    metrics_.set("galenarudder_open_calls", "Calls read and not yet answered",
+                 static_cast<double>(callers_.open_calls()));
+}
+
 void runtime::impl::run()
 {
     std::vector<std::thread> others;
--- a/lib/link/body_pipe.cpp
+++ b/lib/link/body_pipe.cpp
@@ -43,6 +43,19 @@
     co_return std::move(chunk);
 }
 
+std::optional<body_chunk> body_pipe::try_read()
+{
+    std::optional<body_chunk> found;
+    channel_.try_receive(
+        [&found](boost::system::error_code failure, body_chunk chunk) {
+            if (!failure)
+                found = std::move(chunk);
+        });
+    if (found && consumed_)
+        consumed_(found->data.size());
+    return found;
+}
+
 void body_pipe::cut()
 {
     channel_.close();
--- a/lib/link/message.cpp
+++ b/lib/link/message.cpp
@@ -3,6 +3,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <iterator>
+#include <limits>
+
 namespace galenarudder::link {
 
 using nlohmann::json;
@@ -11,10 +15,22 @@
 
 namespace {
 
+/// HTTP status codes have three digits.
+constexpr unsigned lowest_status = 100;
+constexpr unsigned highest_status = 999;
+
+/// Thrown and caught within decode only, as the library's own errors are.
+struct not_a_number
+{
+};
+
 /// First element of each encoded message; the order of the variant.
 enum class message_type : unsigned
 {
     hello,
+    gate_proof,
+    entry_proof,
+    welcome,
     call_begin,
     body_part,
     body_credit,
@@ -22,8 +38,47 @@
     answer_begin,
     call_refused,
     drain_notice,
+    link_credit,
+    fate_query,
+    fate_answer,
+    ping,
+    pong,
 };
 
+/// Reads a number that must be whole, not negative and within \c T.
+template <typename T>
+T read_number(const json& value)
+{
+    // An integer in its shortest form is unsigned unless it is negative.
+    const auto* whole = value.get_ptr<const json::number_unsigned_t*>();
+    if (whole == nullptr || *whole > std::numeric_limits<T>::max())
+        throw not_a_number();
+    return static_cast<T>(*whole);
+}
+
+/// Times are sent as whole milliseconds, never below zero.
+json encode_milliseconds(support::milliseconds time)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
+}
+
+support::milliseconds read_milliseconds(const json& value)
+{
+    return support::milliseconds(read_number<std::uint32_t>(value));
+}
+
+json encode_bytes(const std::string& bytes)
+{
+    return json::binary(
+        json::binary_t::container_type(bytes.begin(), bytes.end()));
+}
+
+std::string decode_bytes(const json& value)
+{
+    const json::binary_t& bytes = value.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
 json encode_fields(const std::vector<support::header_field>& fields)
 {
     json list = json::array();
@@ -49,7 +104,7 @@
 {
     if (length.is_null())
         return std::nullopt;
-    return length.get<std::uint64_t>();
+    return read_number<std::uint64_t>(length);
 }
 
 json encode_load(const support::load_report& load)
@@ -61,11 +116,12 @@
 support::load_report decode_load(const json& list)
 {
     support::load_report load;
-    load.running = list.at(0);
-    load.waiting = list.at(1);
-    load.limit = list.at(2);
+    load.running = read_number<std::uint32_t>(list.at(0));
+    load.waiting = read_number<std::uint32_t>(list.at(1));
+    load.limit = read_number<std::uint32_t>(list.at(2));
     load.service_ms = list.at(3);
-    load.waiting_by_rank = list.at(4).get<std::vector<std::uint32_t>>();
+    for (const json& waiting : list.at(4))
+        load.waiting_by_rank.push_back(read_number<std::uint32_t>(waiting));
     load.age_ms = list.at(5);
     return load;
 }
@@ -73,8 +129,8 @@
 json encode_refusal(const support::refusal& why)
 {
     return json::array({to_string(why.kind), to_string(why.outcome),
-                        why.retry_exhausted, why.retry_after.count(),
-                        why.detail});
+                        why.retry_exhausted,
+                        encode_milliseconds(why.retry_after), why.detail});
 }
 
 /// A refusal kind of a newer version reads as an unknown outcome.
@@ -91,7 +147,7 @@
         why.outcome = *outcome;
     }
     why.retry_exhausted = list.at(2);
-    why.retry_after = support::milliseconds(list.at(3).get<std::int64_t>());
+    why.retry_after = read_milliseconds(list.at(3));
     why.detail = list.at(4);
     return why;
 }
@@ -103,7 +159,7 @@
 
 support::call_id read_id(const json& value)
 {
-    return static_cast<support::call_id>(value.get<std::uint64_t>());
+    return static_cast<support::call_id>(read_number<std::uint64_t>(value));
 }
 
 json tagged(message_type type, json::array_t fields)
@@ -117,23 +173,40 @@
     json operator()(const hello& sent) const
     {
         return tagged(message_type::hello,
-                      {sent.version, sent.member, sent.epoch});
+                      {sent.version, sent.member, sent.epoch,
+                       encode_bytes(sent.challenge)});
+    }
+    json operator()(const gate_proof& sent) const
+    {
+        return tagged(message_type::gate_proof,
+                      {sent.version, sent.member, encode_bytes(sent.challenge),
+                       sent.key_id, encode_bytes(sent.signature)});
+    }
+    json operator()(const entry_proof& sent) const
+    {
+        return tagged(message_type::entry_proof,
+                      {sent.key_id, encode_bytes(sent.signature)});
+    }
+    json operator()(const welcome& sent) const
+    {
+        return tagged(message_type::welcome, {sent.draining});
     }
     json operator()(const call_begin& sent) const
     {
         const support::call_head& head = sent.head;
-        return tagged(
-            message_type::call_begin,
-            {number(head.id), head.service, head.rank, head.remaining.count(),
-             head.repeatable, head.key, head.depth, head.method, head.target,
-             encode_fields(head.fields), encode_length(head.content_length)});
+        return tagged(message_type::call_begin,
+                      {number(head.id), head.service, head.rank,
+                       encode_milliseconds(head.remaining), head.repeatable,
+                       head.key, head.depth, head.method, head.target,
+                       encode_fields(head.fields),
+                       encode_length(head.content_length), sent.number,
+                       encode_bytes(sent.body), sent.body_complete});
     }
     json operator()(const body_part& sent) const
     {
-        json::binary_t data(
-            std::vector<std::uint8_t>(sent.data.begin(), sent.data.end()));
         return tagged(message_type::body_part,
-                      {number(sent.id), std::move(data), sent.last});
+                      {number(sent.id), encode_bytes(sent.data), sent.last,
+                       sent.counted});
     }
     json operator()(const body_credit& sent) const
     {
@@ -149,7 +222,8 @@
                       {number(sent.id), sent.head.status, sent.head.reason,
                        encode_fields(sent.head.fields),
                        encode_length(sent.head.content_length),
-                       encode_load(sent.load)});
+                       encode_load(sent.load), encode_bytes(sent.body),
+                       sent.body_complete});
     }
     json operator()(const call_refused& sent) const
     {
@@ -161,11 +235,50 @@
     {
         return tagged(message_type::drain_notice, {});
     }
+    json operator()(const link_credit& sent) const
+    {
+        return tagged(message_type::link_credit, {sent.bytes});
+    }
+    json operator()(const fate_query& sent) const
+    {
+        return tagged(message_type::fate_query, {sent.epoch, sent.numbers});
+    }
+    json operator()(const fate_answer& sent) const
+    {
+        return tagged(message_type::fate_answer, {sent.epoch, sent.not_run});
+    }
+    json operator()(const ping&) const
+    {
+        return tagged(message_type::ping, {});
+    }
+    json operator()(const pong&) const
+    {
+        return tagged(message_type::pong, {});
+    }
 };
 
 message read_hello(const json& list)
 {
-    return hello{list.at(1), list.at(2), list.at(3)};
+    return hello{read_number<unsigned>(list.at(1)), list.at(2),
+                 read_number<std::uint64_t>(list.at(3)),
+                 decode_bytes(list.at(4))};
+}
+
+message read_gate_proof(const json& list)
+{
+    return gate_proof{read_number<unsigned>(list.at(1)), list.at(2),
+                      decode_bytes(list.at(3)), list.at(4),
+                      decode_bytes(list.at(5))};
+}
+
+message read_entry_proof(const json& list)
+{
+    return entry_proof{list.at(1), decode_bytes(list.at(2))};
+}
+
+message read_welcome(const json& list)
+{
+    return welcome{list.at(1)};
 }
 
 message read_call_begin(const json& list)
@@ -174,27 +287,28 @@
     head.id = read_id(list.at(1));
     head.service = list.at(2);
     head.rank = list.at(3);
-    head.remaining = support::milliseconds(list.at(4).get<std::int64_t>());
+    head.remaining = read_milliseconds(list.at(4));
     head.repeatable = list.at(5);
     head.key = list.at(6);
-    head.depth = list.at(7);
+    head.depth = read_number<unsigned>(list.at(7));
     head.method = list.at(8);
     head.target = list.at(9);
     head.fields = decode_fields(list.at(10));
     head.content_length = decode_length(list.at(11));
-    return call_begin{std::move(head)};
+    return call_begin{std::move(head), read_number<std::uint64_t>(list.at(12)),
+                      decode_bytes(list.at(13)), list.at(14)};
 }
 
 message read_body_part(const json& list)
 {
-    const json::binary_t& data = list.at(2).get_binary();
-    return body_part{read_id(list.at(1)), std::string(data.begin(), data.end()),
-                     list.at(3)};
+    return body_part{read_id(list.at(1)), decode_bytes(list.at(2)), list.at(3),
+                     list.at(4)};
 }
 
 message read_body_credit(const json& list)
 {
-    return body_credit{read_id(list.at(1)), list.at(2)};
+    return body_credit{read_id(list.at(1)),
+                       read_number<std::uint64_t>(list.at(2))};
 }
 
 message read_call_cancel(const json& list)
@@ -206,11 +320,15 @@
 {
     answer_begin begun;
     begun.id = read_id(list.at(1));
-    begun.head.status = list.at(2);
+    begun.head.status = read_number<unsigned>(list.at(2));
+    if (begun.head.status < lowest_status || begun.head.status > highest_status)
+        throw not_a_number();
     begun.head.reason = list.at(3);
     begun.head.fields = decode_fields(list.at(4));
     begun.head.content_length = decode_length(list.at(5));
     begun.load = decode_load(list.at(6));
+    begun.body = decode_bytes(list.at(7));
+    begun.body_complete = list.at(8);
     return begun;
 }
 
@@ -225,12 +343,80 @@
     return drain_notice{};
 }
 
+message read_link_credit(const json& list)
+{
+    return link_credit{read_number<std::uint64_t>(list.at(1))};
+}
+
+std::vector<std::uint64_t> read_numbers(const json& list)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const json& value : list)
+        numbers.push_back(read_number<std::uint64_t>(value));
+    return numbers;
+}
+
+message read_fate_query(const json& list)
+{
+    return fate_query{read_number<std::uint64_t>(list.at(1)),
+                      read_numbers(list.at(2))};
+}
+
+message read_fate_answer(const json& list)
+{
+    return fate_answer{read_number<std::uint64_t>(list.at(1)),
+                       read_numbers(list.at(2))};
+}
+
+message read_ping(const json&)
+{
+    return ping{};
+}
+
+message read_pong(const json&)
+{
+    return pong{};
+}
+
 using reader = message (*)(const json&);
 
 /// One reader for each message type, in its order.
 constexpr reader readers[] = {
-    read_hello,       read_call_begin,   read_body_part,    read_body_credit,
-    read_call_cancel, read_answer_begin, read_call_refused, read_drain_notice,
+    read_hello,        read_gate_proof,   read_entry_proof,  read_welcome,
+    read_call_begin,   read_body_part,    read_body_credit,  read_call_cancel,
+    read_answer_begin, read_call_refused, read_drain_notice, read_link_credit,
+    read_fate_query,   read_fate_answer,  read_ping,         read_pong,
+};
+static_assert(std::size(readers) == std::variant_size_v<message>);
+
+/// Builds a document unless it nests deeper than any message does. The
+/// library's reader recurses, so a peer could otherwise exhaust the stack.
+class bounded_builder : public nlohmann::detail::json_sax_dom_parser<json>
+{
+public:
+    explicit bounded_builder(json& into)
+        : nlohmann::detail::json_sax_dom_parser<json>(into, false)
+    {
+    }
+
+    bool start_array(std::size_t size)
+    {
+        ++depth_;
+        return depth_ <= max_nesting && json_sax_dom_parser::start_array(size);
+    }
+
+    bool end_array()
+    {
+        --depth_;
+        return json_sax_dom_parser::end_array();
+    }
+
+    /// No message holds a map.
+    bool start_object(std::size_t) { return false; }
+
+private:
+    static constexpr std::size_t max_nesting = 4;
+    std::size_t depth_ = 0;
 };
 
 } // namespace
@@ -248,13 +434,18 @@
                           "link message is not of this protocol",
                           "check that both daemons run the same version"};
     try {
-        const json list = json::from_cbor(bytes);
+        json list;
+        bounded_builder builder(list);
+        if (!json::sax_parse(bytes, &builder, json::input_format_t::cbor))
+            return malformed;
         const auto type = list.at(0).get<std::size_t>();
         if (type >= std::size(readers))
             return malformed;
         return readers[type](list);
     } catch (const json::exception&) {
         return malformed;
+    } catch (const not_a_number&) {
+        return malformed;
     }
 }
 
--- a/lib/link/websocket_endpoint.cpp
+++ b/lib/link/websocket_endpoint.cpp
@@ -27,7 +27,12 @@
 using client = websocketpp::client<websocketpp::config::asio_client>;
 using websocketpp::connection_hdl;
 
-constexpr std::size_t max_message_bytes = 1 << 20;
+/// No message of the protocol comes near it: heads are at most 16 KB, parts
+/// of bodies at most 32 KB.
+constexpr std::size_t max_message_bytes = 128 * 1024;
+
+/// Time for the opening and the closing of a connection, in milliseconds.
+constexpr long handshake_timeout_ms = 1500;
 
 template <typename Endpoint>
 void configure(Endpoint& endpoint, boost::asio::io_context& io)
@@ -36,6 +41,8 @@
     endpoint.clear_error_channels(websocketpp::log::elevel::all);
     endpoint.init_asio(&io);
     endpoint.set_max_message_size(max_message_bytes);
+    endpoint.set_open_handshake_timeout(handshake_timeout_ms);
+    endpoint.set_close_handshake_timeout(handshake_timeout_ms);
     endpoint.set_tcp_post_init_handler([&endpoint](connection_hdl handle) {
         websocketpp::lib::error_code failure;
         auto connection = endpoint.get_con_from_hdl(handle, failure);
@@ -76,8 +83,12 @@
 
 void websocket_endpoint::state::forget(connection_id id)
 {
-    if (connections.erase(id) != 0)
-        handlers.closed(id);
+    const auto found = connections.find(id);
+    if (found == connections.end())
+        return;
+    const bool inbound = found->second.second;
+    connections.erase(found);
+    handlers.closed(id, inbound);
 }
 
 template <typename Endpoint>
@@ -93,8 +104,10 @@
     connection->set_close_handler([this, id](connection_hdl) { forget(id); });
     connection->set_fail_handler([this, id](connection_hdl) { forget(id); });
     connection->set_message_handler(
-        [this, id](connection_hdl, typename Endpoint::message_ptr message) {
-            handlers.received(id, std::move(message->get_raw_payload()));
+        [this, id, inbound](connection_hdl,
+                            typename Endpoint::message_ptr message) {
+            handlers.received(id, inbound,
+                              std::move(message->get_raw_payload()));
         });
 }
 
@@ -104,7 +117,7 @@
     websocketpp::lib::error_code failure;
     client::connection_ptr connection = connector.get_connection(uri, failure);
     if (failure) {
-        handlers.closed(id);
+        handlers.closed(id, false);
         return;
     }
     install_handlers(connector, id, false, connection);
--- a/lib/proxy/problem.cpp
+++ b/lib/proxy/problem.cpp
@@ -16,7 +16,9 @@
         {"kind", kind},
         {"outcome", to_string(why.outcome)},
         {"remedy", remedy(why.kind)}};
-    return document.dump();
+    // A caller's own bytes in the detail need not be UTF-8.
+    return document.dump(-1, ' ', false,
+                         nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace galenarudder::proxy
--- a/lib/support/refusal.cpp
+++ b/lib/support/refusal.cpp
@@ -15,7 +15,7 @@
     std::string_view remedy;
 };
 
-constexpr std::array<refusal_row, 15> rows = {{
+constexpr std::array<refusal_row, 17> rows = {{
     {refusal_kind::no_such_service, "no-such-service", 404,
      "name a service of the configuration in Host or the first path segment"},
     {refusal_kind::no_upstream, "no-upstream", 503,
@@ -45,6 +45,10 @@
     {refusal_kind::canceled, "canceled", 499, "none; the caller went away"},
     {refusal_kind::answer_not_kept, "answer-not-kept", 409,
      "the call ran once; read its result from the service"},
+    {refusal_kind::head_too_large, "head-too-large", 431,
+     "send fewer or shorter fields"},
+    {refusal_kind::request_timeout, "request-timeout", 408,
+     "send the whole request without pauses"},
 }};
 
 const refusal_row& row_of(refusal_kind kind)
--- a/lib/telemetry/metrics.cpp
+++ b/lib/telemetry/metrics.cpp
@@ -1,31 +1,88 @@
 // Metrics by prometheus-cpp.
 #include "galenarudder/telemetry/metrics.hpp"
 
+#include "galenarudder/telemetry/latency_table.hpp"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
-#include <prometheus/histogram.h>
+#include <prometheus/metric_family.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <limits>
+#include <map>
+#include <mutex>
+
 namespace galenarudder::telemetry {
 
 namespace {
 
-/// Upper bounds of the latency buckets, in seconds.
-const prometheus::Histogram::BucketBoundaries latency_bounds = {
-    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
-    0.2,    0.5,   1,     2,     5,    10,   30};
+prometheus::ClientMetric to_metric(const latency_table::row& row)
+{
+    prometheus::ClientMetric metric;
+    metric.label = {{"rank", row.rank}, {"service", row.service}};
+    std::uint64_t seen = 0;
+    for (std::size_t bucket = 0; bucket <= latency_bounds_s.size(); ++bucket) {
+        seen += row.series->count(bucket);
+        const double bound = bucket < latency_bounds_s.size()
+                                 ? latency_bounds_s[bucket]
+                                 : std::numeric_limits<double>::infinity();
+        metric.histogram.bucket.push_back({seen, bound});
+    }
+    metric.histogram.sample_count = seen;
+    metric.histogram.sample_sum = row.series->sum_s();
+    return metric;
+}
+
+prometheus::MetricFamily to_family(const latency_table& latencies)
+{
+    prometheus::MetricFamily family;
+    family.name = "galenarudder_call_seconds";
+    family.help = "Time from a call's head to the end of its answer";
+    family.type = prometheus::MetricType::Histogram;
+    for (const latency_table::row& row : latencies.rows())
+        family.metric.push_back(to_metric(row));
+    return family;
+}
+
+/// A total that another part counts.
+struct outside_total
+{
+    std::vector<metric_label> labels;
+    double total = 0;
+};
+
+struct outside_family
+{
+    std::string help;
+    std::map<std::string, outside_total> series;
+};
+
+prometheus::MetricFamily to_family(const std::string& name,
+                                   const outside_family& counted)
+{
+    prometheus::MetricFamily family;
+    family.name = name;
+    family.help = counted.help;
+    family.type = prometheus::MetricType::Counter;
+    for (const auto& [key, series] : counted.series) {
+        prometheus::ClientMetric metric;
+        for (const metric_label& label : series.labels)
+            metric.label.push_back({label.name, label.value});
+        metric.counter.value = series.total;
+        family.metric.push_back(std::move(metric));
+    }
+    return family;
+}
 
 } // namespace
 
 struct metrics::state
 {
     prometheus::Registry registry;
-    prometheus::Family<prometheus::Histogram>& latency =
-        prometheus::BuildHistogram()
-            .Name("galenarudder_call_seconds")
-            .Help("Time from a call's head to the end of its answer")
-            .Register(registry);
+    latency_table latencies;
+    std::mutex outside_mutex;
+    std::map<std::string, outside_family> outside;
     prometheus::Family<prometheus::Counter>& refusals =
         prometheus::BuildCounter()
             .Name("galenarudder_refusals_total")
@@ -41,10 +98,7 @@
                        std::string_view rank,
                        support::duration latency)
 {
-    state_->latency
-        .Add({{"service", std::string(service)}, {"rank", std::string(rank)}},
-             latency_bounds)
-        .Observe(std::chrono::duration<double>(latency).count());
+    state_->latencies.observe(service, rank, latency);
 }
 
 void metrics::refused(std::string_view service,
@@ -83,9 +137,28 @@
         .Set(value);
 }
 
+void metrics::set_total(const std::string& name,
+                        const std::string& help,
+                        const std::vector<metric_label>& labels,
+                        double total)
+{
+    std::string key;
+    for (const metric_label& label : labels)
+        key += label.name + "=" + label.value + ",";
+    const std::lock_guard lock(state_->outside_mutex);
+    outside_family& family = state_->outside[name];
+    family.help = help;
+    family.series[key] = {labels, total};
+}
+
 std::string metrics::render() const
 {
-    return prometheus::TextSerializer().Serialize(state_->registry.Collect());
+    std::vector<prometheus::MetricFamily> families = state_->registry.Collect();
+    families.push_back(to_family(state_->latencies));
+    const std::lock_guard lock(state_->outside_mutex);
+    for (const auto& [name, counted] : state_->outside)
+        families.push_back(to_family(name, counted));
+    return prometheus::TextSerializer().Serialize(families);
 }
 
 } // namespace galenarudder::telemetry
