--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -104,32 +104,6 @@
     double max = 0;
 };
 
-/// What the product itself knows of a limit.
-struct limit_facts
-{
-    std::string_view name;
-    std::string_view unit;
-    /// In force when the base document does not state the limit.
-    double first_value;
-    /// No document may state a bound outside of these.
-    double floor;
-    double ceiling;
-    /// The automation whose extent the limit caps; absent for a limit whose
-    /// value holds in every mode.
-    std::optional<automation> binds;
-    /// Whether it caps from above; from below otherwise.
-    bool smaller_is_tighter;
-};
-
-const limit_facts& facts(limit which);
-
-/// The bounds that the base document states for a limit.
-struct limit_bounds
-{
-    double min = 0;
-    double max = 0;
-};
-
 /// One rank of work; ranks are ordered from most to least urgent.
 struct rank_policy
 {
--- a/lib/daemon/collect_metrics.cpp
+++ b/lib/daemon/collect_metrics.cpp
@@ -5,32 +5,6 @@
 
 namespace {
 
-struct member_row
-{
-    const char* name;
-    const char* help;
-    std::uint64_t membership::member_counters::*count;
-};
-
-constexpr member_row member_rows[] = {
-    {"galenarudder_membership_datagrams_sent_total",
-     "Membership datagrams sent", &membership::member_counters::datagrams_sent},
-    {"galenarudder_membership_bytes_sent_total",
-     "Bytes of membership datagrams sent",
-     &membership::member_counters::bytes_sent},
-    {"galenarudder_membership_datagrams_received_total",
-     "Membership datagrams received",
-     &membership::member_counters::datagrams_received},
-    {"galenarudder_membership_datagrams_dropped_total",
-     "Malformed or unauthenticated datagrams",
-     &membership::member_counters::datagrams_dropped},
-    {"galenarudder_membership_suspicions_total", "Members suspected",
-     &membership::member_counters::suspicions},
-    {"galenarudder_membership_refutations_total",
-     "Suspicions of this member refuted",
-     &membership::member_counters::refutations},
-};
-
 struct link_row
 {
     const char* name;
@@ -83,17 +57,10 @@
 
 void collect(const node& from, telemetry::metrics& into)
 {
-    const membership::member& member = from.member();
-    for (const member_row& row : member_rows) {
-        into.set_total(row.name, row.help, {},
-                       static_cast<double>(member.counters().*row.count));
-    }
     collect_decisions(from.decisions(), into);
-    into.set("galenarudder_known_members", "Members known, this one included",
-             static_cast<double>(member.records().size()));
     into.set("galenarudder_configuration_version",
              "Version of the configuration in force",
-             static_cast<double>(member.self().configuration_version));
+             static_cast<double>(from.member().self().configuration_version));
 }
 
 void collect(const link::hub_counters& from, telemetry::metrics& into)
