--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -171,9 +171,11 @@
     handlers.link_closed = [gate = gate_](link::connection_id from) {
         gate->link_closed(from);
     };
-    handlers.gate_draining = [this](const support::member_id& member) {
-        node_.router().on_leaving(member, monotonic_clock::now());
-    };
+    handlers.gate_draining =
+        [weak = weak_from_this()](const support::member_id& member) {
+            if (const auto self = weak.lock())
+                self->node_.router().on_leaving(member, monotonic_clock::now());
+        };
     return handlers;
 }
 
--- a/tools/galenarudder-replay/fake_upstream.cpp
+++ b/tools/galenarudder-replay/fake_upstream.cpp
@@ -89,8 +89,34 @@
 
 void fake_upstream::tick()
 {
-    if (gate_ && !paused())
-        perform(gate_->on_tick(clock_.now()));
+    if (!gate_ || paused())
+        return;
+    perform(gate_->on_tick(clock_.now()));
+    probe();
+}
+
+/// Lets the gate probe when its budget allows; a probe takes the upstream's
+/// time as work does and is ended at the latest after the time allowed.
+void fake_upstream::probe()
+{
+    const auto allowed = gate_->start_probe(clock_.now());
+    if (!allowed)
+        return;
+    const double wanted_ms = spec_.probe_cost_ms * milliseconds_per_work();
+    const double cost_ms = std::min(wanted_ms, support::to_ms(*allowed));
+    clock_.after(cost_ms, [this, of = gate_.get(), cost_ms,
+                           answered = wanted_ms <= cost_ms] {
+        end_probe(of, cost_ms, answered);
+    });
+}
+
+void fake_upstream::end_probe(const admission::gate* of,
+                              double cost_ms,
+                              bool answered)
+{
+    counts_.probes.push_back({clock_.now(), cost_ms});
+    if (gate_.get() == of)
+        gate_->on_probe_ended(answered, clock_.now());
 }
 
 void fake_upstream::apply(const upstream_event& event)
--- a/tools/galenarudder-replay/fake_upstream.hpp
+++ b/tools/galenarudder-replay/fake_upstream.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace galenarudder::replay {
 
@@ -35,6 +36,13 @@
     std::function<void(attempt_reply)> reply;
 };
 
+/// One probe that the gate sent to its upstream.
+struct probe_record
+{
+    support::time_point ended_at;
+    double cost_ms = 0;
+};
+
 struct upstream_counts
 {
     std::uint64_t started = 0;
@@ -44,6 +52,7 @@
     /// Running calls lost although a drain had been announced.
     std::uint64_t cut = 0;
     double new_work_after_drain_ms = 0;
+    std::vector<probe_record> probes;
 };
 
 class fake_upstream
@@ -88,6 +97,8 @@
     bool paused() const { return clock_.now() < paused_until_; }
     double milliseconds_per_work() const;
     void perform(const std::vector<admission::action>& actions);
+    void probe();
+    void end_probe(const admission::gate* of, double cost_ms, bool answered);
     void execute(const admission::start& begun);
     void execute(const admission::refuse& ended);
     void execute(const admission::abort_running& aborted);
--- a/tools/galenarudder-replay/outcome.cpp
+++ b/tools/galenarudder-replay/outcome.cpp
@@ -63,20 +63,43 @@
     return rank_json(std::move(all));
 }
 
-/// The gates of this replay send no probes of their own.
-json probes_json(const trace& given, const replay_outcome& outcome)
+/// Largest share of one upstream's time that probes took in any window.
+double worst_window_share(const upstream_counts& counts)
 {
-    double budget_ms = 0;
-    for (const upstream_spec& spec : given.upstreams) {
-        if (spec.probe_cost_ms > 0) {
-            budget_ms += outcome.duration_ms *
-                         given.in_force.value(config::limit::probe_share);
-        }
+    constexpr support::milliseconds window = admission::probe_budget::window;
+    double worst_ms = 0;
+    double sum_ms = 0;
+    std::size_t first = 0;
+    for (const probe_record& last : counts.probes) {
+        sum_ms += last.cost_ms;
+        while (counts.probes[first].ended_at <= last.ended_at - window)
+            sum_ms -= counts.probes[first++].cost_ms;
+        worst_ms = std::max(worst_ms, sum_ms);
     }
-    return {{"sent", 0},
-            {"cost_ms", 0},
+    return worst_ms / support::to_ms(window);
+}
+
+json probes_json(const trace& given,
+                 const replay_outcome& outcome,
+                 const std::vector<std::unique_ptr<fake_upstream>>& fleet)
+{
+    std::size_t sent = 0;
+    double cost_ms = 0;
+    double worst_share = 0;
+    for (const auto& upstream : fleet) {
+        const upstream_counts& counts = upstream->counts();
+        sent += counts.probes.size();
+        for (const probe_record& probe : counts.probes)
+            cost_ms += probe.cost_ms;
+        worst_share = std::max(worst_share, worst_window_share(counts));
+    }
+    const double budget_ms = outcome.duration_ms *
+                             static_cast<double>(fleet.size()) *
+                             given.in_force.value(config::limit::probe_share);
+    return {{"sent", sent},
+            {"cost_ms", rounded(cost_ms)},
             {"budget_ms", rounded(budget_ms)},
-            {"worst_window_share", 0}};
+            {"worst_window_share", worst_share}};
 }
 
 json upstream_json(const fake_upstream& upstream)
@@ -117,7 +140,7 @@
     const json whole = {{"policy", policy},
                         {"ranks", ranks_json(given, outcome)},
                         {"all", overall_json(outcome)},
-                        {"probes", probes_json(given, outcome)},
+                        {"probes", probes_json(given, outcome, fleet)},
                         {"ran_twice", ran_twice},
                         {"not_run_but_ran", not_run_but_ran},
                         {"cut", cut},
