Mend two lint findings in suspicion and store

clang-tidy reads a defaulted comparison as a null pointer, and clang 14 cannot build an aggregate by make_shared: an ordering and a constructor are written out. unit_membership passes (621 assertions); lint was not run again.

--- a/include/galenarudder/membership/suspicion.hpp
+++ b/include/galenarudder/membership/suspicion.hpp
@@ -63,7 +63,11 @@
         support::time_point at;
         member_hash suspect = 0;
 
-        friend auto operator<=>(const due&, const due&) = default;
+        friend bool operator<(const due& left, const due& right)
+        {
+            return left.at != right.at ? left.at < right.at
+                                       : left.suspect < right.suspect;
+        }
     };
 
     std::unordered_map<member_hash, suspicion> open_;
--- a/lib/store/consul_store.cpp
+++ b/lib/store/consul_store.cpp
@@ -158,6 +158,15 @@
 {
     using counter = std::uint64_t store_counters::*;
 
+    state(asio::any_io_executor runs_on,
+          config::endpoint store,
+          const store_limits& limits)
+        : executor(std::move(runs_on)), where(std::move(store)),
+          reads(limits.reads_per_second, limits.read_burst),
+          writes(limits.writes_per_second, limits.write_burst)
+    {
+    }
+
     asio::any_io_executor executor;
     config::endpoint where;
     support::rate_budget reads;
@@ -226,10 +235,7 @@
                            config::endpoint where,
                            const store_limits& limits)
     : state_(std::make_shared<state>(
-          std::move(executor),
-          std::move(where),
-          support::rate_budget(limits.reads_per_second, limits.read_burst),
-          support::rate_budget(limits.writes_per_second, limits.write_burst)))
+          std::move(executor), std::move(where), limits))
 {
 }
 
