--- a/lib/config/check.cpp
+++ b/lib/config/check.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace galenarudder::config {
 
@@ -215,8 +216,9 @@
         const std::string loosest = stated.at("loosest");
         if (tightness(mode) >= tightness(loosest))
             continue;
-        const std::string pointer = "/automation/" + name;
-        add(pointer + "/mode",
+        std::string pointer = "/automation/";
+        pointer.append(name).append("/mode");
+        add(std::move(pointer),
             "the mode " + mode + " is looser than the bound " + loosest,
             "tighten the mode or loosen the bound beside it");
     }
