--- a/lib/config/check.cpp
+++ b/lib/config/check.cpp
@@ -36,6 +36,13 @@
     return text;
 }
 
+std::string looser_text(std::string_view mode, std::string_view loosest)
+{
+    std::string text("the mode ");
+    text.append(mode).append(" is looser than the bound ").append(loosest);
+    return text;
+}
+
 std::string range_text(double low, double high)
 {
     return "[" + number_text(low) + ", " + number_text(high) + "]";
@@ -218,8 +225,7 @@
             continue;
         std::string pointer = "/automation/";
         pointer.append(name).append("/mode");
-        add(std::move(pointer),
-            "the mode " + mode + " is looser than the bound " + loosest,
+        add(std::move(pointer), looser_text(mode, loosest),
             "tighten the mode or loosen the bound beside it");
     }
 }
