--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -28,6 +28,20 @@
             "this process keeps no claims of idempotency keys"};
 }
 
+/// Whether no document has been adopted yet, so that no service is known.
+bool is_first(const config::configuration& in_force)
+{
+    return in_force.version == 0 && in_force.services.empty();
+}
+
+refusal refused_without_configuration()
+{
+    constexpr support::milliseconds adoption_retry_after{1000};
+    return {refusal_kind::no_upstream, run_outcome::not_run, false,
+            adoption_retry_after,
+            "this daemon has not heard of a configuration yet"};
+}
+
 /// The name before the first dot or colon of a Host field.
 std::string_view host_label(std::string_view host)
 {
@@ -145,6 +159,8 @@
                                std::string_view peer) const
 {
     const auto in_force = in_force_.read();
+    if (is_first(*in_force))
+        return refused_without_configuration();
     const config::service_policy* service = find_service(*in_force, host, head);
     if (service == nullptr) {
         return refused_before(refusal_kind::no_such_service,
--- a/test/process/test_once.py
+++ b/test/process/test_once.py
@@ -229,6 +229,9 @@
         self.fleet.start_daemon(vm)
         example.wait_for(lambda: example.port_is_open(f"{vm['address']}:7100"),
                          "the new daemon")
+        # Until it has a configuration the new daemon refuses with 503.
+        example.wait_for(lambda: send(vm["address"], "killed")[0] != 503,
+                         "the new daemon to have a configuration")
         answer = send(vm["address"], "killed")
         self.assertEqual(answer[0], 409, answer)
         self.assertEqual(self.runs("killed"), 1)
--- a/unittests/entry/entry_test.cpp
+++ b/unittests/entry/entry_test.cpp
@@ -121,6 +121,20 @@
           support::run_outcome::not_run);
 }
 
+TEST_CASE("before the first configuration a call may be retried elsewhere")
+{
+    entry_under_test entry;
+    entry.in_force.replace(std::make_unique<const config::configuration>(
+        config::default_configuration()));
+    const auto decided = entry.classify("POST", "/bookings", "x");
+    REQUIRE(std::holds_alternative<support::refusal>(decided));
+    const auto& why = std::get<support::refusal>(decided);
+    CHECK(why.kind == refusal_kind::no_upstream);
+    CHECK(why.outcome == support::run_outcome::not_run);
+    CHECK_FALSE(why.retry_exhausted);
+    CHECK(why.retry_after.count() > 0);
+}
+
 TEST_CASE("callers lower the rank; only the announced upstream raises it")
 {
     struct row
