--- a/lib/proxy/caller_server.cpp
+++ b/lib/proxy/caller_server.cpp
@@ -101,7 +101,7 @@
         for (const auto& [address, session] : sessions)
             open.push_back(session.lock());
         if (!open.empty())
-            drained = std::move(when_drained);
+            drained = when_drained;
     }
     if (open.empty())
         return when_drained();
