--- a/include/galenarudder/daemon/node_report.hpp
+++ b/include/galenarudder/daemon/node_report.hpp
@@ -5,10 +5,15 @@
 
 #include "galenarudder/daemon/node.hpp"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <string>
 
 namespace galenarudder::daemon {
 
+/// A member's record as JSON, with its addresses.
+nlohmann::json describe(const membership::member_record& record);
+
 /// Counters of decisions and of the rollout in Prometheus' text form.
 std::string render_node_metrics(const node& reported);
 
--- a/lib/daemon/announcement_port.cpp
+++ b/lib/daemon/announcement_port.cpp
@@ -2,6 +2,7 @@
 #include "galenarudder/daemon/announcement_port.hpp"
 
 #include "galenarudder/config/schema.hpp"
+#include "galenarudder/http/problem.hpp"
 #include "galenarudder/http/service.hpp"
 
 #include <boost/asio/post.hpp>
@@ -35,15 +36,6 @@
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
 
-http::response problem(unsigned status, const support::error& failure)
-{
-    const nlohmann::json body = {{"title", to_string(failure.kind)},
-                                 {"status", status},
-                                 {"detail", failure.message},
-                                 {"remedy", failure.remedy}};
-    return {status, "application/problem+json", body.dump(), {}};
-}
-
 http::response done()
 {
     return {status_no_content, "", "", {}};
@@ -51,11 +43,12 @@
 
 http::response not_served(const http::request& received)
 {
-    return problem(status_not_found, {support::error_kind::not_found,
-                                      received.method + " " + received.path +
-                                          " is not served here",
-                                      "use PUT or DELETE /v1/upstream, or POST "
-                                      "/v1/upstream/drain"});
+    return http::problem(
+        status_not_found,
+        {support::error_kind::not_found,
+         received.method + " " + received.path + " is not served here",
+         "use PUT or DELETE /v1/upstream, or POST "
+         "/v1/upstream/drain"});
 }
 
 } // namespace
@@ -127,7 +120,7 @@
 {
     auto parsed = parse_announcement(received.body);
     if (!parsed)
-        return problem(status_bad_request, parsed.error());
+        return http::problem(status_bad_request, parsed.error());
     handlers_.announced(parsed.value());
     restart_heartbeat();
     return {status_no_content, "", "", {}};
--- a/lib/daemon/node_report.cpp
+++ b/lib/daemon/node_report.cpp
@@ -98,17 +98,6 @@
             {"time", change.time}};
 }
 
-json encode(const membership::member_record& record)
-{
-    return {{"id", record.id},
-            {"incarnation", record.incarnation},
-            {"state", to_string(record.state)},
-            {"domain", record.domain},
-            {"service", record.service},
-            {"slots", record.slots},
-            {"configuration_version", record.configuration_version}};
-}
-
 json encode(const routing::upstream_load& load)
 {
     return {{"member", load.member},
@@ -120,6 +109,24 @@
             {"ejected", load.ejected}};
 }
 
+} // namespace
+
+json describe(const membership::member_record& record)
+{
+    return {{"id", record.id},
+            {"incarnation", record.incarnation},
+            {"state", to_string(record.state)},
+            {"domain", record.domain},
+            {"service", record.service},
+            {"slots", record.slots},
+            {"gossip", to_string(record.gossip)},
+            {"link", to_string(record.link)},
+            {"operators", to_string(record.operators)},
+            {"configuration_version", record.configuration_version}};
+}
+
+namespace {
+
 /// The base document with the site's values in place of its own.
 json effective_base(const config::document& whole, const std::string& site)
 {
@@ -222,7 +229,7 @@
         loads.push_back(encode(load));
     json members = json::array();
     for (const auto& record : reported.member().records())
-        members.push_back(encode(record));
+        members.push_back(describe(record));
     json state = {{"taken_by", reported.member().self().id},
                   {"site", site},
                   {"members", members},
--- a/lib/daemon/operator_port.cpp
+++ b/lib/daemon/operator_port.cpp
@@ -3,6 +3,7 @@
 
 #include "galenarudder/daemon/node.hpp"
 #include "galenarudder/daemon/node_report.hpp"
+#include "galenarudder/http/problem.hpp"
 #include "galenarudder/http/service.hpp"
 
 #include <boost/asio/bind_executor.hpp>
@@ -24,29 +25,6 @@
 constexpr unsigned status_forbidden = 403;
 constexpr unsigned status_not_found = 404;
 
-json describe(const membership::member_record& record)
-{
-    return {{"id", record.id},
-            {"incarnation", record.incarnation},
-            {"state", to_string(record.state)},
-            {"domain", record.domain},
-            {"service", record.service},
-            {"slots", record.slots},
-            {"gossip", to_string(record.gossip)},
-            {"link", to_string(record.link)},
-            {"operators", to_string(record.operators)},
-            {"configuration_version", record.configuration_version}};
-}
-
-http::response problem(unsigned status, const support::error& failure)
-{
-    const json body = {{"title", to_string(failure.kind)},
-                       {"status", status},
-                       {"detail", failure.message},
-                       {"remedy", failure.remedy}};
-    return {status, "application/problem+json", body.dump(), {}};
-}
-
 http::response not_served()
 {
     const json body = {{"title", "not-found"},
@@ -193,7 +171,7 @@
         http::field_or_empty(received.fields, rollout::signature_field),
         received.body);
     if (!authentic)
-        return problem(status_forbidden, authentic.error());
+        return http::problem(status_forbidden, authentic.error());
     const std::string* sender = received.parameter("sender");
     handlers_.transfer(received.body,
                        sender == nullptr ? std::string() : *sender);
--- /dev/null
+++ b/lib/http/problem.cpp
@@ -0,0 +1,17 @@
+// Problem documents of typed errors.
+#include "galenarudder/http/problem.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace galenarudder::http {
+
+response problem(unsigned status, const support::error& failure)
+{
+    const nlohmann::json body = {{"title", to_string(failure.kind)},
+                                 {"status", status},
+                                 {"detail", failure.message},
+                                 {"remedy", failure.remedy}};
+    return {status, "application/problem+json", body.dump(), {}};
+}
+
+} // namespace galenarudder::http
--- a/lib/link/entry_links.cpp
+++ b/lib/link/entry_links.cpp
@@ -313,16 +313,8 @@
         on_refusal(link, *ended);
         return true;
     }
-    if (const auto* credit = std::get_if<body_credit>(&received)) {
-        const auto call = link.calls.find(credit->id);
-        if (call != link.calls.end() && call->second.sender)
-            call->second.sender->on_credit(credit->bytes);
+    if (take_credit(link, received))
         return true;
-    }
-    if (const auto* credit = std::get_if<link_credit>(&received)) {
-        link.window->on_credit(credit->bytes);
-        return true;
-    }
     if (const auto* fates = std::get_if<fate_answer>(&received)) {
         on_fates(link, *fates);
         return true;
--- a/lib/link/gate_links.cpp
+++ b/lib/link/gate_links.cpp
@@ -154,16 +154,8 @@
         on_cancel(connection, link, canceled->id);
         return true;
     }
-    if (const auto* credit = std::get_if<body_credit>(&received)) {
-        const auto call = link.calls.find(credit->id);
-        if (call != link.calls.end() && call->second.sender)
-            call->second.sender->on_credit(credit->bytes);
+    if (take_credit(link, received))
         return true;
-    }
-    if (const auto* credit = std::get_if<link_credit>(&received)) {
-        link.window->on_credit(credit->bytes);
-        return true;
-    }
     if (auto* asked = std::get_if<fate_query>(&received)) {
         on_query(connection, link, *asked);
         return true;
--- a/lib/link/link_common.hpp
+++ b/lib/link/link_common.hpp
@@ -34,6 +34,24 @@
     }
 };
 
+/// Takes credit for one body or for the whole link; false when \p received is
+/// neither. \p Link is the record of a link at either side.
+template <typename Link>
+bool take_credit(Link& link, const message& received)
+{
+    if (const auto* whole = std::get_if<link_credit>(&received)) {
+        link.window->on_credit(whole->bytes);
+        return true;
+    }
+    const auto* credit = std::get_if<body_credit>(&received);
+    if (credit == nullptr)
+        return false;
+    const auto call = link.calls.find(credit->id);
+    if (call != link.calls.end() && call->second.sender)
+        call->second.sender->on_credit(credit->bytes);
+    return true;
+}
+
 /// How often a quiet link is asked for a sign of life.
 inline constexpr support::milliseconds ping_interval{1000};
 
