--- a/lib/routing/estimate.cpp
+++ b/lib/routing/estimate.cpp
@@ -28,7 +28,7 @@
 constexpr double failure_half_age_ms = 1000;
 /// A stall shorter than this many service times is normal.
 constexpr double normal_stall_services = 0.5;
-constexpr double least_slow_start_share = 0.1;
+constexpr double least_slow_start_share = 0.5;
 
 double age_ms(std::int64_t at_ns, support::time_point now)
 {
