--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 	@cmake --build $(BUILD)
 
 run: build
-	python3 examples/run.py --build $(BUILD) --example examples/$(EXAMPLE)
+	python3 examples/run.py --build $(BUILD) --example examples/$(EXAMPLE) \
+	  $(if $(KEEP),--keep)
 
 test: build
 	.ci/test $(BUILD)
--- a/examples/run.py
+++ b/examples/run.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -232,10 +233,22 @@
               f"{times[len(times) // 2]:>9.1f}{times[-1]:>10.1f}")
 
 
+def keep_until_interrupted(fleet):
+    first = fleet.vms[0]["address"]
+    print(f"\ncallers: http://{first}:7100   operators: "
+          f"http://{first}:7105/metrics   Ctrl-C ends", flush=True)
+    try:
+        signal.pause()
+    except KeyboardInterrupt:
+        print()
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="build")
     parser.add_argument("--example", default="examples/northern-spain")
+    parser.add_argument("--keep", action="store_true",
+                        help="keep the processes until Ctrl-C")
     arguments = parser.parse_args()
     fleet = Fleet(arguments.build, arguments.example)
     print(f"starting {len(fleet.vms)} upstreams, as many daemons, one store")
@@ -245,6 +258,8 @@
         status = fleet.ctl("status")
         print(status.stdout, end="")
         print_ranks(ranks)
+        if arguments.keep:
+            keep_until_interrupted(fleet)
     finally:
         codes = fleet.stop()
     cut = sum(1 for seen in ranks.values() for _, whole in seen if not whole)
