Generate body sizes by value in the claims test

Cause: under address sanitizer unit_once asked for a string of an impossible size: GENERATE kept a reference to the temporary max_kept_body_bytes + 1. Change: as<std::size_t>; the sizes and checks are the same. Conclusion: a fault of the test.

--- a/unittests/once/claims_test.cpp
+++ b/unittests/once/claims_test.cpp
@@ -399,8 +399,8 @@
 
 TEST_CASE("an outcome keeps its body up to the bound")
 {
-    const std::size_t size =
-        GENERATE(max_kept_body_bytes, max_kept_body_bytes + 1);
+    const std::size_t size = GENERATE(as<std::size_t>{}, max_kept_body_bytes,
+                                      max_kept_body_bytes + 1);
     fake_store store;
     daemon one("one");
     const instant at = start();
