--- a/include/galenarudder/admission/gate.hpp
+++ b/include/galenarudder/admission/gate.hpp
@@ -81,6 +81,8 @@
     /// first announcement, so that entries can start slowly.
     std::vector<action> on_upstream(std::uint32_t slots,
                                     support::time_point now);
+    /// The upstream takes no more work; what runs there ends.
+    std::vector<action> on_upstream_leaving(support::time_point now);
     /// The upstream left or its heartbeat lapsed.
     std::vector<action> on_upstream_gone(support::time_point now);
 
--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -129,6 +129,47 @@
     std::vector<route_policy> routes;
     /// Name of the pick strategy.
     std::string strategy;
+    /// Where the gate may probe an upstream; empty for the path that the
+    /// upstream announces.
+    std::string probe_path;
+    /// Connections that an upstream accepts; 0 for the number that it
+    /// announces.
+    std::uint32_t connections = 0;
+};
+
+/// A service that takes a part of a route's calls.
+struct weighted_service
+{
+    std::string service;
+    double weight = 1;
+};
+
+/// How calls to one path prefix of one host are treated. The longest prefix
+/// that begins the path wins.
+struct host_route
+{
+    std::string host;
+    std::string prefix;
+    std::string rank;
+    bool repeatable = false;
+    /// The longest time that a caller is kept waiting.
+    support::milliseconds deadline{0};
+    /// The latency that callers expect; 0 when none is stated.
+    support::milliseconds goal{0};
+    /// Upstreams on which one call may run.
+    unsigned attempts = 1;
+    /// Calls are divided among these by weight.
+    std::vector<weighted_service> services;
+};
+
+/// What a caller may send and how long it may take.
+struct caller_limits
+{
+    std::uint32_t head_bytes = 16 * 1024;
+    /// Applies to host routes; routes of a service have their own limit.
+    std::uint64_t body_bytes = 1 << 20;
+    support::milliseconds head_time{5000};
+    support::milliseconds idle_time{75'000};
 };
 
 struct configuration
@@ -137,6 +178,10 @@
     std::string site;
     std::vector<rank_policy> ranks;
     std::vector<service_policy> services;
+    /// Sorted by host, then by prefix, the longest first. Calls to these hosts
+    /// are not looked up by service name.
+    std::vector<host_route> host_routes;
+    caller_limits callers;
     std::array<double, limit_count> limits{};
     std::array<limit_bounds, limit_count> bounds{};
     std::array<automation_mode, automation_count> modes{};
@@ -163,6 +208,12 @@
                                std::string_view method,
                                std::string_view path);
 
+/// Returns the route of \p host with the longest prefix that begins \p path,
+/// or null. Letter case of the host does not matter.
+const host_route* find_host_route(const configuration& in_force,
+                                  std::string_view host,
+                                  std::string_view path);
+
 std::string_view to_string(automation_mode mode);
 std::string_view to_string(automation which);
 std::string_view to_string(limit which);
--- a/include/galenarudder/config/settings.hpp
+++ b/include/galenarudder/config/settings.hpp
@@ -4,8 +4,10 @@
 #pragma once
 
 #include "galenarudder/support/error.hpp"
+#include "galenarudder/support/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +26,9 @@
 /// Writes an endpoint as address:port.
 std::string to_string(const endpoint& where);
 
+/// Reads a time span such as 1500ms or 2.5s.
+support::result<support::milliseconds> parse_span(std::string_view text);
+
 /// Reads address:port.
 support::result<endpoint> parse_endpoint(std::string_view text);
 
@@ -34,6 +39,24 @@
     std::string secret;
 };
 
+/// Bounds of all calls that are sent to one service again, over the whole
+/// fleet and any window.
+struct retry_bounds
+{
+    /// Share of the calls; 0 leaves it to the configuration.
+    double ratio = 0;
+    support::milliseconds window{10'000};
+    /// Calls beyond the share.
+    std::uint32_t slack = 0;
+};
+
+/// Calls that all daemons together may make to the store in a second.
+struct store_rates
+{
+    double reads = 0;
+    double writes = 0;
+};
+
 struct daemon_settings
 {
     std::string member;
@@ -51,6 +74,22 @@
     std::vector<shared_key> keys;
     /// Threads that serve calls.
     unsigned threads = 2;
+    /// Where the deployment asks whether callers may be sent here; absent when
+    /// it does not ask.
+    std::optional<endpoint> readiness;
+    /// The upstream on this VM, where the deployment knows it beforehand; other
+    /// announcements are passed over then.
+    std::optional<endpoint> upstream;
+    /// The service of the upstream on this VM; empty when it is not known
+    /// beforehand.
+    std::string service;
+    /// Time between two check-ins of an upstream.
+    support::milliseconds heartbeat{1000};
+    /// How long callers may still be sent here after readiness was withdrawn;
+    /// the daemon leaves no sooner.
+    support::milliseconds leave_notice{0};
+    retry_bounds retries;
+    store_rates store_budget;
 };
 
 /// Parses and checks settings; \p file names the source in errors.
--- a/include/galenarudder/daemon/runtime.hpp
+++ b/include/galenarudder/daemon/runtime.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "galenarudder/config/settings.hpp"
+#include "galenarudder/daemon/integration.hpp"
 #include "galenarudder/support/error.hpp"
 
 #include <memory>
@@ -12,7 +13,8 @@
 class runtime
 {
 public:
-    explicit runtime(config::daemon_settings settings);
+    explicit runtime(config::daemon_settings settings,
+                     integration with = product_integration());
     ~runtime();
     runtime(const runtime&) = delete;
     runtime& operator=(const runtime&) = delete;
--- a/include/galenarudder/proxy/call_flow.hpp
+++ b/include/galenarudder/proxy/call_flow.hpp
@@ -65,6 +65,8 @@
     bool repeatable = false;
     /// Whether the body can be sent again to another upstream.
     bool replayable = true;
+    /// Upstreams on which the call may run; 0 for no bound but the product's.
+    unsigned max_runs = 0;
 };
 
 /// One call at its entry. Used by one thread at a time; what calls share is
@@ -107,6 +109,8 @@
         support::time_point answered_at;
         unsigned status = 0;
         bool open = true;
+        /// Refused before an upstream ran it.
+        bool not_run = false;
     };
 
     bool send_to_next(support::time_point now,
@@ -120,6 +124,7 @@
                      std::vector<call_action>& actions,
                      std::optional<std::size_t> kept = std::nullopt);
     std::size_t open_count() const;
+    bool may_run_again() const;
     bool can_send_again(support::time_point now) const;
     bool may_retry(const support::refusal& why, support::time_point now);
     bool take_retry(support::time_point now, const support::refusal& why);
--- a/include/galenarudder/proxy/caller_server.hpp
+++ b/include/galenarudder/proxy/caller_server.hpp
@@ -25,6 +25,9 @@
 
     support::result<void> listen(const config::endpoint& where);
 
+    /// Each connection closes after its next answer; new ones are still taken.
+    void begin_drain();
+
     /// Stops accepting; each connection closes after its current answer.
     /// \p drained is called once no call is open.
     void drain(std::function<void()> drained);
--- a/include/galenarudder/proxy/entry.hpp
+++ b/include/galenarudder/proxy/entry.hpp
@@ -5,6 +5,7 @@
 #include "galenarudder/config/configuration.hpp"
 #include "galenarudder/link/exchange.hpp"
 #include "galenarudder/proxy/call_flow.hpp"
+#include "galenarudder/proxy/http_dialect.hpp"
 #include "galenarudder/proxy/keyed_calls.hpp"
 #include "galenarudder/routing/router.hpp"
 #include "galenarudder/support/call.hpp"
@@ -41,7 +42,8 @@
     entry(const routing::router& router,
           const support::rcu_cell<config::configuration>& in_force,
           telemetry::metrics& metrics,
-          gate_lookup find_gate);
+          gate_lookup find_gate,
+          const http_dialect& dialect = product_dialect());
 
     /// Finds service, route, rank and deadline of a request. \p head holds
     /// method, target and fields as received; \p host the Host field; \p peer
@@ -53,6 +55,16 @@
                             support::time_point now,
                             std::string_view peer = {}) const;
 
+    /// Calls that enter here come from a VM that runs \p service.
+    void set_own_service(std::string service)
+    {
+        own_service_ = std::move(service);
+    }
+
+    /// What callers may send under the configuration in force.
+    config::caller_limits limits_of_callers() const;
+    const http_dialect& dialect() const { return dialect_; }
+
     /// The upstream on this VM announced itself from \p address.
     void set_upstream_address(const std::string& address);
 
@@ -72,10 +84,26 @@
     telemetry::metrics& metrics() const { return metrics_; }
 
 private:
+    std::optional<support::refusal>
+    find_host(const config::configuration& in_force,
+              std::string_view host,
+              support::call_head& head,
+              classified_call& into) const;
+    std::optional<support::refusal>
+    find_service_route(const config::configuration& in_force,
+                       std::string_view host,
+                       support::call_head& head,
+                       classified_call& into) const;
+    const std::string& choose(const config::host_route& route) const;
+
     const routing::router& router_;
     const support::rcu_cell<config::configuration>& in_force_;
     telemetry::metrics& metrics_;
     gate_lookup find_gate_;
+    const http_dialect& dialect_;
+    std::string own_service_;
+    /// Counts calls of divided routes.
+    mutable std::atomic<std::uint64_t> divided_{0};
     std::shared_ptr<keyed_calls> keyed_;
     support::rcu_cell<std::string> upstream_address_;
     std::atomic<std::uint64_t> last_call_id_{0};
--- a/include/galenarudder/proxy/upstream_client.hpp
+++ b/include/galenarudder/proxy/upstream_client.hpp
@@ -5,6 +5,7 @@
 
 #include "galenarudder/config/settings.hpp"
 #include "galenarudder/link/exchange.hpp"
+#include "galenarudder/proxy/http_dialect.hpp"
 #include "galenarudder/support/refusal.hpp"
 #include "galenarudder/support/time.hpp"
 
@@ -13,6 +14,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace galenarudder::proxy {
 
@@ -24,6 +27,10 @@
     answered,
     failed,
     shed,
+    /// No connection could be opened.
+    unreachable,
+    /// Another life of the upstream answered at its address.
+    replaced,
     /// No byte was sent: it was canceled or its deadline had passed.
     not_sent
 };
@@ -40,15 +47,20 @@
 class upstream_client
 {
 public:
+    /// \p instance names the life of the upstream that is meant; empty when
+    /// the dialect names none.
     upstream_client(boost::asio::any_io_executor executor,
-                    config::endpoint upstream);
+                    config::endpoint upstream,
+                    std::string instance = {},
+                    const http_dialect& dialect = product_dialect());
     ~upstream_client();
     upstream_client(const upstream_client&) = delete;
     upstream_client& operator=(const upstream_client&) = delete;
 
-    /// Bounds the connections that are open, in use or not, and opens as many
-    /// ahead of the calls. Call it again to replace those that were closed.
-    void set_max_connections(std::size_t count);
+    /// Bounds the connections that are open, in use or not, and opens \p warm
+    /// of them ahead of the calls. Call it again to replace those that were
+    /// closed.
+    void set_max_connections(std::size_t count, std::size_t warm);
     /// Connections that are open or being opened.
     std::size_t open_connections() const;
 
@@ -56,7 +68,9 @@
     using load_source = std::function<support::load_report()>;
     /// Called once when the attempt has ended.
     using finished =
-        std::function<void(upstream_result how, support::duration took)>;
+        std::function<void(upstream_result how,
+                           support::duration took,
+                           const std::optional<upstream_load>& stated)>;
 
     /// Sends the attempt and delivers its answer or refusal. Nothing is sent
     /// once \p deadline has passed.
@@ -70,6 +84,8 @@
 
 private:
     std::shared_ptr<connection_pool> pool_;
+    std::string instance_;
+    const http_dialect& dialect_;
 };
 
 } // namespace galenarudder::proxy
--- a/include/galenarudder/store/consul_store.hpp
+++ b/include/galenarudder/store/consul_store.hpp
@@ -22,17 +22,6 @@
     double write_burst = 200;
 };
 
-/// Calls since the start, for metrics.
-struct store_counters
-{
-    std::uint64_t reads = 0;
-    std::uint64_t writes = 0;
-    std::uint64_t watches = 0;
-    std::uint64_t over_budget = 0;
-    /// Calls that failed for any reason but the budget.
-    std::uint64_t failures = 0;
-};
-
 class consul_store final : public platform_store
 {
 public:
@@ -65,8 +54,7 @@
                       support::duration timeout,
                       callback<void> done) override;
 
-    /// Safe from any thread.
-    store_counters counters() const;
+    store_counters counters() const override;
 
 private:
     struct state;
--- a/include/galenarudder/store/platform_store.hpp
+++ b/include/galenarudder/store/platform_store.hpp
@@ -28,6 +28,17 @@
     index_mismatch
 };
 
+/// Calls since the start, for metrics.
+struct store_counters
+{
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t over_budget = 0;
+    /// Calls that failed for any reason but the budget.
+    std::uint64_t failures = 0;
+};
+
 template <typename T>
 using callback = std::function<void(support::result<T>)>;
 
@@ -71,6 +82,9 @@
     virtual void revoke_lease(const std::string& lease,
                               support::duration timeout,
                               callback<void> done) = 0;
+
+    /// Safe from any thread.
+    virtual store_counters counters() const = 0;
 };
 
 /// Key of the configuration document.
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -283,6 +283,16 @@
     return actions;
 }
 
+std::vector<action> gate::on_upstream_leaving(support::time_point now)
+{
+    std::vector<action> actions;
+    state_->present = false;
+    state_->concurrency.set_slots(0, now);
+    state_->refuse_waiting(refusal_kind::draining, "the upstream is draining",
+                           actions);
+    return actions;
+}
+
 std::vector<action> gate::on_upstream_gone(support::time_point now)
 {
     std::vector<action> actions;
--- a/lib/config/check.cpp
+++ b/lib/config/check.cpp
@@ -64,6 +64,7 @@
     {
         check_ranks();
         check_services();
+        check_hosts();
         check_base_limits();
         check_base_modes();
         check_overlays();
@@ -80,6 +81,7 @@
     void check_ranks();
     void check_services();
     void check_routes(const json& service, const std::string& pointer);
+    void check_hosts();
     void check_base_limits();
     void check_base_limit(const std::string& name, const json& stated);
     void check_base_modes();
@@ -152,7 +154,11 @@
 {
     std::set<std::string> seen;
     std::size_t index = 0;
-    for (const json& route : service.at("routes")) {
+    if (!service.contains("routes") && !whole_.base.contains("hosts")) {
+        add(pointer, "the service has no routes and there are no hosts",
+            "state routes of the service or hosts that lead to it");
+    }
+    for (const json& route : service.value("routes", json::array())) {
         std::string here = pointer + "/routes/";
         here += std::to_string(index++);
         const std::string rank = route.at("rank");
@@ -169,6 +175,41 @@
     }
 }
 
+void set_checker::check_hosts()
+{
+    std::set<std::string> services;
+    for (const json& service : whole_.base.at("services"))
+        services.insert(service.at("name").get<std::string>());
+    std::set<std::pair<std::string, std::string>> seen;
+    std::size_t index = 0;
+    for (const json& route : whole_.base.value("hosts", json::array())) {
+        const std::string here = "/hosts/" + std::to_string(index++);
+        const std::string rank = route.at("rank");
+        if (!ranks_.contains(rank)) {
+            add(here + "/rank", quoted("rank", rank) + " is not in /ranks",
+                "state the rank in /ranks or use one that is there");
+        }
+        double weights = 0;
+        for (const json& part : route.at("services")) {
+            const std::string service = part.at("service");
+            weights += part.value("weight", 1.0);
+            if (services.contains(service))
+                continue;
+            add(here + "/services",
+                quoted("service", service) + " is not in /services",
+                "state the service in /services or correct the name");
+        }
+        if (weights <= 0) {
+            add(here + "/services", "the weights add up to 0",
+                "give at least one service a weight above 0");
+        }
+        if (!seen.emplace(route.at("host"), route.at("prefix")).second) {
+            add(here + "/prefix", "this host and prefix are stated twice",
+                "remove one of the two");
+        }
+    }
+}
+
 void set_checker::unknown_limit(const std::string& name)
 {
     add("/limits/" + name, quoted("limit", name) + " does not exist",
--- a/lib/config/configuration.cpp
+++ b/lib/config/configuration.cpp
@@ -1,6 +1,8 @@
 // Names of limits and automations, and the product's first values.
 #include "galenarudder/config/configuration.hpp"
 
+#include <boost/algorithm/string/case_conv.hpp>
+
 #include <algorithm>
 
 namespace galenarudder::config {
@@ -96,6 +98,25 @@
     return nullptr;
 }
 
+const host_route* find_host_route(const configuration& in_force,
+                                  std::string_view host,
+                                  std::string_view path)
+{
+    const std::string wanted = boost::algorithm::to_lower_copy(
+        std::string(host.substr(0, host.find(':'))));
+    const auto& routes = in_force.host_routes;
+    auto route = std::lower_bound(
+        routes.begin(), routes.end(), wanted,
+        [](const host_route& known, const std::string& name) {
+            return known.host < name;
+        });
+    for (; route != routes.end() && route->host == wanted; ++route) {
+        if (path.starts_with(route->prefix))
+            return &*route;
+    }
+    return nullptr;
+}
+
 std::string_view to_string(automation_mode mode)
 {
     return mode_names.at(static_cast<std::size_t>(mode));
--- a/lib/config/document.cpp
+++ b/lib/config/document.cpp
@@ -5,6 +5,8 @@
 #include "galenarudder/config/check.hpp"
 #include "galenarudder/config/schema.hpp"
 
+#include <boost/algorithm/string/case_conv.hpp>
+
 #include <algorithm>
 #include <map>
 
@@ -53,9 +55,11 @@
     }
 }
 
+/// For routes that state no deadline.
+constexpr int default_deadline_ms = 2000;
+
 route_policy read_route(const json& entry)
 {
-    constexpr int default_deadline_ms = 2000;
     constexpr std::uint64_t default_body_limit_bytes = 1 << 20;
     route_policy route;
     route.method = entry.value("method", "");
@@ -77,12 +81,63 @@
         service_policy service;
         service.name = entry.at("name").get<std::string>();
         service.strategy = entry.value("strategy", "");
-        for (const json& route : entry.at("routes"))
+        service.probe_path = entry.value("probe_path", "");
+        service.connections = entry.value("connections", 0U);
+        for (const json& route : entry.value("routes", json::array()))
             service.routes.push_back(read_route(route));
         into.services.push_back(std::move(service));
     }
 }
 
+host_route read_host_route(const json& entry)
+{
+    host_route route;
+    route.host = boost::algorithm::to_lower_copy(
+        entry.at("host").get_ref<const std::string&>());
+    route.prefix = entry.at("prefix").get<std::string>();
+    route.rank = entry.at("rank").get<std::string>();
+    route.repeatable = entry.value("repeatable", false);
+    route.deadline =
+        support::milliseconds(entry.value("deadline_ms", default_deadline_ms));
+    route.goal = support::milliseconds(entry.value("goal_ms", 0));
+    route.attempts = entry.value("attempts", 1U);
+    for (const json& part : entry.at("services")) {
+        route.services.push_back(
+            {part.at("service"), part.value("weight", 1.0)});
+    }
+    return route;
+}
+
+void read_hosts(const json& base, configuration& into)
+{
+    if (!base.contains("hosts"))
+        return;
+    for (const json& entry : base.at("hosts"))
+        into.host_routes.push_back(read_host_route(entry));
+    std::sort(into.host_routes.begin(), into.host_routes.end(),
+              [](const host_route& left, const host_route& right) {
+                  if (left.host != right.host)
+                      return left.host < right.host;
+                  if (left.prefix.size() != right.prefix.size())
+                      return left.prefix.size() > right.prefix.size();
+                  return left.prefix < right.prefix;
+              });
+}
+
+void read_callers(const json& base, configuration& into)
+{
+    if (!base.contains("callers"))
+        return;
+    const json& stated = base.at("callers");
+    caller_limits& limits = into.callers;
+    limits.head_bytes = stated.value("head_bytes", limits.head_bytes);
+    limits.body_bytes = stated.value("body_bytes", limits.body_bytes);
+    limits.head_time = support::milliseconds(
+        stated.value("head_ms", limits.head_time.count()));
+    limits.idle_time = support::milliseconds(
+        stated.value("idle_ms", limits.idle_time.count()));
+}
+
 void read_limits(const json& body, configuration& into)
 {
     if (!body.contains("limits"))
@@ -275,6 +330,8 @@
     try {
         read_ranks(whole.base, merged);
         read_services(whole.base, merged);
+        read_hosts(whole.base, merged);
+        read_callers(whole.base, merged);
         read_limits(whole.base, merged);
         read_modes(whole.base, merged);
         const overlay_document* overlay = find_overlay(whole, site);
--- a/lib/config/document_schemas.hpp
+++ b/lib/config/document_schemas.hpp
@@ -19,10 +19,12 @@
         "held_slots": {"type": "integer", "minimum": 0, "maximum": 10000}}}},
     "services": {"type": "array", "items": {
       "type": "object", "additionalProperties": false,
-      "required": ["name", "routes"],
+      "required": ["name"],
       "properties": {
         "name": {"type": "string", "pattern": "^[A-Za-z0-9._-]{1,64}$"},
         "strategy": {"type": "string"},
+        "probe_path": {"type": "string", "pattern": "^/", "maxLength": 256},
+        "connections": {"type": "integer", "minimum": 1, "maximum": 1000000},
         "routes": {"type": "array", "minItems": 1, "items": {
           "type": "object", "additionalProperties": false,
           "required": ["rank"],
@@ -35,6 +37,32 @@
                             "maximum": 3600000},
             "body_limit_bytes": {"type": "integer", "minimum": 0,
                                  "maximum": 1099511627776}}}}}}},
+    "hosts": {"type": "array", "items": {
+      "type": "object", "additionalProperties": false,
+      "required": ["host", "prefix", "rank", "services"],
+      "properties": {
+        "host": {"type": "string", "minLength": 1, "maxLength": 253},
+        "prefix": {"type": "string", "pattern": "^/"},
+        "rank": {"type": "string", "minLength": 1},
+        "repeatable": {"type": "boolean"},
+        "deadline_ms": {"type": "integer", "minimum": 1,
+                        "maximum": 3600000},
+        "goal_ms": {"type": "integer", "minimum": 0, "maximum": 3600000},
+        "attempts": {"type": "integer", "minimum": 1, "maximum": 16},
+        "services": {"type": "array", "minItems": 1, "items": {
+          "type": "object", "additionalProperties": false,
+          "required": ["service"],
+          "properties": {
+            "service": {"type": "string", "minLength": 1},
+            "weight": {"type": "number", "minimum": 0}}}}}}},
+    "callers": {"type": "object", "additionalProperties": false,
+      "properties": {
+        "head_bytes": {"type": "integer", "minimum": 1024,
+                       "maximum": 1048576},
+        "body_bytes": {"type": "integer", "minimum": 0,
+                       "maximum": 1099511627776},
+        "head_ms": {"type": "integer", "minimum": 1, "maximum": 3600000},
+        "idle_ms": {"type": "integer", "minimum": 1, "maximum": 3600000}}},
     "limits": {"type": "object", "additionalProperties": {
       "type": "object", "additionalProperties": false,
       "required": ["value", "min", "max", "mover"],
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -33,6 +34,22 @@
     "store": {"type": "string"},
     "introducers": {"type": "array", "items": {"type": "string"}},
     "threads": {"type": "integer", "minimum": 1, "maximum": 64},
+    "readiness": {"type": "string"},
+    "upstream": {"type": "string"},
+    "service": {"type": "string", "maxLength": 64},
+    "heartbeat": {"type": "string"},
+    "leave_notice": {"type": "string"},
+    "retries": {"type": "object", "additionalProperties": false,
+      "required": ["ratio", "window", "slack"],
+      "properties": {
+        "ratio": {"type": "number", "minimum": 0, "maximum": 1},
+        "window": {"type": "string"},
+        "slack": {"type": "integer", "minimum": 0, "maximum": 1000000}}},
+    "store_rates": {"type": "object", "additionalProperties": false,
+      "required": ["reads", "writes"],
+      "properties": {
+        "reads": {"type": "number", "minimum": 0},
+        "writes": {"type": "number", "minimum": 0}}},
     "keys": {"type": "array", "minItems": 1, "items": {
       "type": "object", "additionalProperties": false,
       "required": ["id", "secret"],
@@ -108,6 +125,99 @@
     return endpoint{std::string(host), port};
 }
 
+namespace {
+
+struct optional_endpoint_field
+{
+    const char* name;
+    std::optional<endpoint> daemon_settings::*member;
+};
+
+constexpr optional_endpoint_field optional_endpoint_fields[] = {
+    {"readiness", &daemon_settings::readiness},
+    {"upstream", &daemon_settings::upstream},
+};
+
+struct span_field
+{
+    const char* name;
+    support::milliseconds daemon_settings::*member;
+};
+
+constexpr span_field span_fields[] = {
+    {"heartbeat", &daemon_settings::heartbeat},
+    {"leave_notice", &daemon_settings::leave_notice},
+};
+
+support::result<void> read_span(const nlohmann::json& document,
+                                const char* field,
+                                support::milliseconds& into,
+                                std::string_view file)
+{
+    auto parsed = parse_span(document.at(field).get_ref<const std::string&>());
+    if (!parsed) {
+        error failure = std::move(parsed).error();
+        failure.message =
+            std::string(file) + ": /" + field + ": " + failure.message;
+        return failure;
+    }
+    into = parsed.value();
+    return boost::outcome_v2::success();
+}
+
+/// Reads what a deployment may state beyond the addresses.
+support::result<void> read_deployment(const nlohmann::json& document,
+                                      daemon_settings& settings,
+                                      std::string_view file)
+{
+    for (const optional_endpoint_field& field : optional_endpoint_fields) {
+        if (!document.contains(field.name))
+            continue;
+        endpoint where;
+        BOOST_OUTCOME_TRYV(read_endpoint(document, field.name, where, file));
+        settings.*field.member = std::move(where);
+    }
+    for (const span_field& field : span_fields) {
+        if (!document.contains(field.name))
+            continue;
+        BOOST_OUTCOME_TRYV(read_span(document, field.name,
+                                     settings.*field.member, file));
+    }
+    settings.service = document.value("service", "");
+    if (document.contains("retries")) {
+        const nlohmann::json& retries = document.at("retries");
+        settings.retries.ratio = retries.at("ratio");
+        settings.retries.slack = retries.at("slack");
+        BOOST_OUTCOME_TRYV(
+            read_span(retries, "window", settings.retries.window, file));
+    }
+    if (document.contains("store_rates")) {
+        const nlohmann::json& rates = document.at("store_rates");
+        settings.store_budget = {rates.at("reads"), rates.at("writes")};
+    }
+    return boost::outcome_v2::success();
+}
+
+} // namespace
+
+support::result<support::milliseconds> parse_span(std::string_view text)
+{
+    constexpr double ms_per_s = 1000;
+    double number = 0;
+    const auto [end, status] =
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    const std::string_view unit =
+        text.substr(static_cast<std::size_t>(end - text.data()));
+    const bool known = unit == "ms" || unit == "s";
+    if (status != std::errc() || !known || number < 0) {
+        return error{error_kind::invalid_document,
+                     "\"" + std::string(text) + "\" is not a time span",
+                     "write it as 1500ms or 2.5s"};
+    }
+    return support::milliseconds(
+        std::llround(unit == "s" ? number * ms_per_s : number));
+}
+
 support::result<daemon_settings> parse_settings(std::string_view text,
                                                 std::string_view file)
 {
@@ -133,6 +243,7 @@
             return std::move(where).error();
         settings.introducers.push_back(std::move(where).value());
     }
+    BOOST_OUTCOME_TRYV(read_deployment(document, settings, file));
     for (const auto& key : document.at("keys"))
         settings.keys.push_back({key.at("id"), key.at("secret")});
     return settings;
--- a/lib/daemon/announcement_port.cpp
+++ b/lib/daemon/announcement_port.cpp
@@ -64,9 +64,13 @@
         config::parse_endpoint(document.at("address").get<std::string>());
     if (!address)
         return std::move(address).error();
-    return announcement{document.at("service"), std::move(address).value(),
-                        document.at("slots"), document.at("connections"),
-                        document.value("probe_path", "")};
+    announcement stated;
+    stated.life.service = document.at("service");
+    stated.life.address = std::move(address).value();
+    stated.life.slots = document.at("slots");
+    stated.connections = document.at("connections");
+    stated.probe_path = document.value("probe_path", "");
+    return stated;
 }
 
 class announcement_port::impl : public std::enable_shared_from_this<impl>
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -4,17 +4,16 @@
 
 #include "collect_metrics.hpp"
 
-#include "galenarudder/daemon/announcement_port.hpp"
 #include "galenarudder/daemon/introducer_runtime.hpp"
 #include "galenarudder/daemon/membership_metrics.hpp"
 #include "galenarudder/daemon/node.hpp"
 #include "galenarudder/daemon/operator_port.hpp"
 #include "galenarudder/daemon/rollout_runtime.hpp"
+#include "galenarudder/http/service.hpp"
 #include "galenarudder/link/hub.hpp"
 #include "galenarudder/proxy/caller_server.hpp"
 #include "galenarudder/proxy/entry.hpp"
 #include "galenarudder/proxy/gate_runtime.hpp"
-#include "galenarudder/store/consul_store.hpp"
 #include "galenarudder/telemetry/log.hpp"
 #include "galenarudder/telemetry/metrics.hpp"
 
@@ -29,6 +28,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <array>
+#include <atomic>
 #include <csignal>
 #include <random>
 #include <thread>
@@ -43,6 +43,11 @@
 
 constexpr auto awaiting = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t max_datagram_bytes = 64 * 1024;
+/// An upstream that sent none of so many check-ins is taken for gone.
+constexpr int heartbeats_to_lapse = 4;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_not_found = 404;
 /// Time for the drain notice to spread before the daemon leaves.
 constexpr auto leave_delay = std::chrono::milliseconds(500);
 /// Outcomes of keyed calls get this many further delays to reach the store.
@@ -69,7 +74,7 @@
 class runtime::impl : public std::enable_shared_from_this<impl>
 {
 public:
-    explicit impl(config::daemon_settings settings);
+    impl(config::daemon_settings settings, integration with);
 
     support::result<void> start();
     void run();
@@ -87,7 +92,13 @@
         rollout_.execute(action);
     }
     void execute(const configure_gate&);
+    void announced(const announcement& what);
+    void apply(admission::presence_change change, const std::string& cause);
+    void serving_changed(std::optional<proxy::upstream_facts> upstream);
+    support::result<void> open_readiness();
+    bool is_ready() const;
     void drain(std::string_view asked_by);
+    void close_to_callers();
     void start_drain(std::string_view asked_by);
     void leave_if_drained();
     void leave();
@@ -107,6 +118,7 @@
     }
 
     config::daemon_settings settings_;
+    integration with_;
     asio::io_context io_;
     asio::strand<asio::io_context::executor_type> control_;
     node node_;
@@ -115,37 +127,45 @@
     proxy::entry entry_;
     std::unique_ptr<link::hub> hub_;
     proxy::caller_server callers_;
-    std::unique_ptr<announcement_port> announcements_;
+    admission::upstream_presence presence_;
+    std::unique_ptr<upstream_port> announcements_;
+    std::unique_ptr<http::service> readiness_;
     std::unique_ptr<operator_port> operators_;
-    store::consul_store store_;
+    std::unique_ptr<store::platform_store> store_;
     std::shared_ptr<proxy::keyed_calls> keyed_;
     rollout_runtime rollout_;
     introducer_runtime introducers_;
     udp::socket gossip_;
     asio::steady_timer timer_;
+    asio::steady_timer leave_timer_;
     asio::signal_set signals_;
     /// The gate refuses new work.
     bool draining_ = false;
     /// The gate has no work left.
     bool gate_drained_ = false;
     /// SIGTERM came: the daemon leaves once gate and callers are drained.
-    bool leaving_ = false;
+    std::atomic<bool> leaving_ = false;
     bool callers_drained_ = false;
 };
 
-runtime::impl::impl(config::daemon_settings settings)
-    : settings_(std::move(settings)), control_(asio::make_strand(io_)),
+runtime::impl::impl(config::daemon_settings settings, integration with)
+    : settings_(std::move(settings)), with_(std::move(with)),
+      io_(static_cast<int>(settings_.threads)), control_(asio::make_strand(io_)),
       node_(settings_, wall_clock_ms(), std::random_device{}()),
       gate_(std::make_shared<proxy::gate_runtime>(
-          io_, *node_.configuration().read())),
+          io_, *node_.configuration().read(), *with_.dialect)),
       entry_(node_.router(),
              node_.configuration(),
              metrics_,
-             [this](const routing::choice& target) { return gate_of(target); }),
-      callers_(io_, entry_), store_(control_, settings_.store),
-      rollout_(control_, store_, node_, settings_, rollout_performer()),
-      introducers_(control_, store_, node_, std::random_device{}()),
-      gossip_(control_), timer_(control_), signals_(control_, SIGTERM, SIGINT)
+             [this](const routing::choice& target) { return gate_of(target); },
+             *with_.dialect),
+      callers_(io_, entry_),
+      presence_(heartbeats_to_lapse * settings_.heartbeat),
+      store_(with_.open_store(control_, settings_)),
+      rollout_(control_, *store_, node_, settings_, rollout_performer()),
+      introducers_(control_, *store_, node_, std::random_device{}()),
+      gossip_(control_), timer_(control_), leave_timer_(control_),
+      signals_(control_, SIGTERM, SIGINT)
 {
 }
 
@@ -184,14 +204,19 @@
     announcement_handlers handlers;
     handlers.announced = [weak = weak_from_this()](const announcement& what) {
         const auto self = weak.lock();
+        if (self)
+            self->on_control([what](impl& own) { own.announced(what); });
+    };
+    handlers.leaving = [weak = weak_from_this()](
+                           const std::string& instance,
+                           std::optional<std::uint64_t> born_ms) {
+        const auto self = weak.lock();
         if (!self)
             return;
-        self->on_control([what](impl& own) {
-            own.entry_.set_upstream_address(what.address.address);
-            own.gate_->set_upstream(what.address, what.slots, what.connections,
-                                    what.probe_path);
-            own.perform(own.node_.on_announcement(what.service, what.slots,
-                                                  monotonic_clock::now()));
+        self->on_control([instance, born_ms](impl& own) {
+            own.apply(own.presence_.on_leave(instance, born_ms,
+                                             monotonic_clock::now()),
+                      "the upstream leaves instance=" + instance);
         });
     };
     handlers.gone = [weak = weak_from_this()] {
@@ -212,6 +237,65 @@
     return handlers;
 }
 
+void runtime::impl::announced(const announcement& what)
+{
+    const auto change =
+        presence_.on_check_in(what.life, monotonic_clock::now());
+    apply(change, "check-in instance=" + what.life.instance +
+                      " sequence=" + std::to_string(what.life.sequence));
+    if (!presence_.serves() || change == admission::presence_change::stale)
+        return;
+    proxy::upstream_facts facts;
+    facts.where = what.life.address;
+    facts.service = what.life.service;
+    facts.slots = what.life.slots;
+    facts.connections = what.connections == 0 ? what.life.slots * 2
+                                              : what.connections;
+    facts.probe_path = what.probe_path;
+    facts.instance = what.life.instance;
+    facts.born_ms = what.life.born_ms;
+    facts.warm_connections = with_.warm_connections;
+    entry_.set_upstream_address(what.life.address.address);
+    gate_->set_upstream(std::move(facts));
+}
+
+void runtime::impl::apply(admission::presence_change change,
+                          const std::string& cause)
+{
+    using admission::presence_change;
+    static constexpr std::string_view names[] = {"none", "stale", "arrived",
+                                                 "left", "lapsed"};
+    if (change == presence_change::none)
+        return;
+    telemetry::log_change(
+        "upstream change=" +
+        std::string(names[static_cast<std::size_t>(change)]) +
+        " cause=" + cause);
+    const bool ended = change == presence_change::left ||
+                       change == presence_change::lapsed;
+    if (!ended)
+        return;
+    if (change == presence_change::left)
+        gate_->upstream_leaving();
+    else
+        gate_->upstream_gone();
+    perform(node_.on_upstream_gone(monotonic_clock::now()));
+}
+
+/// The gate found that it can send calls to the upstream, or that it cannot.
+void runtime::impl::serving_changed(std::optional<proxy::upstream_facts> upstream)
+{
+    if (!upstream) {
+        perform(node_.on_upstream_gone(monotonic_clock::now()));
+        return;
+    }
+    telemetry::log_change("upstream serves instance=" + upstream->instance);
+    if (presence_.serves()) {
+        perform(node_.on_announcement(upstream->service, upstream->slots,
+                                      monotonic_clock::now()));
+    }
+}
+
 rollout_runtime::performer runtime::impl::rollout_performer()
 {
     return [this](const std::vector<node_action>& actions) {
@@ -227,7 +311,7 @@
     handlers.executor = control_;
     handlers.metrics = [this] {
         set_metrics(metrics_, node_.member());
-        set_metrics(metrics_, store_.counters());
+        set_metrics(metrics_, store_->counters());
         feed_metrics();
         return metrics_.render();
     };
@@ -246,20 +330,30 @@
 support::result<void> runtime::impl::start()
 {
     gate_->report_to(metrics_, node_.decisions());
-    keyed_ = std::make_shared<proxy::keyed_calls>(control_, store_, metrics_,
+    keyed_ = std::make_shared<proxy::keyed_calls>(control_, *store_, metrics_,
                                                   settings_.member + "-" +
                                                       unique_start_name());
     entry_.set_keyed_calls(keyed_);
     hub_ = std::make_unique<link::hub>(io_, settings_.member, settings_.keys,
                                        hub_handlers());
+    entry_.set_own_service(settings_.service);
+    gate_->on_serving_changed([this](const proxy::upstream_facts* upstream) {
+        std::optional<proxy::upstream_facts> facts;
+        if (upstream != nullptr)
+            facts = *upstream;
+        on_control([facts = std::move(facts)](impl& own) {
+            own.serving_changed(facts);
+        });
+    });
     announcements_ =
-        std::make_unique<announcement_port>(io_, announcement_events());
+        with_.open_upstream_port(io_, settings_, announcement_events());
     operators_ = std::make_unique<operator_port>(io_, operator_events());
     BOOST_OUTCOME_TRYV(hub_->listen(settings_.link));
     BOOST_OUTCOME_TRYV(open_gossip());
     BOOST_OUTCOME_TRYV(announcements_->listen(settings_.announcements));
     BOOST_OUTCOME_TRYV(operators_->listen(settings_.operators));
     BOOST_OUTCOME_TRYV(callers_.listen(settings_.callers));
+    BOOST_OUTCOME_TRYV(open_readiness());
     asio::co_spawn(
         control_,
         [self = shared_from_this()]() -> asio::awaitable<void> {
@@ -279,6 +373,27 @@
     return boost::outcome_v2::success();
 }
 
+support::result<void> runtime::impl::open_readiness()
+{
+    if (!settings_.readiness)
+        return boost::outcome_v2::success();
+    readiness_ = std::make_unique<http::service>(
+        io_, [this](http::request asked) -> asio::awaitable<http::response> {
+            http::response answer;
+            answer.status = is_ready() ? status_ok : status_unavailable;
+            if (asked.path != with_.readiness_path)
+                answer.status = status_not_found;
+            co_return answer;
+        });
+    return readiness_->listen(*settings_.readiness);
+}
+
+/// Callers may be sent here: calls can be classified and nothing is closing.
+bool runtime::impl::is_ready() const
+{
+    return !leaving_ && node_.configuration().read()->version != 0;
+}
+
 support::result<void> runtime::impl::open_gossip()
 {
     boost::system::error_code failed;
@@ -316,6 +431,7 @@
 void runtime::impl::tick()
 {
     perform(node_.on_tick(monotonic_clock::now()));
+    apply(presence_.on_tick(monotonic_clock::now()), "no check-in came");
     timer_.expires_after(membership::member::tick_interval);
     timer_.async_wait(
         [weak = weak_from_this()](boost::system::error_code canceled) {
@@ -358,6 +474,18 @@
         return;
     leaving_ = true;
     telemetry::log_change("leaving");
+    callers_.begin_drain();
+    leave_timer_.expires_after(settings_.leave_notice);
+    leave_timer_.async_wait(
+        [weak = weak_from_this()](boost::system::error_code canceled) {
+            const auto self = weak.lock();
+            if (self && !canceled)
+                self->close_to_callers();
+        });
+}
+
+void runtime::impl::close_to_callers()
+{
     callers_.drain([weak = weak_from_this()] {
         const auto self = weak.lock();
         if (!self)
@@ -433,8 +561,8 @@
         other.join();
 }
 
-runtime::runtime(config::daemon_settings settings)
-    : impl_(std::make_shared<impl>(std::move(settings)))
+runtime::runtime(config::daemon_settings settings, integration with)
+    : impl_(std::make_shared<impl>(std::move(settings), std::move(with)))
 {
 }
 
--- a/lib/membership/introducer_directory.cpp
+++ b/lib/membership/introducer_directory.cpp
@@ -15,11 +15,11 @@
 
 constexpr support::milliseconds lease_ttl{60000};
 /// A member that knows nobody reads this often while the store answers.
-constexpr support::milliseconds alone_interval{1000};
+constexpr support::milliseconds alone_interval{500};
 /// Candidates and holders look at a slot this often.
 constexpr support::milliseconds check_interval{30000};
 /// A process learns who else is there before it claims a slot.
-constexpr support::milliseconds settling_time{10000};
+constexpr support::milliseconds settling_time{2000};
 constexpr support::milliseconds claim_retry{2000};
 constexpr support::milliseconds longest_retry{15000};
 /// Of so many reads of a lone member, one reads the list of domains.
--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -3,6 +3,8 @@
 
 #include "galenarudder/telemetry/decision_log.hpp"
 
+#include <algorithm>
+
 namespace galenarudder::proxy {
 
 using routing::attempt_result;
@@ -160,6 +162,7 @@
         router_.on_report(record.target, load, now);
     if (!record.open)
         return {};
+    record.not_run = why.outcome == run_outcome::not_run;
     end_attempt(attempt, result_of(why), now);
     if (decided_)
         return {};
@@ -265,7 +268,17 @@
 bool call_flow::can_send_again(support::time_point now) const
 {
     return terms_.replayable && attempts_.size() < max_attempts &&
-           now < terms_.deadline;
+           may_run_again() && now < terms_.deadline;
+}
+
+bool call_flow::may_run_again() const
+{
+    if (terms_.max_runs == 0)
+        return true;
+    const auto runs = std::count_if(
+        attempts_.begin(), attempts_.end(),
+        [](const attempt_record& made) { return !made.not_run; });
+    return static_cast<std::size_t>(runs) < terms_.max_runs;
 }
 
 bool call_flow::may_retry(const refusal& why, support::time_point now)
--- a/lib/proxy/caller_connection.cpp
+++ b/lib/proxy/caller_connection.cpp
@@ -27,15 +27,12 @@
 namespace {
 
 constexpr auto awaiting = asio::as_tuple(asio::use_awaitable);
-constexpr auto idle_timeout = std::chrono::seconds(75);
 /// How long a draining daemon answers further requests on a connection
 /// before it closes it.
 constexpr auto drain_linger = std::chrono::seconds(1);
-constexpr auto head_timeout = std::chrono::seconds(5);
 constexpr auto write_timeout = std::chrono::seconds(60);
 /// How long a refused caller may still send its body.
 constexpr auto close_linger = std::chrono::seconds(2);
-constexpr std::uint32_t max_head_bytes = 16 * 1024;
 constexpr std::size_t read_bytes = 4 * 1024;
 /// Pipelined requests are read ahead up to this size.
 constexpr std::size_t max_read_ahead_bytes = 64 * 1024;
@@ -49,7 +46,9 @@
             std::move(detail)};
 }
 
-refusal head_failure(boost::system::error_code failed, bool timed_out)
+refusal head_failure(boost::system::error_code failed,
+                     bool timed_out,
+                     std::uint32_t max_head_bytes)
 {
     if (timed_out) {
         return refused_request(refusal_kind::request_timeout,
@@ -126,22 +125,34 @@
     return answer;
 }
 
+std::string retry_after_text(support::milliseconds wait, bool fractional)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(wait);
+    if (!fractional)
+        return std::to_string(seconds.count());
+    constexpr int ms_per_s = 1000;
+    const std::string ms = std::to_string(wait.count() % ms_per_s);
+    return std::to_string(wait.count() / ms_per_s) + "." +
+           std::string(3 - ms.size(), '0') + ms;
+}
+
 bhttp::response<bhttp::string_body> build_refusal(const refusal& why,
-                                                  const answer_framing& framing)
+                                                  const answer_framing& framing,
+                                                  const http_dialect& dialect)
 {
     bhttp::response<bhttp::string_body> answer;
     answer.version(framing.version);
-    answer.result(http_status(why.kind));
+    answer.result(dialect.refusal_status(why));
     answer.set(bhttp::field::content_type, problem_type);
     if (why.retry_after.count() > 0) {
-        const auto seconds =
-            std::chrono::ceil<std::chrono::seconds>(why.retry_after);
-        answer.set(bhttp::field::retry_after, std::to_string(seconds.count()));
+        answer.set(bhttp::field::retry_after,
+                   retry_after_text(why.retry_after,
+                                    dialect.fractional_retry_after));
     }
-    if (why.retry_exhausted) {
-        answer.set(
-            beast::string_view(no_retry_field.data(), no_retry_field.size()),
-            "1");
+    if (why.retry_exhausted && !dialect.no_retry.empty()) {
+        answer.set(beast::string_view(dialect.no_retry.data(),
+                                      dialect.no_retry.size()),
+                   "1");
     }
     answer.keep_alive(framing.keep_alive);
     answer.body() = problem_json(why);
@@ -176,8 +187,9 @@
 
 } // namespace
 
-caller_connection::caller_connection(tcp::socket socket)
-    : stream_(std::move(socket)), watch_ended_(stream_.get_executor()),
+caller_connection::caller_connection(tcp::socket socket,
+                                     const http_dialect& dialect)
+    : stream_(std::move(socket)), dialect_(dialect), watch_ended_(stream_.get_executor()),
       read_limit_(stream_.get_executor())
 {
     boost::system::error_code ignored;
@@ -222,7 +234,7 @@
     if (buffer_.size() != 0)
         co_return true;
     if (!draining_) {
-        const bool begun = co_await read_first_bytes(idle_timeout);
+        const bool begun = co_await read_first_bytes(limits_.idle_time);
         if (begun)
             co_return true;
     }
@@ -235,9 +247,9 @@
 
 asio::awaitable<head_read> caller_connection::read_head(request_parser& parser)
 {
-    parser.header_limit(max_head_bytes);
+    parser.header_limit(limits_.head_bytes);
     parser.body_limit(boost::none);
-    limit_read(head_timeout);
+    limit_read(limits_.head_time);
     const auto [failed, size] =
         co_await bhttp::async_read_header(stream_, buffer_, parser, awaiting);
     end_read_limit();
@@ -245,7 +257,7 @@
     if (failed == bhttp::error::end_of_stream)
         co_return found;
     if (failed) {
-        found.why = head_failure(failed, read_timed_out_);
+        found.why = head_failure(failed, read_timed_out_, limits_.head_bytes);
         co_return found;
     }
     const std::optional<std::string> unclear = ambiguity(parser);
@@ -383,7 +395,7 @@
 asio::awaitable<bool> caller_connection::write_refusal(const refusal& why,
                                                        answer_framing framing)
 {
-    auto answer = build_refusal(why, framing);
+    auto answer = build_refusal(why, framing, dialect_);
     stream_.expires_after(write_timeout);
     if (framing.head_only) {
         bhttp::response_serializer<bhttp::string_body> serializer{answer};
--- a/lib/proxy/caller_connection.hpp
+++ b/lib/proxy/caller_connection.hpp
@@ -3,7 +3,9 @@
 /// refusals out, and a watch for a caller that goes away.
 #pragma once
 
+#include "galenarudder/config/configuration.hpp"
 #include "galenarudder/link/exchange.hpp"
+#include "galenarudder/proxy/http_dialect.hpp"
 #include "galenarudder/proxy/keyed_calls.hpp"
 #include "galenarudder/support/refusal.hpp"
 #include "galenarudder/support/time.hpp"
@@ -56,7 +58,11 @@
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
-    explicit caller_connection(boost::asio::ip::tcp::socket socket);
+    caller_connection(boost::asio::ip::tcp::socket socket,
+                      const http_dialect& dialect);
+
+    /// Sets what the next request may hold and how long it may take.
+    void set_limits(const config::caller_limits& limits) { limits_ = limits; }
 
     boost::asio::any_io_executor executor() { return stream_.get_executor(); }
 
@@ -109,6 +115,8 @@
     void on_watched(boost::system::error_code failed, std::size_t size);
 
     boost::beast::tcp_stream stream_;
+    const http_dialect& dialect_;
+    config::caller_limits limits_;
     boost::beast::flat_buffer buffer_;
     boost::asio::cancellation_signal stop_watch_;
     boost::asio::steady_timer watch_ended_;
--- a/lib/proxy/caller_server.cpp
+++ b/lib/proxy/caller_server.cpp
@@ -67,7 +67,7 @@
         const std::lock_guard lock(sessions_mutex);
         sessions[accepted.get()] = accepted;
     }
-    if (draining)
+    if (!acceptor.is_open())
         accepted->drain();
     asio::co_spawn(
         executor,
@@ -146,6 +146,11 @@
     return boost::outcome_v2::success();
 }
 
+void caller_server::begin_drain()
+{
+    state_->draining = true;
+}
+
 void caller_server::drain(std::function<void()> drained)
 {
     asio::post(state_->acceptor.get_executor(),
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -146,7 +146,8 @@
 
 caller_session::caller_session(tcp::socket socket, session_context context)
     : context_(context), entry_(*context.shared), peer_(address_of(socket)),
-      connection_(std::make_shared<caller_connection>(std::move(socket)))
+      connection_(std::make_shared<caller_connection>(
+          std::move(socket), context.shared->dialect()))
 {
 }
 
@@ -189,6 +190,7 @@
 
 asio::awaitable<bool> caller_session::serve_one()
 {
+    connection_->set_limits(entry_.limits_of_callers());
     const bool begun = co_await connection_->wait_for_request();
     if (!begun)
         co_return false;
--- a/lib/proxy/connection_pool.cpp
+++ b/lib/proxy/connection_pool.cpp
@@ -20,6 +20,8 @@
 
 constexpr auto awaiting = asio::as_tuple(asio::use_awaitable);
 constexpr auto connect_timeout = std::chrono::seconds(1);
+/// Upstreams commonly close connections that were idle for 5 s or longer.
+constexpr auto usual_idle_time = std::chrono::seconds(4);
 
 /// Whether the upstream has neither closed an idle connection nor sent
 /// anything on it.
@@ -43,15 +45,16 @@
     room_.expires_at(asio::steady_timer::time_point::max());
 }
 
-void connection_pool::set_max_connections(std::size_t count)
+void connection_pool::set_max_connections(std::size_t count, std::size_t warm)
 {
     max_connections_ = std::max<std::size_t>(1, count);
+    warm_ = std::min(warm, max_connections_);
     std::erase_if(idle_,
                   [](const connection_ptr& kept) { return !is_quiet(*kept); });
     while (open_ > max_connections_ && !idle_.empty())
         idle_.pop_front();
     room_.cancel();
-    if (warming_)
+    if (warming_ || open_ >= warm_)
         return;
     asio::co_spawn(
         executor_,
@@ -74,12 +77,23 @@
     room_.cancel();
 }
 
-connection_ptr connection_pool::take_idle()
+/// Takes the connection that was used last, so that few stay in use. One that
+/// was idle for too long may be closed by the upstream just as a call is sent
+/// on it; one that is too old for this call alone stays for others.
+connection_ptr connection_pool::take_idle(support::duration longest_idle)
 {
+    const support::time_point now = support::monotonic_clock::now();
     while (!idle_.empty()) {
+        const connection& last = *idle_.back();
+        const bool stated = last.kept_for.count() > 0;
+        const support::duration usable =
+            stated ? last.kept_for : usual_idle_time;
+        const support::duration idle = now - last.idle_since;
+        if (idle < usable && idle >= longest_idle)
+            return nullptr;
         connection_ptr kept = std::move(idle_.back());
         idle_.pop_back();
-        if (is_quiet(*kept))
+        if (idle < usable && is_quiet(*kept))
             return kept;
     }
     return nullptr;
@@ -122,16 +136,19 @@
 
 /// Takes an idle connection or opens one, never more than the most allowed.
 asio::awaitable<connection_ptr>
-connection_pool::take_connection(support::time_point deadline)
+connection_pool::take_connection(support::time_point deadline,
+                                 support::duration longest_idle)
 {
     const auto self = shared_from_this();
     for (;;) {
-        if (connection_ptr kept = take_idle())
+        if (connection_ptr kept = take_idle(longest_idle))
             co_return kept;
         const support::duration left =
             deadline - support::monotonic_clock::now();
         if (left <= support::duration(0))
             co_return nullptr;
+        if (open_ >= max_connections_ && !idle_.empty())
+            idle_.pop_front();
         if (open_ < max_connections_) {
             const support::duration timeout =
                 std::min<support::duration>(left, connect_timeout);
@@ -147,7 +164,7 @@
 {
     const auto self = shared_from_this();
     warming_ = true;
-    while (!closed_ && open_ < max_connections_) {
+    while (!closed_ && open_ < warm_) {
         connection_ptr made = co_await connect(connect_timeout);
         if (!made)
             break;
@@ -161,6 +178,7 @@
     if (closed_ || open_ > max_connections_)
         return;
     used->stream.expires_never();
+    used->idle_since = support::monotonic_clock::now();
     idle_.push_back(std::move(used));
     room_.cancel();
 }
--- a/lib/proxy/connection_pool.hpp
+++ b/lib/proxy/connection_pool.hpp
@@ -33,6 +33,10 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     std::function<void()> on_closed;
+    /// Since when no call uses it.
+    support::time_point idle_since{};
+    /// How long the upstream keeps it without a call; 0 when not stated.
+    support::duration kept_for{0};
 };
 
 using connection_ptr = std::shared_ptr<connection>;
@@ -45,13 +49,14 @@
     connection_pool(boost::asio::any_io_executor executor,
                     config::endpoint upstream);
 
-    /// Bounds the open connections and opens as many ahead; drops those that
-    /// the upstream has closed.
-    void set_max_connections(std::size_t count);
-    /// Takes an idle connection or opens one; null when that fails, or when
-    /// none came free before \p deadline.
+    /// Bounds the open connections and opens \p warm of them ahead; drops those
+    /// that the upstream has closed.
+    void set_max_connections(std::size_t count, std::size_t warm);
+    /// Takes a connection that was idle for at most \p longest_idle or opens
+    /// one; null when that fails, or when none came free before \p deadline.
     boost::asio::awaitable<connection_ptr>
-    take_connection(support::time_point deadline);
+    take_connection(support::time_point deadline,
+                    support::duration longest_idle);
     void give_back(connection_ptr used);
     /// Closes idle connections, and others when they are given back.
     void close();
@@ -65,12 +70,13 @@
     boost::asio::awaitable<connection_ptr> connect(support::duration timeout);
     boost::asio::awaitable<void> warm();
     boost::asio::awaitable<void> wait_for_room(support::time_point deadline);
-    connection_ptr take_idle();
+    connection_ptr take_idle(support::duration longest_idle);
     void connection_closed();
 
     boost::asio::any_io_executor executor_;
     config::endpoint upstream_;
     std::size_t max_connections_ = 1;
+    std::size_t warm_ = 0;
     std::size_t open_ = 0;
     std::deque<connection_ptr> idle_;
     /// Its waiters wake when a connection was given back or closed.
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace galenarudder::proxy {
 
@@ -104,24 +105,35 @@
     return may_raise ? *wanted : std::max(of_route, *wanted);
 }
 
-void drop_own_fields(std::vector<support::header_field>& fields)
+void drop_own_fields(std::vector<support::header_field>& fields,
+                     const http_dialect& dialect)
 {
-    std::erase_if(fields, [](const support::header_field& field) {
+    std::erase_if(fields, [&](const support::header_field& field) {
         return is_hop_by_hop(field.name) ||
-               same_field(field.name, rank_field) ||
-               same_field(field.name, deadline_field) ||
-               same_field(field.name, depth_field);
+               same_field(field.name, dialect.rank) ||
+               same_field(field.name, dialect.deadline) ||
+               same_field(field.name, dialect.depth) ||
+               same_field(field.name, dialect.calling_service) ||
+               same_field(field.name, dialect.expected_instance);
     });
 }
 
+refusal too_large(std::uint64_t limit)
+{
+    return refused_before(refusal_kind::body_too_large,
+                          "the route takes at most " + std::to_string(limit) +
+                              " bytes");
+}
+
 } // namespace
 
 entry::entry(const routing::router& router,
              const support::rcu_cell<config::configuration>& in_force,
              telemetry::metrics& metrics,
-             gate_lookup find_gate)
+             gate_lookup find_gate,
+             const http_dialect& dialect)
     : router_(router), in_force_(in_force), metrics_(metrics),
-      find_gate_(std::move(find_gate)),
+      find_gate_(std::move(find_gate)), dialect_(dialect),
       upstream_address_(std::make_unique<const std::string>())
 {
 }
@@ -153,15 +165,60 @@
     return static_cast<support::call_id>(++last_call_id_);
 }
 
-classification entry::classify(call_head head,
-                               std::string_view host,
-                               support::time_point now,
-                               std::string_view peer) const
+config::caller_limits entry::limits_of_callers() const
 {
-    const auto in_force = in_force_.read();
-    if (is_first(*in_force))
-        return refused_without_configuration();
-    const config::service_policy* service = find_service(*in_force, host, head);
+    return in_force_.read()->callers;
+}
+
+/// Takes the services of a divided route in a sequence that keeps to the
+/// weights over any short span, as multiples of the golden ratio do.
+const std::string& entry::choose(const config::host_route& route) const
+{
+    if (route.services.size() == 1)
+        return route.services.front().service;
+    constexpr double golden = 0.6180339887498949;
+    const double turn = golden * static_cast<double>(++divided_);
+    double all = 0;
+    for (const config::weighted_service& part : route.services)
+        all += part.weight;
+    double place = (turn - std::floor(turn)) * all;
+    for (const config::weighted_service& part : route.services) {
+        place -= part.weight;
+        if (place < 0)
+            return part.service;
+    }
+    return route.services.back().service;
+}
+
+std::optional<refusal> entry::find_host(const config::configuration& in_force,
+                                        std::string_view host,
+                                        call_head& head,
+                                        classified_call& into) const
+{
+    const config::host_route* route =
+        config::find_host_route(in_force, host, path_of(head.target));
+    if (route == nullptr) {
+        return refused_before(refusal_kind::no_such_service,
+                              "no route of host " + std::string(host) +
+                                  " matches " + head.target);
+    }
+    into.body_limit_bytes = in_force.callers.body_bytes;
+    into.terms.service = choose(*route);
+    into.terms.rank =
+        in_force.rank_index(route->rank).value_or(in_force.ranks.size() - 1);
+    into.terms.repeatable = route->repeatable;
+    into.terms.max_runs = route->attempts;
+    head.remaining = route->deadline;
+    return std::nullopt;
+}
+
+std::optional<refusal>
+entry::find_service_route(const config::configuration& in_force,
+                          std::string_view host,
+                          call_head& head,
+                          classified_call& into) const
+{
+    const config::service_policy* service = find_service(in_force, host, head);
     if (service == nullptr) {
         return refused_before(refusal_kind::no_such_service,
                               "no service of the configuration is named");
@@ -174,40 +231,60 @@
                                   " has no route for " + head.method + " " +
                                   head.target);
     }
-    if (head.content_length && *head.content_length > route->body_limit_bytes) {
-        return refused_before(refusal_kind::body_too_large,
-                              "the route takes at most " +
-                                  std::to_string(route->body_limit_bytes) +
-                                  " bytes");
-    }
+    into.body_limit_bytes = route->body_limit_bytes;
+    into.terms.service = service->name;
+    into.terms.rank =
+        in_force.rank_index(route->rank).value_or(in_force.ranks.size() - 1);
+    into.terms.repeatable = route->repeatable;
+    head.remaining = route->deadline;
+    return std::nullopt;
+}
+
+classification entry::classify(call_head head,
+                               std::string_view host,
+                               support::time_point now,
+                               std::string_view peer) const
+{
+    const auto in_force = in_force_.read();
+    if (is_first(*in_force))
+        return refused_without_configuration();
+    classified_call accepted;
+    std::optional<refusal> why =
+        in_force->host_routes.empty()
+            ? find_service_route(*in_force, host, head, accepted)
+            : find_host(*in_force, host, head, accepted);
+    if (why)
+        return std::move(*why);
+    if (head.content_length.value_or(0) > accepted.body_limit_bytes)
+        return too_large(accepted.body_limit_bytes);
     const auto depth =
-        read_number(find_field(head.fields, depth_field)).value_or(0);
+        read_number(find_field(head.fields, dialect_.depth)).value_or(0);
     if (depth >= support::max_call_depth) {
         return refused_before(refusal_kind::too_deep,
                               "the call is nested too deeply");
     }
-    const std::size_t route_rank =
-        in_force->rank_index(route->rank).value_or(in_force->ranks.size() - 1);
+    call_terms& terms = accepted.terms;
     const bool from_upstream =
         !peer.empty() && peer == *upstream_address_.read();
-    const std::size_t rank =
-        rank_of_call(*in_force, route_rank, find_field(head.fields, rank_field),
-                     from_upstream);
-    const auto asked_ms = read_number(find_field(head.fields, deadline_field));
-    head.remaining = route->deadline;
+    terms.rank =
+        rank_of_call(*in_force, terms.rank,
+                     find_field(head.fields, dialect_.rank), from_upstream);
+    const auto asked_ms = read_number(find_field(head.fields, dialect_.deadline));
     if (asked_ms)
         head.remaining =
             std::min(head.remaining, support::milliseconds(*asked_ms));
-    head.service = service->name;
-    head.rank = in_force->ranks[rank].name;
-    head.repeatable = route->repeatable;
-    head.key = std::string(find_field(head.fields, key_field));
+    terms.deadline = now + head.remaining;
+    head.service = terms.service;
+    head.rank = in_force->ranks[terms.rank].name;
+    head.repeatable = terms.repeatable;
+    head.key = std::string(find_field(head.fields, dialect_.key));
     head.depth = static_cast<unsigned>(depth) + 1;
-    drop_own_fields(head.fields);
-    call_terms terms{service->name, rank, now + head.remaining, head.repeatable,
-                     true};
-    return classified_call{std::move(terms), std::move(head),
-                           route->body_limit_bytes};
+    drop_own_fields(head.fields, dialect_);
+    if (!dialect_.calling_service.empty())
+        head.fields.push_back(
+            {std::string(dialect_.calling_service), own_service_});
+    accepted.head = std::move(head);
+    return accepted;
 }
 
 } // namespace galenarudder::proxy
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -3,6 +3,7 @@
 
 #include "galenarudder/http/client.hpp"
 #include "galenarudder/proxy/upstream_client.hpp"
+#include "galenarudder/telemetry/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -26,6 +27,9 @@
 constexpr std::uint64_t own_entry_link = 0;
 constexpr auto metrics_interval = std::chrono::seconds(1);
 constexpr unsigned status_ok = 200;
+/// An upstream that did not say that it serves is asked again after this.
+constexpr support::milliseconds question_interval{250};
+constexpr support::milliseconds probe_timeout{1000};
 
 http::client_request probe_request(const std::string& path)
 {
@@ -37,8 +41,11 @@
 class gate_runtime::impl : public std::enable_shared_from_this<impl>
 {
 public:
-    impl(asio::io_context& io, const config::configuration& in_force)
-        : strand_(asio::make_strand(io)), timer_(strand_), gate_(in_force)
+    impl(asio::io_context& io,
+         const config::configuration& in_force,
+         const http_dialect& dialect)
+        : strand_(asio::make_strand(io)), timer_(strand_), gate_(in_force),
+          dialect_(dialect), in_force_(in_force)
     {
     }
 
@@ -53,15 +60,20 @@
     void tick();
     void submit(std::uint64_t link, link::exchange_ptr attempt);
     void perform(const std::vector<admission::action>& actions);
-    void set_upstream(const config::endpoint& where,
-                      std::uint32_t slots,
-                      std::uint32_t connections,
-                      const std::string& probe_path);
+    void configure(const config::configuration& in_force);
+    void set_upstream(upstream_facts upstream);
+    void confirm();
+    void upstream_leaving();
+    void upstream_gone();
     void report_to(telemetry::metrics& metrics,
                    telemetry::decision_log& decisions);
     void drain(std::function<void()> drained);
     void check_drained();
 
+    void tell_changes(serving_handler changed)
+    {
+        changed_ = std::move(changed);
+    }
     admission::gate& machine() { return gate_; }
 
 private:
@@ -77,7 +89,12 @@
     void execute(const admission::abort_running& aborted);
     void finished(const attempt_key& key,
                   upstream_result how,
-                  support::duration took);
+                  support::duration took,
+                  const std::optional<upstream_load>& stated);
+    void begin_serving();
+    void stop_serving(std::string_view why);
+    std::string probe_path() const;
+    asio::awaitable<void> ask_whether_serving(std::uint64_t life);
     void probe_if_due(support::time_point now);
     asio::awaitable<void> probe(support::duration allowed);
     void publish_metrics(support::time_point now);
@@ -85,11 +102,20 @@
     asio::strand<asio::io_context::executor_type> strand_;
     asio::steady_timer timer_;
     admission::gate gate_;
-    config::endpoint upstream_;
-    std::string probe_path_;
+    const http_dialect& dialect_;
+    config::configuration in_force_;
+    upstream_facts upstream_;
+    /// Counts the lives of the upstream, so that what belongs to an earlier
+    /// one is told apart.
+    std::uint64_t life_ = 0;
+    bool serving_ = false;
+    bool asking_ = false;
+    unsigned announced_ = 0;
+    support::time_point next_question_{};
     std::shared_ptr<upstream_client> client_;
     std::map<attempt_key, open_attempt> attempts_;
     std::function<void()> drained_;
+    serving_handler changed_;
     telemetry::metrics* metrics_ = nullptr;
     support::time_point metrics_due_;
     admission::gate_counts published_;
@@ -130,7 +156,9 @@
 
 void gate_runtime::impl::probe_if_due(support::time_point now)
 {
-    if (probe_path_.empty())
+    if (!serving_ && life_ != 0 && now >= next_question_)
+        return confirm();
+    if (probe_path().empty() || !serving_)
         return;
     const std::optional<support::duration> allowed = gate_.start_probe(now);
     if (!allowed)
@@ -145,9 +173,9 @@
 /// Only the time until the answer is of use: the gate knows the load itself.
 asio::awaitable<void> gate_runtime::impl::probe(support::duration allowed)
 {
-    http::client_request request = probe_request(probe_path_);
+    http::client_request request = probe_request(probe_path());
     const auto answer =
-        co_await http::fetch(upstream_, std::move(request), allowed);
+        co_await http::fetch(upstream_.where, std::move(request), allowed);
     const bool answered = answer && answer.value().status == status_ok;
     gate_.on_probe_ended(answered, monotonic_clock::now());
 }
@@ -216,9 +244,10 @@
         return self ? self->gate_.report(monotonic_clock::now())
                     : support::load_report{};
     };
-    auto done = [weak, key](upstream_result how, support::duration took) {
+    auto done = [weak, key](upstream_result how, support::duration took,
+                            const std::optional<upstream_load>& stated) {
         if (const auto self = weak.lock())
-            self->finished(key, how, took);
+            self->finished(key, how, took, stated);
     };
     std::shared_ptr<upstream_call> running = client_->run(
         attempt.exchange, attempt.deadline, std::move(load), std::move(done));
@@ -249,29 +278,145 @@
 
 void gate_runtime::impl::finished(const attempt_key& key,
                                   upstream_result how,
-                                  support::duration took)
+                                  support::duration took,
+                                  const std::optional<upstream_load>&)
 {
-    static constexpr admission::run_result results[] = {
-        admission::run_result::answered, admission::run_result::failed,
-        admission::run_result::shed, admission::run_result::failed};
+    using admission::run_result;
+    static constexpr run_result results[] = {
+        run_result::answered, run_result::failed, run_result::shed,
+        run_result::failed,   run_result::failed, run_result::failed};
     attempts_.erase(key);
+    if (how == upstream_result::unreachable)
+        stop_serving("no connection could be opened");
+    if (how == upstream_result::replaced)
+        stop_serving("another life of the upstream has the address");
     perform(gate_.on_ended(key, results[static_cast<std::size_t>(how)], took,
                            monotonic_clock::now()));
 }
 
-void gate_runtime::impl::set_upstream(const config::endpoint& where,
-                                      std::uint32_t slots,
-                                      std::uint32_t connections,
-                                      const std::string& probe_path)
+void gate_runtime::impl::configure(const config::configuration& in_force)
+{
+    in_force_ = in_force;
+    gate_.on_configuration(in_force, monotonic_clock::now());
+}
+
+/// Where the configuration, or else the upstream, says that it is probed.
+std::string gate_runtime::impl::probe_path() const
 {
-    probe_path_ = probe_path;
-    if (!client_ || upstream_ != where) {
-        upstream_ = where;
-        client_ = std::make_shared<upstream_client>(strand_, where);
+    const config::service_policy* service =
+        in_force_.find_service(upstream_.service);
+    return service != nullptr && !service->probe_path.empty()
+               ? service->probe_path
+               : upstream_.probe_path;
+}
+
+void gate_runtime::impl::set_upstream(upstream_facts upstream)
+{
+    const bool same_life = client_ && upstream_.where == upstream.where &&
+                           upstream_.instance == upstream.instance &&
+                           upstream_.born_ms == upstream.born_ms;
+    upstream_ = std::move(upstream);
+    if (!same_life) {
+        client_ = std::make_shared<upstream_client>(
+            strand_, upstream_.where, upstream_.instance, dialect_);
+        ++life_;
+        serving_ = false;
+        announced_ = 0;
+        perform(gate_.on_upstream_gone(monotonic_clock::now()));
     }
-    client_->set_max_connections(
-        std::min(slots + spare_connections, connections));
-    perform(gate_.on_upstream(slots, monotonic_clock::now()));
+    ++announced_;
+    next_question_ = {};
+    if (serving_)
+        begin_serving();
+    else
+        confirm();
+}
+
+/// Before the first call to a life of the upstream it is asked whether it
+/// serves: this daemon may have been started after the upstream said that it
+/// leaves, and an earlier check-in may arrive late. An upstream that keeps
+/// announcing itself is believed in the end, since its answer may be wrong.
+void gate_runtime::impl::confirm()
+{
+    constexpr unsigned enough_announcements = 3;
+    const bool names_lives = !dialect_.instance.empty();
+    if (!names_lives || announced_ >= enough_announcements)
+        return begin_serving();
+    if (asking_ || probe_path().empty())
+        return;
+    asking_ = true;
+    next_question_ = monotonic_clock::now() + question_interval;
+    asio::co_spawn(
+        strand_,
+        [self = shared_from_this(), life = life_]() -> asio::awaitable<void> {
+            co_await self->ask_whether_serving(life);
+        },
+        asio::detached);
+}
+
+asio::awaitable<void>
+gate_runtime::impl::ask_whether_serving(std::uint64_t life)
+{
+    http::client_request request = probe_request(probe_path());
+    const auto answer = co_await http::fetch(upstream_.where,
+                                             std::move(request), probe_timeout);
+    asking_ = false;
+    if (life != life_ || serving_)
+        co_return;
+    const bool serves =
+        answer && answer.value().status == status_ok &&
+        http::field_or_empty(answer.value().fields, dialect_.instance) ==
+            upstream_.instance;
+    if (serves)
+        begin_serving();
+}
+
+void gate_runtime::impl::begin_serving()
+{
+    const bool begins = !serving_;
+    serving_ = true;
+    const config::service_policy* service =
+        in_force_.find_service(upstream_.service);
+    const bool bounded = service != nullptr && service->connections != 0;
+    const std::uint32_t most =
+        bounded ? service->connections : upstream_.connections;
+    const std::size_t wanted = upstream_.slots + spare_connections;
+    const std::size_t kept = std::min<std::size_t>(wanted, most);
+    client_->set_max_connections(kept, upstream_.warm_connections ? kept : 0);
+    perform(gate_.on_upstream(upstream_.slots, monotonic_clock::now()));
+    if (begins && changed_)
+        changed_(&upstream_);
+}
+
+/// The upstream cannot be reached; it is asked again until it serves.
+void gate_runtime::impl::stop_serving(std::string_view why)
+{
+    if (!serving_ || dialect_.instance.empty())
+        return;
+    telemetry::log_change("upstream not served instance=" +
+                          upstream_.instance + " reason=" + std::string(why));
+    serving_ = false;
+    announced_ = 0;
+    next_question_ = monotonic_clock::now() + question_interval;
+    perform(gate_.on_upstream_gone(monotonic_clock::now()));
+    if (changed_)
+        changed_(nullptr);
+}
+
+void gate_runtime::impl::upstream_leaving()
+{
+    serving_ = false;
+    ++life_;
+    next_question_ = support::time_point::max();
+    perform(gate_.on_upstream_leaving(monotonic_clock::now()));
+}
+
+void gate_runtime::impl::upstream_gone()
+{
+    serving_ = false;
+    ++life_;
+    next_question_ = support::time_point::max();
+    perform(gate_.on_upstream_gone(monotonic_clock::now()));
 }
 
 void gate_runtime::impl::drain(std::function<void()> drained)
@@ -290,8 +435,9 @@
 }
 
 gate_runtime::gate_runtime(asio::io_context& io,
-                           const config::configuration& in_force)
-    : impl_(std::make_shared<impl>(io, in_force))
+                           const config::configuration& in_force,
+                           const http_dialect& dialect)
+    : impl_(std::make_shared<impl>(io, in_force, dialect))
 {
     impl_->on_strand([](impl& self) { self.tick(); });
 }
@@ -332,21 +478,28 @@
 
 void gate_runtime::configure(const config::configuration& in_force)
 {
-    impl_->on_strand([in_force](impl& self) {
-        self.machine().on_configuration(in_force, monotonic_clock::now());
+    impl_->on_strand([in_force](impl& self) { self.configure(in_force); });
+}
+
+void gate_runtime::set_upstream(upstream_facts upstream)
+{
+    impl_->on_strand([upstream = std::move(upstream)](impl& self) mutable {
+        self.set_upstream(std::move(upstream));
     });
 }
 
-void gate_runtime::set_upstream(const config::endpoint& where,
-                                std::uint32_t slots,
-                                std::uint32_t connections,
-                                const std::string& probe_path)
+void gate_runtime::on_serving_changed(serving_handler changed)
 {
-    impl_->on_strand([=](impl& self) {
-        self.set_upstream(where, slots, connections, probe_path);
+    impl_->on_strand([changed = std::move(changed)](impl& self) mutable {
+        self.tell_changes(std::move(changed));
     });
 }
 
+void gate_runtime::upstream_leaving()
+{
+    impl_->on_strand([](impl& self) { self.upstream_leaving(); });
+}
+
 void gate_runtime::report_to(telemetry::metrics& metrics,
                              telemetry::decision_log& decisions)
 {
@@ -357,9 +510,7 @@
 
 void gate_runtime::upstream_gone()
 {
-    impl_->on_strand([](impl& self) {
-        self.perform(self.machine().on_upstream_gone(monotonic_clock::now()));
-    });
+    impl_->on_strand([](impl& self) { self.upstream_gone(); });
 }
 
 void gate_runtime::drain(std::function<void()> drained)
--- a/lib/store/consul_store.cpp
+++ b/lib/store/consul_store.cpp
@@ -2,13 +2,13 @@
 #include "galenarudder/store/consul_store.hpp"
 
 #include "galenarudder/http/client.hpp"
+#include "galenarudder/support/base64.hpp"
 #include "galenarudder/support/rate_budget.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 #include <algorithm>
 #include <mutex>
@@ -48,22 +48,6 @@
             "read the key back to learn whether the write took effect"};
 }
 
-support::result<std::string> base64_decode(std::string_view text)
-{
-    std::string plain(text.size() / 4 * 3, '\0');
-    const int size =
-        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(plain.data()),
-                        reinterpret_cast<const unsigned char*>(text.data()),
-                        static_cast<int>(text.size()));
-    if (size < 0)
-        return unavailable("the store's value is not base64");
-    // The library decodes padding to zero bytes.
-    const std::size_t padding =
-        text.ends_with("==") ? 2 : (text.ends_with("=") ? 1 : 0);
-    plain.resize(static_cast<std::size_t>(size) - padding);
-    return plain;
-}
-
 /// Encodes each part of a key's path.
 std::string encode_key(std::string_view key)
 {
@@ -92,9 +76,11 @@
         const json entry = json::parse(answer.value().body).at(0);
         versioned_value found;
         if (!entry.at("Value").is_null()) {
-            BOOST_OUTCOME_TRY(
-                found.value,
-                base64_decode(entry.at("Value").get_ref<const std::string&>()));
+            auto plain = support::base64_decode(
+                entry.at("Value").get_ref<const std::string&>());
+            if (!plain)
+                return unavailable("the store's value is not base64");
+            found.value = std::move(*plain);
         }
         found.index = entry.at("ModifyIndex");
         found.lease = entry.value("Session", "");
--- a/unittests/entry/gate_runtime_test.cpp
+++ b/unittests/entry/gate_runtime_test.cpp
@@ -75,6 +75,15 @@
     gate_runtime gate;
 };
 
+upstream_facts facts_of(const config::endpoint& where)
+{
+    upstream_facts facts;
+    facts.where = where;
+    facts.slots = 1;
+    facts.connections = 10;
+    return facts;
+}
+
 } // namespace
 
 TEST_CASE("without an upstream a call is refused as not run")
@@ -89,7 +98,7 @@
 TEST_CASE("a drain refuses what waits and ends when the running call ends")
 {
     rig under_test;
-    under_test.gate.set_upstream(under_test.upstream.where(), 1, 10);
+    under_test.gate.set_upstream(facts_of(under_test.upstream.where()));
     const auto running = under_test.submit(1, true);
     under_test.submit(2, true);
     bool drained = false;
@@ -113,7 +122,7 @@
 TEST_CASE("a closed link drops its waiting calls and aborts repeatable ones")
 {
     rig under_test;
-    under_test.gate.set_upstream(under_test.upstream.where(), 1, 10);
+    under_test.gate.set_upstream(facts_of(under_test.upstream.where()));
     under_test.submit(1, true, 7);
     under_test.submit(2, true, 7);
     under_test.submit(3, true, 8);
--- a/unittests/entry/upstream_client_test.cpp
+++ b/unittests/entry/upstream_client_test.cpp
@@ -161,7 +161,8 @@
         call->running = client.run(
             call->exchange, monotonic_clock::now() + left,
             [] { return support::load_report(); },
-            [call](upstream_result how, support::duration) {
+            [call](upstream_result how, support::duration,
+                   const std::optional<upstream_load>&) {
                 call->how = how;
             });
         return call;
@@ -241,7 +242,7 @@
 {
     constexpr std::size_t most = 4;
     bench rig("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-    rig.client.set_max_connections(most);
+    rig.client.set_max_connections(most, most);
     REQUIRE(rig.run_until([&] { return rig.upstream.accepted == most; }));
     rig.upstream.hold();
     std::vector<call_ptr> calls;
@@ -254,7 +255,7 @@
     CHECK(rig.upstream.most_open == most);
     CHECK(rig.upstream.accepted == most);
     CHECK(rig.client.open_connections() == most);
-    rig.client.set_max_connections(1);
+    rig.client.set_max_connections(1, 1);
     CHECK(rig.run_until([&] { return rig.upstream.open == 1; }));
 }
 
@@ -262,11 +263,11 @@
 {
     constexpr std::size_t most = 3;
     bench rig("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-    rig.client.set_max_connections(most);
+    rig.client.set_max_connections(most, most);
     REQUIRE(rig.run_until([&] { return rig.upstream.accepted == most; }));
     rig.upstream.close_all();
     REQUIRE(rig.run_until([&] { return rig.upstream.open == 0; }));
-    rig.client.set_max_connections(most);
+    rig.client.set_max_connections(most, most);
     REQUIRE(rig.run_until([&] { return rig.upstream.accepted == 2 * most; }));
     CHECK(rig.upstream.open == most);
     const call_ptr call = rig.send("POST");
@@ -277,7 +278,7 @@
 TEST_CASE("a call whose deadline has passed is not sent")
 {
     bench rig("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-    rig.client.set_max_connections(1);
+    rig.client.set_max_connections(1, 1);
     REQUIRE(rig.run_until([&] { return rig.upstream.accepted == 1; }));
     const call_ptr call = rig.send("POST", support::milliseconds(-1));
     rig.finish(call);
--- a/unittests/store/resolve_swap_test.cpp
+++ b/unittests/store/resolve_swap_test.cpp
@@ -46,6 +46,7 @@
     MAKE_MOCK3(revoke_lease,
                void(const std::string&, support::duration, callback<void>),
                override);
+    MAKE_CONST_MOCK0(counters, store_counters(), override);
 };
 
 support::error failure(error_kind kind)
