Run pipelined calls of one caller beside each other

Cause: a connection's calls were read, sent and answered one after the other, so that a pipelined call waited for the whole service time of those before it. Ruled out: the gate's queue (the call had not reached a gate). Calls that may repeat and have no body now run beside each other and are answered in order; any other call waits for those before it.

--- a/lib/proxy/caller_connection.cpp
+++ b/lib/proxy/caller_connection.cpp
@@ -33,7 +33,7 @@
 constexpr auto write_timeout = std::chrono::seconds(60);
 /// How long a refused caller may still send its body.
 constexpr auto close_linger = std::chrono::seconds(2);
-constexpr std::size_t read_bytes = 4 * 1024;
+constexpr std::size_t read_size = 4 * 1024;
 /// Pipelined requests are read ahead up to this size.
 constexpr std::size_t max_read_ahead_bytes = 64 * 1024;
 
@@ -196,18 +196,23 @@
     stream_.socket().set_option(tcp::no_delay(true), ignored);
 }
 
-void caller_connection::limit_read(support::duration patience)
+void caller_connection::limit_read(support::duration patience,
+                                   bool stops_writes)
 {
-    stream_.expires_never();
     read_timed_out_ = false;
     read_limit_.expires_after(patience);
-    read_limit_.async_wait([weak = weak_from_this(), read = ++reads_](
-                               boost::system::error_code canceled) {
+    read_limit_.async_wait([weak = weak_from_this(), read = ++reads_, patience,
+                            stops_writes](boost::system::error_code canceled) {
         const auto self = weak.lock();
         if (!self || canceled || self->reads_ != read)
             return;
+        if (!stops_writes && self->idle_ && self->busy_ && self->busy_())
+            return self->limit_read(patience, stops_writes);
         self->read_timed_out_ = true;
-        self->stream_.cancel();
+        if (stops_writes)
+            self->stream_.cancel();
+        else
+            self->stop_read_.emit(asio::cancellation_type::terminal);
     });
 }
 
@@ -217,46 +222,73 @@
     read_limit_.cancel();
 }
 
-asio::awaitable<bool>
-caller_connection::read_first_bytes(support::duration patience)
+/// Reads what comes next; an answer may be written at the same time.
+asio::awaitable<bool> caller_connection::read_bytes(support::duration patience)
 {
-    idle_ = true;
-    stream_.expires_after(patience);
-    const auto [failed, size] =
-        co_await stream_.async_read_some(buffer_.prepare(read_bytes), awaiting);
-    idle_ = false;
+    limit_read(patience, false);
+    const auto [failed, size] = co_await stream_.socket().async_read_some(
+        buffer_.prepare(read_size),
+        asio::bind_cancellation_slot(stop_read_.slot(), awaiting));
+    end_read_limit();
     buffer_.commit(size);
+    closed_by_caller_ =
+        failed && failed != asio::error::operation_aborted;
     co_return !failed;
 }
 
-asio::awaitable<bool> caller_connection::wait_for_request()
+asio::awaitable<bool>
+caller_connection::wait_for_request(std::function<bool()> busy)
 {
+    busy_ = std::move(busy);
     if (buffer_.size() != 0)
         co_return true;
     if (!draining_) {
-        const bool begun = co_await read_first_bytes(limits_.idle_time);
+        idle_ = true;
+        const bool begun = co_await read_bytes(limits_.idle_time);
+        idle_ = false;
         if (begun)
             co_return true;
     }
     // A drain ends the wait; a request that was on its way is still answered.
-    if (!draining_)
+    if (!draining_ || closed_by_caller_ || waiting_stopped_)
         co_return false;
-    const bool begun = co_await read_first_bytes(drain_linger);
+    idle_ = true;
+    const bool begun = co_await read_bytes(drain_linger);
+    idle_ = false;
     co_return begun;
 }
 
+void caller_connection::stop_waiting()
+{
+    waiting_stopped_ = true;
+    if (idle_)
+        stop_read_.emit(asio::cancellation_type::terminal);
+}
+
 asio::awaitable<head_read> caller_connection::read_head(request_parser& parser)
 {
     parser.header_limit(limits_.head_bytes);
     parser.body_limit(boost::none);
-    limit_read(limits_.head_time);
-    const auto [failed, size] =
-        co_await bhttp::async_read_header(stream_, buffer_, parser, awaiting);
-    end_read_limit();
+    const support::time_point end =
+        support::monotonic_clock::now() + limits_.head_time;
     head_read found;
-    if (failed == bhttp::error::end_of_stream)
-        co_return found;
-    if (failed) {
+    while (!parser.is_header_done()) {
+        boost::system::error_code failed;
+        buffer_.consume(parser.put(buffer_.data(), failed));
+        if (!failed || parser.is_header_done())
+            continue;
+        bool more = failed == bhttp::error::need_more;
+        if (more) {
+            const support::duration left =
+                end - support::monotonic_clock::now();
+            more = co_await read_bytes(std::max(left, support::duration(1)));
+        }
+        if (more)
+            continue;
+        if (closed_by_caller_ && !parser.got_some())
+            co_return found;
+        if (closed_by_caller_)
+            failed = bhttp::error::partial_message;
         found.why = head_failure(failed, read_timed_out_, limits_.head_bytes);
         co_return found;
     }
@@ -421,7 +453,7 @@
         return;
     watching_ = true;
     stream_.socket().async_read_some(
-        buffer_.prepare(read_bytes),
+        buffer_.prepare(read_size),
         asio::bind_cancellation_slot(
             stop_watch_.slot(),
             [self = shared_from_this()](boost::system::error_code failed,
@@ -460,7 +492,7 @@
 {
     draining_ = true;
     if (idle_)
-        stream_.cancel();
+        stop_read_.emit(asio::cancellation_type::terminal);
 }
 
 asio::awaitable<void> caller_connection::close(bool unread_body)
--- a/lib/proxy/caller_connection.hpp
+++ b/lib/proxy/caller_connection.hpp
@@ -66,8 +66,13 @@
 
     boost::asio::any_io_executor executor() { return stream_.get_executor(); }
 
-    /// Waits until a request begins; false when none will.
-    boost::asio::awaitable<bool> wait_for_request();
+    /// Waits until a request begins; false when none will. The idle time does
+    /// not end while \p busy says that calls are open.
+    boost::asio::awaitable<bool> wait_for_request(std::function<bool()> busy);
+    /// Ends the wait for a request.
+    void stop_waiting();
+    /// Whether the caller closed the connection, or it broke.
+    bool closed_by_caller() const { return closed_by_caller_; }
     /// Reads the head of the request that has begun.
     boost::asio::awaitable<head_read> read_head(request_parser& parser);
     boost::asio::awaitable<bool> write_continue();
@@ -99,7 +104,7 @@
     boost::asio::awaitable<void> close(bool unread_body);
 
 private:
-    boost::asio::awaitable<bool> read_first_bytes(support::duration patience);
+    boost::asio::awaitable<bool> read_bytes(support::duration patience);
     boost::asio::awaitable<bool> write_bare(const support::answer_head& head,
                                             link::exchange_ptr from,
                                             answer_framing framing);
@@ -109,7 +114,7 @@
                                              answer_framing framing);
     /// Ends the next read after \p patience. Beast's own timeout would close
     /// the socket, and no refusal could be written.
-    void limit_read(support::duration patience);
+    void limit_read(support::duration patience, bool stops_writes = true);
     void end_read_limit();
     void watch_next();
     void on_watched(boost::system::error_code failed, std::size_t size);
@@ -119,6 +124,10 @@
     config::caller_limits limits_;
     boost::beast::flat_buffer buffer_;
     boost::asio::cancellation_signal stop_watch_;
+    boost::asio::cancellation_signal stop_read_;
+    std::function<bool()> busy_;
+    bool waiting_stopped_ = false;
+    bool closed_by_caller_ = false;
     boost::asio::steady_timer watch_ended_;
     boost::asio::steady_timer read_limit_;
     std::uint64_t reads_ = 0;
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -147,16 +147,21 @@
 caller_session::caller_session(tcp::socket socket, session_context context)
     : context_(context), entry_(*context.shared), peer_(address_of(socket)),
       connection_(std::make_shared<caller_connection>(
-          std::move(socket), context.shared->dialect()))
+          std::move(socket), context.shared->dialect())),
+      ended_(connection_->executor())
 {
+    ended_.expires_at(asio::steady_timer::time_point::max());
 }
 
 asio::awaitable<void> caller_session::run()
 {
     const auto self = shared_from_this();
     bool again = true;
-    while (again)
+    while (again && !closing_)
         again = co_await serve_one();
+    if (connection_->closed_by_caller())
+        abandon_open();
+    co_await earlier_ended();
     co_await connection_->close(unread_body_);
 }
 
@@ -168,7 +173,9 @@
 
 bool caller_session::may_keep_alive(const request_parser& parser) const
 {
-    return parser.get().keep_alive() && !*context_.draining;
+    const bool more_to_answer = open_.size() > 1;
+    return parser.get().keep_alive() &&
+           (more_to_answer || !*context_.draining);
 }
 
 answer_framing caller_session::framing(const request_parser& parser,
@@ -191,12 +198,16 @@
 asio::awaitable<bool> caller_session::serve_one()
 {
     connection_->set_limits(entry_.limits_of_callers());
-    const bool begun = co_await connection_->wait_for_request();
+    const bool begun = co_await connection_->wait_for_request(
+        [this] { return !open_.empty(); });
     if (!begun)
         co_return false;
     auto parser = std::make_shared<request_parser>();
     const head_read found = co_await connection_->read_head(*parser);
     if (found.why) {
+        co_await earlier_ended();
+        if (closing_)
+            co_return false;
         entry_.metrics().refused("", "", *found.why);
         unread_body_ = true;
         co_await refuse(*found.why, *parser, false);
@@ -204,10 +215,20 @@
     }
     if (!found.ready)
         co_return false;
-    const open_call_count counted(*context_.open_calls);
+    auto counted =
+        std::make_shared<open_call_count>(*context_.open_calls);
     const std::string host(parser->get()[bhttp::field::host]);
     classification decided =
         entry_.classify(convert(*parser), host, monotonic_clock::now(), peer_);
+    if (auto* accepted = std::get_if<classified_call>(&decided)) {
+        if (may_run_beside(*parser, *accepted)) {
+            start_beside(parser, std::move(*accepted), std::move(counted));
+            co_return true;
+        }
+    }
+    co_await earlier_ended();
+    if (closing_)
+        co_return false;
     if (const auto* why = std::get_if<refusal>(&decided)) {
         entry_.metrics().refused("", "", *why);
         unread_body_ = !parser->is_done();
@@ -222,6 +243,89 @@
     co_return again;
 }
 
+bool caller_session::may_run_beside(const request_parser& parser,
+                                    const classified_call& accepted) const
+{
+    return accepted.terms.repeatable && accepted.head.key.empty() &&
+           parser.content_length().value_or(0) == 0 && !parser.chunked();
+}
+
+void caller_session::start_beside(parser_ptr parser,
+                                  classified_call accepted,
+                                  std::shared_ptr<void> counted)
+{
+    auto current = std::make_shared<open_call>(
+        entry_.router(), std::move(accepted), connection_->executor());
+    current->body_complete = true;
+    current->kept_body.push_back(link::make_chunk(std::string(), true));
+    current->begun = monotonic_clock::now();
+    current->counted = std::move(counted);
+    open_.push_back(current);
+    asio::co_spawn(
+        connection_->executor(),
+        [self = shared_from_this(), parser = std::move(parser),
+         current]() -> asio::awaitable<void> {
+            co_await self->serve_beside(parser, current);
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> caller_session::serve_beside(parser_ptr parser,
+                                                   call_ptr current)
+{
+    co_await decide(parser, body_meter(), current);
+    current->timer.cancel();
+    while (open_.front() != current)
+        co_await ended_.async_wait(awaiting);
+    bool again = false;
+    if (closing_ || current->gone)
+        perform(current,
+                current->flow.on_caller_gone(monotonic_clock::now()));
+    else
+        again = co_await finish(parser, current, current->begun);
+    if (!again)
+        end_session();
+    open_.pop_front();
+    ended_.cancel();
+}
+
+/// Waits until every call before the next has been answered or given up.
+asio::awaitable<void> caller_session::earlier_ended()
+{
+    if (open_.empty())
+        co_return;
+    connection_->watch([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->abandon_open();
+    });
+    while (!open_.empty())
+        co_await ended_.async_wait(awaiting);
+    co_await connection_->end_watch();
+}
+
+void caller_session::abandon_open()
+{
+    closing_ = true;
+    for (const call_ptr& one : open_) {
+        one->left = true;
+        one->post(caller_gone{});
+        if (one->forwarded)
+            one->attempts[*one->forwarded].exchange->answer.cut();
+    }
+}
+
+/// The connection closes after the answer that was just written; calls behind
+/// it count as not read, so that their caller sends them again.
+void caller_session::end_session()
+{
+    if (closing_)
+        return;
+    closing_ = true;
+    for (std::size_t behind = 1; behind < open_.size(); ++behind)
+        open_[behind]->post(caller_gone{});
+    connection_->stop_waiting();
+}
+
 /// Reads a small body whole, so that it can be sent again. Of a larger one
 /// the first part is read.
 asio::awaitable<caller_session::early_body> caller_session::read_early(
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -1,6 +1,7 @@
 /// \file
-/// One caller's connection as a row of calls, each read, sent and answered
-/// before the next.
+/// One caller's connection as a row of calls that are answered in order. Calls
+/// that may repeat and have no body run beside each other; any other call
+/// begins once all before it have ended.
 #pragma once
 
 #include "caller_connection.hpp"
@@ -12,6 +13,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <variant>
@@ -92,6 +94,9 @@
         std::vector<open_attempt> attempts;
         std::vector<link::body_chunk> kept_body;
         bool body_complete = false;
+        support::time_point begun{};
+        /// Keeps the call counted as open.
+        std::shared_ptr<void> counted;
         /// The caller closed its connection.
         bool left = false;
         /// The call was given up.
@@ -126,6 +131,16 @@
     };
 
     boost::asio::awaitable<bool> serve_one();
+    bool may_run_beside(const request_parser& parser,
+                        const classified_call& accepted) const;
+    void start_beside(parser_ptr parser,
+                      classified_call accepted,
+                      std::shared_ptr<void> counted);
+    boost::asio::awaitable<void> serve_beside(parser_ptr parser,
+                                              call_ptr current);
+    boost::asio::awaitable<void> earlier_ended();
+    void abandon_open();
+    void end_session();
     boost::asio::awaitable<bool> serve_call(parser_ptr parser,
                                             classified_call accepted);
     boost::asio::awaitable<early_body> read_early(parser_ptr parser,
@@ -162,6 +177,12 @@
     /// The streamed body's attempt, once sent.
     link::exchange_ptr to_stream_;
     bool unread_body_ = false;
+    /// Calls that run beside each other, the earliest first.
+    std::deque<call_ptr> open_;
+    /// Its waiters wake when a call of open_ has ended.
+    boost::asio::steady_timer ended_;
+    /// No further answer is written.
+    bool closing_ = false;
 };
 
 } // namespace galenarudder::proxy
