Log each decision as one JSON line, bounded and without waiting

The log of state changes becomes one line for each decision on a call and each change of belief, with the call's name, the inputs and the outcome.

--- a/include/galenarudder/proxy/http_dialect.hpp
+++ b/include/galenarudder/proxy/http_dialect.hpp
@@ -53,6 +53,10 @@
     unsigned (*refusal_status)(const support::refusal& why) = nullptr;
 };
 
+/// What the log calls a call: the caller's name of it, or empty.
+std::string_view name_of_call(const support::call_head& head,
+                              const http_dialect& dialect);
+
 /// The product's own dialect.
 const http_dialect& product_dialect();
 
--- a/lib/daemon/rollout_runtime.cpp
+++ b/lib/daemon/rollout_runtime.cpp
@@ -130,9 +130,9 @@
 
 void rollout_runtime::impl::restore(const rollout::restore_store& what)
 {
-    telemetry::log_change("store holds an older configuration, writing back "
-                          "version=" +
-                          std::to_string(node_.rollout().version()));
+    telemetry::log_event(telemetry::log_kind::belief, "configuration.restored",
+                         {{"version", node_.rollout().version()},
+                          {"cause", "the store holds an older one"}});
     // Whatever becomes of it is seen by the watch.
     store_.compare_and_swap(store::configuration_key, what.stored,
                             what.expected_index, "", store_timeout,
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -38,6 +38,7 @@
 namespace asio = boost::asio;
 using asio::ip::udp;
 using support::monotonic_clock;
+using telemetry::log_kind;
 
 namespace {
 
@@ -216,7 +217,7 @@
         self->on_control([instance, born_ms](impl& own) {
             own.apply(own.presence_.on_leave(instance, born_ms,
                                              monotonic_clock::now()),
-                      "the upstream leaves instance=" + instance);
+                      "the upstream " + instance + " leaves");
         });
     };
     handlers.gone = [weak = weak_from_this()] {
@@ -224,7 +225,7 @@
         if (!self)
             return;
         self->on_control([](impl& own) {
-            telemetry::log_change("upstream gone");
+            telemetry::log_event(log_kind::belief, "upstream.gone", {});
             own.gate_->upstream_gone();
             own.perform(own.node_.on_upstream_gone(monotonic_clock::now()));
         });
@@ -241,8 +242,8 @@
 {
     const auto change =
         presence_.on_check_in(what.life, monotonic_clock::now());
-    apply(change, "check-in instance=" + what.life.instance +
-                      " sequence=" + std::to_string(what.life.sequence));
+    apply(change, "check-in " + std::to_string(what.life.sequence) + " of " +
+                      what.life.instance);
     if (!presence_.serves() || change == admission::presence_change::stale)
         return;
     proxy::upstream_facts facts;
@@ -267,10 +268,13 @@
                                                  "left", "lapsed"};
     if (change == presence_change::none)
         return;
-    telemetry::log_change(
-        "upstream change=" +
-        std::string(names[static_cast<std::size_t>(change)]) +
-        " cause=" + cause);
+    const admission::check_in* known = presence_.known();
+    telemetry::log_event(
+        log_kind::belief, "upstream.presence",
+        {{"change", names[static_cast<std::size_t>(change)]},
+         {"cause", cause},
+         {"instance", known == nullptr ? std::string() : known->instance},
+         {"sequence", known == nullptr ? 0 : known->sequence}});
     const bool ended = change == presence_change::left ||
                        change == presence_change::lapsed;
     if (!ended)
@@ -289,7 +293,10 @@
         perform(node_.on_upstream_gone(monotonic_clock::now()));
         return;
     }
-    telemetry::log_change("upstream serves instance=" + upstream->instance);
+    telemetry::log_event(log_kind::belief, "upstream.serves",
+                         {{"instance", upstream->instance},
+                          {"service", upstream->service},
+                          {"slots", upstream->slots}});
     if (presence_.serves()) {
         perform(node_.on_announcement(upstream->service, upstream->slots,
                                       monotonic_clock::now()));
@@ -432,6 +439,7 @@
 {
     perform(node_.on_tick(monotonic_clock::now()));
     apply(presence_.on_tick(monotonic_clock::now()), "no check-in came");
+    telemetry::flush_log();
     timer_.expires_after(membership::member::tick_interval);
     timer_.async_wait(
         [weak = weak_from_this()](boost::system::error_code canceled) {
@@ -458,8 +466,10 @@
 void runtime::impl::execute(const configure_gate&)
 {
     const auto in_force = node_.configuration().read();
-    telemetry::log_change("configuration version=" +
-                          std::to_string(in_force->version));
+    telemetry::log_event(log_kind::belief, "configuration.in_force",
+                         {{"version", in_force->version},
+                          {"services", in_force->services.size()},
+                          {"host_routes", in_force->host_routes.size()}});
     gate_->configure(*in_force);
     keyed_->set_retention(
         support::from_ms(in_force->value(config::limit::claim_retention_ms)));
@@ -473,7 +483,9 @@
     if (asked_by != "signal" || leaving_)
         return;
     leaving_ = true;
-    telemetry::log_change("leaving");
+    telemetry::log_event(
+        log_kind::belief, "daemon.stopping",
+        {{"asked_by", asked_by}, {"open_calls", callers_.open_calls()}});
     callers_.begin_drain();
     leave_timer_.expires_after(settings_.leave_notice);
     leave_timer_.async_wait(
@@ -501,7 +513,8 @@
 {
     draining_ = true;
     gate_drained_ = false;
-    telemetry::log_change("draining asked_by=" + std::string(asked_by));
+    telemetry::log_event(log_kind::belief, "gate.draining",
+                         {{"asked_by", asked_by}});
     perform(node_.on_drain(monotonic_clock::now()));
     hub_->announce_drain();
     gate_->drain([weak = weak_from_this()] {
@@ -509,7 +522,7 @@
         if (!self)
             return;
         self->on_control([](impl& own) {
-            telemetry::log_change("gate drained");
+            telemetry::log_event(log_kind::belief, "gate.drained", {});
             own.gate_drained_ = true;
             own.leave_if_drained();
         });
@@ -524,7 +537,7 @@
 
 void runtime::impl::leave()
 {
-    telemetry::log_change("left");
+    telemetry::log_event(log_kind::belief, "daemon.left", {});
     perform(node_.on_left(monotonic_clock::now()));
     leave_when_recorded(max_leave_checks);
 }
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "caller_session.hpp"
 
 #include "galenarudder/link/message.hpp"
+#include "galenarudder/telemetry/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -416,11 +417,28 @@
     co_return false;
 }
 
+void caller_session::log_refusal(const open_call& refused,
+                                 time_point begun) const
+{
+    const refusal& why = *refused.refused;
+    telemetry::log_event(
+        telemetry::log_kind::failure, "call.refused",
+        {{"call", name_of_call(refused.head, entry_.dialect())},
+         {"service", refused.head.service},
+         {"kind", to_string(why.kind)},
+         {"outcome", to_string(why.outcome)},
+         {"detail", why.detail},
+         {"took_ms", support::to_ms(monotonic_clock::now() - begun)},
+         {"attempts", refused.attempts.size()},
+         {"retry_after_ms", why.retry_after.count()}});
+}
+
 asio::awaitable<bool>
 caller_session::finish(parser_ptr parser, call_ptr current, time_point begun)
 {
     const support::call_head& head = current->head;
     if (current->refused) {
+        log_refusal(*current, begun);
         if (current->claim)
             current->claim->on_refusal(*current->refused);
         entry_.metrics().refused(head.service, head.rank, *current->refused);
@@ -445,8 +463,14 @@
         cancel(chosen);
         co_return false;
     }
-    entry_.metrics().answered(head.service, head.rank,
-                              monotonic_clock::now() - begun);
+    const support::duration took = monotonic_clock::now() - begun;
+    entry_.metrics().answered(head.service, head.rank, took);
+    telemetry::log_event(telemetry::log_kind::routine, "call.answered",
+                         {{"call", name_of_call(head, entry_.dialect())},
+                          {"service", head.service},
+                          {"status", current->answer.head.status},
+                          {"took_ms", support::to_ms(took)},
+                          {"attempts", current->attempts.size()}});
     co_return keep;
 }
 
@@ -491,6 +515,13 @@
                                                thread_random()));
     }
     const auto& ended = std::get<link::refused>(what);
+    telemetry::log_event(
+        telemetry::log_kind::failure, "attempt.refused",
+        {{"call", name_of_call(current->head, entry_.dialect())},
+         {"attempt", attempt},
+         {"kind", to_string(ended.why.kind)},
+         {"outcome", to_string(ended.why.outcome)},
+         {"detail", ended.why.detail}});
     perform(current, current->flow.on_refusal(attempt, ended.why, ended.load,
                                               now, thread_random()));
 }
@@ -553,6 +584,13 @@
             kept->post(attempt_event{attempt, std::move(what)});
     };
     std::shared_ptr<link::gate_port> gate = entry_.gate(wanted.target);
+    telemetry::log_event(
+        telemetry::log_kind::routine, "attempt.sent",
+        {{"call", name_of_call(exchange->head, entry_.dialect())},
+         {"attempt", wanted.attempt},
+         {"member", wanted.target.member},
+         {"service", exchange->head.service},
+         {"remaining_ms", exchange->head.remaining.count()}});
     current->attempts.push_back({exchange, gate});
     for (const link::body_chunk& part : current->kept_body)
         exchange->request.try_write(part);
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -156,6 +156,7 @@
     claim(parser_ptr parser, call_ptr current, support::time_point deadline);
     boost::asio::awaitable<bool>
     finish(parser_ptr parser, call_ptr current, support::time_point begun);
+    void log_refusal(const open_call& refused, support::time_point begun) const;
     void take(const call_ptr& current, session_event& event);
     void abandon(const call_ptr& current, std::optional<support::refusal> why);
     void perform(const call_ptr& current, std::vector<call_action> actions);
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -82,6 +82,8 @@
         link::exchange_ptr exchange;
         support::time_point deadline;
         std::shared_ptr<upstream_call> running;
+        support::time_point arrived{};
+        support::time_point started{};
     };
 
     void execute(const admission::start& begun);
@@ -91,6 +93,10 @@
                   upstream_result how,
                   support::duration took,
                   const std::optional<upstream_load>& stated);
+    void log_end(const attempt_key& key,
+                 upstream_result how,
+                 support::duration took,
+                 const std::optional<upstream_load>& stated) const;
     void begin_serving();
     void stop_serving(std::string_view why);
     std::string probe_path() const;
@@ -143,7 +149,7 @@
     const support::time_point deadline = now + attempt->head.remaining;
     admission::attempt arrived{key, attempt->head.rank, deadline,
                                attempt->head.repeatable};
-    attempts_[key] = {std::move(attempt), deadline, nullptr};
+    attempts_[key] = {std::move(attempt), deadline, nullptr, now, {}};
     perform(gate_.offer(arrived, now));
 }
 
@@ -237,6 +243,7 @@
 void gate_runtime::impl::execute(const admission::start& begun)
 {
     const attempt_key key = begun.key;
+    attempts_.at(key).started = monotonic_clock::now();
     const open_attempt attempt = attempts_.at(key);
     const std::weak_ptr<impl> weak = weak_from_this();
     auto load = [weak]() -> support::load_report {
@@ -264,6 +271,14 @@
         return;
     const link::exchange_ptr exchange = found->second.exchange;
     attempts_.erase(found);
+    telemetry::log_event(
+        telemetry::log_kind::failure, "gate.refused",
+        {{"call", name_of_call(exchange->head, dialect_)},
+         {"kind", to_string(ended.why.kind)},
+         {"outcome", to_string(ended.why.outcome)},
+         {"detail", ended.why.detail},
+         {"rank", exchange->head.rank},
+         {"retry_after_ms", ended.why.retry_after.count()}});
     exchange->request.cut();
     exchange->deliver(
         link::refused{ended.why, gate_.report(monotonic_clock::now())});
@@ -276,11 +291,40 @@
         found->second.running->abort();
 }
 
+void gate_runtime::impl::log_end(
+    const attempt_key& key,
+    upstream_result how,
+    support::duration took,
+    const std::optional<upstream_load>& stated) const
+{
+    static constexpr std::string_view names[] = {
+        "answered", "failed", "shed", "unreachable", "replaced", "not_sent"};
+    const auto found = attempts_.find(key);
+    if (found == attempts_.end())
+        return;
+    const open_attempt& ended = found->second;
+    const bool answered = how == upstream_result::answered;
+    const upstream_load load = stated.value_or(upstream_load());
+    telemetry::log_event(
+        answered ? telemetry::log_kind::routine : telemetry::log_kind::failure,
+        "gate.ended",
+        {{"call", name_of_call(ended.exchange->head, dialect_)},
+         {"how", names[static_cast<std::size_t>(how)]},
+         {"rank", ended.exchange->head.rank},
+         {"waited_ms", support::to_ms(ended.started - ended.arrived)},
+         {"took_ms", support::to_ms(took)},
+         {"instance", upstream_.instance},
+         {"stated_running", load.running},
+         {"stated_waiting", load.waiting},
+         {"stated_slowdown", load.slowdown}});
+}
+
 void gate_runtime::impl::finished(const attempt_key& key,
                                   upstream_result how,
                                   support::duration took,
-                                  const std::optional<upstream_load>&)
+                                  const std::optional<upstream_load>& stated)
 {
+    log_end(key, how, took, stated);
     using admission::run_result;
     static constexpr run_result results[] = {
         run_result::answered, run_result::failed, run_result::shed,
@@ -393,8 +437,8 @@
 {
     if (!serving_ || dialect_.instance.empty())
         return;
-    telemetry::log_change("upstream not served instance=" +
-                          upstream_.instance + " reason=" + std::string(why));
+    telemetry::log_event(telemetry::log_kind::belief, "upstream.not_served",
+                         {{"instance", upstream_.instance}, {"cause", why}});
     serving_ = false;
     announced_ = 0;
     next_question_ = monotonic_clock::now() + question_interval;
--- a/lib/proxy/http_dialect.cpp
+++ b/lib/proxy/http_dialect.cpp
@@ -49,6 +49,12 @@
 
 } // namespace
 
+std::string_view name_of_call(const support::call_head& head,
+                              const http_dialect& dialect)
+{
+    return find_field(head.fields, dialect.call_id);
+}
+
 const http_dialect& product_dialect()
 {
     static const http_dialect dialect = make_product_dialect();
