Hold calls while the upstream's VM is in a slow spell

Cause: work on a shared VM takes five times as long for some 150 ms, and a call keeps the speed at which it began. Ruled out: a speed that changes during the work (the end's statement does not correlate).

Also: a life of the upstream without numbered check-ins stays present; the directory's settling time is a setting; calls that are given up beside others are counted.

--- a/include/galenarudder/admission/gate.hpp
+++ b/include/galenarudder/admission/gate.hpp
@@ -92,6 +92,15 @@
                                  run_result how,
                                  support::duration service_time,
                                  support::time_point now);
+    /// The upstream stated how much longer than usual work takes there, with an
+    /// answer or when it was asked; nothing when it did not answer.
+    std::vector<action> on_speed(std::optional<double> slowdown,
+                                 support::time_point now);
+    /// Whether calls wait for the upstream's speed and it is to be asked for
+    /// it; true once for each question, which on_speed answers.
+    bool take_speed_question(support::time_point now);
+    /// Whether calls wait to begin.
+    bool has_waiting() const;
     /// The entry gave the attempt up. Waiting work is refused as canceled.
     std::vector<action> cancel(const attempt_key& key, support::time_point now);
     /// A link closed: its waiting attempts are dropped, never started.
--- a/include/galenarudder/admission/upstream_presence.hpp
+++ b/include/galenarudder/admission/upstream_presence.hpp
@@ -18,9 +18,9 @@
 {
     /// Names a life of the upstream together with \c born_ms.
     std::string instance;
-    /// Start of that life in milliseconds of Unix time.
+    /// Start of that life in milliseconds of Unix time; 0 when not stated.
     std::uint64_t born_ms = 0;
-    /// Grows with each check-in of one life.
+    /// Grows with each check-in of one life; 0 when they are not numbered.
     std::uint64_t sequence = 0;
     bool leaving = false;
     std::string service;
@@ -60,6 +60,8 @@
     presence_change on_leave(const std::string& instance,
                              std::optional<std::uint64_t> born_ms,
                              support::time_point now);
+    /// The upstream said that it is not there for now.
+    void on_absent();
     presence_change on_tick(support::time_point now);
 
     /// The life that is known; null before the first check-in.
--- a/include/galenarudder/config/settings.hpp
+++ b/include/galenarudder/config/settings.hpp
@@ -88,6 +88,9 @@
     /// How long callers may still be sent here after readiness was withdrawn;
     /// the daemon leaves no sooner.
     support::milliseconds leave_notice{0};
+    /// How long a starting member leaves the store's directory to others; long
+    /// enough that a large fleet that starts at once does not claim in a crowd.
+    support::milliseconds join_settling{10'000};
     retry_bounds retries;
     store_rates store_budget;
 };
--- a/include/galenarudder/daemon/introducer_runtime.hpp
+++ b/include/galenarudder/daemon/introducer_runtime.hpp
@@ -17,11 +17,13 @@
 class introducer_runtime
 {
 public:
-    /// Everything runs on \p control, on which \p platform answers too; both
-    /// \p platform and \p known outlive this object's last event.
+    /// \p settling is how long a starting member leaves the directory to
+    /// others. Everything runs on \p control, on which \p platform answers too;
+    /// both \p platform and \p known outlive this object's last event.
     introducer_runtime(const boost::asio::any_io_executor& control,
                        store::platform_store& platform,
                        node& known,
+                       support::duration settling,
                        std::uint64_t seed);
     ~introducer_runtime();
     introducer_runtime(const introducer_runtime&) = delete;
--- a/include/galenarudder/membership/introducer_directory.hpp
+++ b/include/galenarudder/membership/introducer_directory.hpp
@@ -70,7 +70,11 @@
 class introducer_directory
 {
 public:
-    introducer_directory(member_record self, std::uint64_t seed);
+    /// A process learns for \p settling who else is there before it claims a
+    /// slot.
+    introducer_directory(member_record self,
+                         support::duration settling,
+                         std::uint64_t seed);
 
     /// \p alone says that no other member is known; \p rank_in_domain counts
     /// the present members of the own failure domain that come before this
@@ -110,6 +114,7 @@
                      std::vector<directory_action>& actions);
 
     member_record self_;
+    support::duration settling_;
     support::random_engine random_;
     store::lease_keeper lease_;
     std::string held_;
--- a/include/galenarudder/proxy/upstream_client.hpp
+++ b/include/galenarudder/proxy/upstream_client.hpp
@@ -79,6 +79,12 @@
                                        load_source load,
                                        finished done);
 
+    /// Asks the upstream at \p path for its load, on a connection as for a
+    /// call; \p told gets nothing when it does not state one in time.
+    void measure(const std::string& path,
+                 support::duration timeout,
+                 std::function<void(const std::optional<upstream_load>&)> told);
+
     /// Closes idle connections.
     void close();
 
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -4,6 +4,7 @@
 #include "galenarudder/admission/concurrency_limit.hpp"
 #include "galenarudder/admission/rank_queue.hpp"
 #include "galenarudder/admission/service_estimate.hpp"
+#include "galenarudder/admission/speed_watch.hpp"
 #include "galenarudder/telemetry/decision_log.hpp"
 
 #include <algorithm>
@@ -64,6 +65,7 @@
     rank_queue queue;
     concurrency_limit concurrency;
     service_estimate service;
+    speed_watch speed;
     probe_budget probes{0};
     probe_hint hint;
     support::time_point probe_began;
@@ -87,6 +89,7 @@
     support::milliseconds retry_after() const;
     refuse refuse_late(const attempt& call, std::string detail);
     refuse refuse_overflow(const attempt& call);
+    bool may_begin(support::time_point now) const;
     void start_waiting(support::time_point now, std::vector<action>& actions);
     void refuse_waiting(refusal_kind kind,
                         std::string_view detail,
@@ -192,9 +195,17 @@
                               "the queue is full of calls that go first")};
 }
 
+/// Whether the upstream works at its usual speed, as far as is known.
+bool gate::state::may_begin(support::time_point now) const
+{
+    return !speed.is_slow(now) && !speed.is_uncertain(now);
+}
+
 void gate::state::start_waiting(support::time_point now,
                                 std::vector<action>& actions)
 {
+    if (!may_begin(now))
+        return;
     const auto eligible = [this](std::size_t rank) { return may_start(rank); };
     while (std::optional<attempt> next = queue.pop(eligible)) {
         if (next->deadline <= now) {
@@ -297,6 +308,7 @@
 {
     std::vector<action> actions;
     state_->present = false;
+    state_->speed.reset();
     state_->concurrency.set_slots(0, now);
     state_->refuse_waiting(refusal_kind::no_upstream, "the upstream left",
                            actions);
@@ -358,6 +370,33 @@
     return actions;
 }
 
+std::vector<action> gate::on_speed(std::optional<double> slowdown,
+                                   support::time_point now)
+{
+    if (slowdown)
+        state_->speed.on_stated(*slowdown, now);
+    else
+        state_->speed.on_unanswered(now);
+    std::vector<action> actions;
+    state_->start_waiting(now, actions);
+    return actions;
+}
+
+bool gate::take_speed_question(support::time_point now)
+{
+    const bool room = state_->queue.size() != 0 &&
+                      state_->queue.running() < state_->concurrency.current();
+    if (!room || !state_->speed.wants_measurement(now))
+        return false;
+    state_->speed.on_asked(now);
+    return true;
+}
+
+bool gate::has_waiting() const
+{
+    return state_->queue.size() != 0;
+}
+
 std::vector<action> gate::cancel(const attempt_key& key, support::time_point)
 {
     const auto is_it = [&](const attempt& waiter) { return waiter.key == key; };
--- a/lib/admission/upstream_presence.cpp
+++ b/lib/admission/upstream_presence.cpp
@@ -9,8 +9,12 @@
     const bool first = !known_;
     const bool same_life = !first && known_->instance == heard.instance &&
                            known_->born_ms == heard.born_ms;
-    const bool older = !first && !same_life && heard.born_ms <= known_->born_ms;
-    const bool repeated = same_life && heard.sequence <= known_->sequence;
+    const bool dated = heard.born_ms != 0;
+    const bool older =
+        !first && !same_life && dated && heard.born_ms <= known_->born_ms;
+    const bool numbered = heard.sequence != 0;
+    const bool repeated =
+        same_life && numbered && heard.sequence <= known_->sequence;
     if (older || repeated) {
         ++stale_;
         return presence_change::stale;
@@ -49,6 +53,11 @@
     return leave();
 }
 
+void upstream_presence::on_absent()
+{
+    serves_ = false;
+}
+
 presence_change upstream_presence::on_tick(support::time_point now)
 {
     if (!serves_ || now - heard_at_ < lapse_after_)
--- a/lib/config/configuration.cpp
+++ b/lib/config/configuration.cpp
@@ -105,11 +105,11 @@
     const std::string wanted = boost::algorithm::to_lower_copy(
         std::string(host.substr(0, host.find(':'))));
     const auto& routes = in_force.host_routes;
-    auto route = std::lower_bound(
-        routes.begin(), routes.end(), wanted,
-        [](const host_route& known, const std::string& name) {
-            return known.host < name;
-        });
+    auto route =
+        std::lower_bound(routes.begin(), routes.end(), wanted,
+                         [](const host_route& known, const std::string& name) {
+                             return known.host < name;
+                         });
     for (; route != routes.end() && route->host == wanted; ++route) {
         if (path.starts_with(route->prefix))
             return &*route;
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -39,6 +39,7 @@
     "service": {"type": "string", "maxLength": 64},
     "heartbeat": {"type": "string"},
     "leave_notice": {"type": "string"},
+    "join_settling": {"type": "string"},
     "retries": {"type": "object", "additionalProperties": false,
       "required": ["ratio", "window", "slack"],
       "properties": {
@@ -147,6 +148,7 @@
 constexpr span_field span_fields[] = {
     {"heartbeat", &daemon_settings::heartbeat},
     {"leave_notice", &daemon_settings::leave_notice},
+    {"join_settling", &daemon_settings::join_settling},
 };
 
 support::result<void> read_span(const nlohmann::json& document,
@@ -180,8 +182,8 @@
     for (const span_field& field : span_fields) {
         if (!document.contains(field.name))
             continue;
-        BOOST_OUTCOME_TRYV(read_span(document, field.name,
-                                     settings.*field.member, file));
+        BOOST_OUTCOME_TRYV(
+            read_span(document, field.name, settings.*field.member, file));
     }
     settings.service = document.value("service", "");
     if (document.contains("retries")) {
--- a/lib/daemon/introducer_runtime.cpp
+++ b/lib/daemon/introducer_runtime.cpp
@@ -23,9 +23,10 @@
     impl(const asio::any_io_executor& control,
          store::platform_store& platform,
          node& known,
+         support::duration settling,
          std::uint64_t seed)
         : timer_(control), store_(platform), node_(known),
-          directory_(known.member().self(), seed)
+          directory_(known.member().self(), settling, seed)
     {
     }
 
@@ -131,8 +132,9 @@
 introducer_runtime::introducer_runtime(const asio::any_io_executor& control,
                                        store::platform_store& platform,
                                        node& known,
+                                       support::duration settling,
                                        std::uint64_t seed)
-    : impl_(std::make_shared<impl>(control, platform, known, seed))
+    : impl_(std::make_shared<impl>(control, platform, known, settling, seed))
 {
 }
 
--- a/lib/daemon/program.cpp
+++ b/lib/daemon/program.cpp
@@ -11,7 +11,8 @@
 {
     telemetry::open_log("");
     if (settings_path.empty()) {
-        telemetry::log_error("daemon.not_started", {support::error_kind::invalid_document,
+        telemetry::log_error("daemon.not_started",
+                             {support::error_kind::invalid_document,
                               "no settings file is named",
                               "name it as the program's help says"});
         telemetry::flush_log();
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -151,20 +151,26 @@
 
 runtime::impl::impl(config::daemon_settings settings, integration with)
     : settings_(std::move(settings)), with_(std::move(with)),
-      io_(static_cast<int>(settings_.threads)), control_(asio::make_strand(io_)),
+      io_(static_cast<int>(settings_.threads)),
+      control_(asio::make_strand(io_)),
       node_(settings_, wall_clock_ms(), std::random_device{}()),
       gate_(std::make_shared<proxy::gate_runtime>(
           io_, *node_.configuration().read(), *with_.dialect)),
-      entry_(node_.router(),
-             node_.configuration(),
-             metrics_,
-             [this](const routing::choice& target) { return gate_of(target); },
-             *with_.dialect),
+      entry_(
+          node_.router(),
+          node_.configuration(),
+          metrics_,
+          [this](const routing::choice& target) { return gate_of(target); },
+          *with_.dialect),
       callers_(io_, entry_),
       presence_(heartbeats_to_lapse * settings_.heartbeat),
       store_(with_.open_store(control_, settings_)),
       rollout_(control_, *store_, node_, settings_, rollout_performer()),
-      introducers_(control_, *store_, node_, std::random_device{}()),
+      introducers_(control_,
+                   *store_,
+                   node_,
+                   settings_.join_settling,
+                   std::random_device{}()),
       gossip_(control_), timer_(control_), leave_timer_(control_),
       signals_(control_, SIGTERM, SIGINT)
 {
@@ -208,24 +214,25 @@
         if (self)
             self->on_control([what](impl& own) { own.announced(what); });
     };
-    handlers.leaving = [weak = weak_from_this()](
-                           const std::string& instance,
-                           std::optional<std::uint64_t> born_ms) {
-        const auto self = weak.lock();
-        if (!self)
-            return;
-        self->on_control([instance, born_ms](impl& own) {
-            own.apply(own.presence_.on_leave(instance, born_ms,
-                                             monotonic_clock::now()),
-                      "the upstream " + instance + " leaves");
-        });
-    };
+    handlers.leaving =
+        [weak = weak_from_this()](const std::string& instance,
+                                  std::optional<std::uint64_t> born_ms) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->on_control([instance, born_ms](impl& own) {
+                own.apply(own.presence_.on_leave(instance, born_ms,
+                                                 monotonic_clock::now()),
+                          "the upstream " + instance + " leaves");
+            });
+        };
     handlers.gone = [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (!self)
             return;
         self->on_control([](impl& own) {
             telemetry::log_event(log_kind::belief, "upstream.gone", {});
+            own.presence_.on_absent();
             own.gate_->upstream_gone();
             own.perform(own.node_.on_upstream_gone(monotonic_clock::now()));
         });
@@ -250,8 +257,8 @@
     facts.where = what.life.address;
     facts.service = what.life.service;
     facts.slots = what.life.slots;
-    facts.connections = what.connections == 0 ? what.life.slots * 2
-                                              : what.connections;
+    facts.connections =
+        what.connections == 0 ? what.life.slots * 2 : what.connections;
     facts.probe_path = what.probe_path;
     facts.instance = what.life.instance;
     facts.born_ms = what.life.born_ms;
@@ -275,8 +282,8 @@
          {"cause", cause},
          {"instance", known == nullptr ? std::string() : known->instance},
          {"sequence", known == nullptr ? 0 : known->sequence}});
-    const bool ended = change == presence_change::left ||
-                       change == presence_change::lapsed;
+    const bool ended =
+        change == presence_change::left || change == presence_change::lapsed;
     if (!ended)
         return;
     if (change == presence_change::left)
@@ -287,7 +294,8 @@
 }
 
 /// The gate found that it can send calls to the upstream, or that it cannot.
-void runtime::impl::serving_changed(std::optional<proxy::upstream_facts> upstream)
+void runtime::impl::serving_changed(
+    std::optional<proxy::upstream_facts> upstream)
 {
     if (!upstream) {
         perform(node_.on_upstream_gone(monotonic_clock::now()));
--- a/lib/membership/introducer_directory.cpp
+++ b/lib/membership/introducer_directory.cpp
@@ -15,11 +15,9 @@
 
 constexpr support::milliseconds lease_ttl{60000};
 /// A member that knows nobody reads this often while the store answers.
-constexpr support::milliseconds alone_interval{500};
+constexpr support::milliseconds alone_interval{1000};
 /// Candidates and holders look at a slot this often.
 constexpr support::milliseconds check_interval{30000};
-/// A process learns who else is there before it claims a slot.
-constexpr support::milliseconds settling_time{2000};
 constexpr support::milliseconds claim_retry{2000};
 constexpr support::milliseconds longest_retry{15000};
 /// Of so many reads of a lone member, one reads the list of domains.
@@ -70,9 +68,11 @@
 }
 
 introducer_directory::introducer_directory(member_record self,
+                                           support::duration settling,
                                            std::uint64_t seed)
-    : self_(std::move(self)), random_(seed), lease_(lease_ttl, random_()),
-      domains_({self_.domain}), eager_reads_(max_eager_reads)
+    : self_(std::move(self)), settling_(settling), random_(seed),
+      lease_(lease_ttl, random_()), domains_({self_.domain}),
+      eager_reads_(max_eager_reads)
 {
 }
 
@@ -134,7 +134,7 @@
     if (now < next_read_)
         return actions;
     if (ready_at_ == support::time_point{})
-        ready_at_ = now + jittered(settling_time, random_);
+        ready_at_ = now + jittered(settling_, random_);
     // Before, a starting fleet would take each member for the first.
     const bool ready = now >= ready_at_;
     candidate_ = ready && rank_in_domain() < slots_per_domain;
--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -275,9 +275,9 @@
 {
     if (terms_.max_runs == 0)
         return true;
-    const auto runs = std::count_if(
-        attempts_.begin(), attempts_.end(),
-        [](const attempt_record& made) { return !made.not_run; });
+    const auto runs =
+        std::count_if(attempts_.begin(), attempts_.end(),
+                      [](const attempt_record& made) { return !made.not_run; });
     return static_cast<std::size_t>(runs) < terms_.max_runs;
 }
 
--- a/lib/proxy/caller_connection.cpp
+++ b/lib/proxy/caller_connection.cpp
@@ -145,9 +145,9 @@
     answer.result(dialect.refusal_status(why));
     answer.set(bhttp::field::content_type, problem_type);
     if (why.retry_after.count() > 0) {
-        answer.set(bhttp::field::retry_after,
-                   retry_after_text(why.retry_after,
-                                    dialect.fractional_retry_after));
+        answer.set(
+            bhttp::field::retry_after,
+            retry_after_text(why.retry_after, dialect.fractional_retry_after));
     }
     if (why.retry_exhausted && !dialect.no_retry.empty()) {
         answer.set(beast::string_view(dialect.no_retry.data(),
@@ -189,8 +189,8 @@
 
 caller_connection::caller_connection(tcp::socket socket,
                                      const http_dialect& dialect)
-    : stream_(std::move(socket)), dialect_(dialect), watch_ended_(stream_.get_executor()),
-      read_limit_(stream_.get_executor())
+    : stream_(std::move(socket)), dialect_(dialect),
+      watch_ended_(stream_.get_executor()), read_limit_(stream_.get_executor())
 {
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
@@ -231,8 +231,7 @@
         asio::bind_cancellation_slot(stop_read_.slot(), awaiting));
     end_read_limit();
     buffer_.commit(size);
-    closed_by_caller_ =
-        failed && failed != asio::error::operation_aborted;
+    closed_by_caller_ = failed && failed != asio::error::operation_aborted;
     co_return !failed;
 }
 
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -175,8 +175,7 @@
 bool caller_session::may_keep_alive(const request_parser& parser) const
 {
     const bool more_to_answer = open_.size() > 1;
-    return parser.get().keep_alive() &&
-           (more_to_answer || !*context_.draining);
+    return parser.get().keep_alive() && (more_to_answer || !*context_.draining);
 }
 
 answer_framing caller_session::framing(const request_parser& parser,
@@ -216,8 +215,7 @@
     }
     if (!found.ready)
         co_return false;
-    auto counted =
-        std::make_shared<open_call_count>(*context_.open_calls);
+    auto counted = std::make_shared<open_call_count>(*context_.open_calls);
     const std::string host(parser->get()[bhttp::field::host]);
     classification decided =
         entry_.classify(convert(*parser), host, monotonic_clock::now(), peer_);
@@ -280,8 +278,7 @@
         co_await ended_.async_wait(awaiting);
     bool again = false;
     if (closing_ || current->gone)
-        perform(current,
-                current->flow.on_caller_gone(monotonic_clock::now()));
+        give_up(current);
     else
         again = co_await finish(parser, current, current->begun);
     if (!again)
@@ -290,6 +287,16 @@
     ended_.cancel();
 }
 
+/// No answer can be written: the caller left, or the connection closes.
+void caller_session::give_up(const call_ptr& current)
+{
+    perform(current, current->flow.on_caller_gone(monotonic_clock::now()));
+    current->refused = caller_left();
+    log_refusal(*current, current->begun);
+    entry_.metrics().refused(current->head.service, current->head.rank,
+                             *current->refused);
+}
+
 /// Waits until every call before the next has been answered or given up.
 asio::awaitable<void> caller_session::earlier_ended()
 {
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -138,6 +138,7 @@
                       std::shared_ptr<void> counted);
     boost::asio::awaitable<void> serve_beside(parser_ptr parser,
                                               call_ptr current);
+    void give_up(const call_ptr& current);
     boost::asio::awaitable<void> earlier_ended();
     void abandon_open();
     void end_session();
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -269,7 +269,8 @@
     terms.rank =
         rank_of_call(*in_force, terms.rank,
                      find_field(head.fields, dialect_.rank), from_upstream);
-    const auto asked_ms = read_number(find_field(head.fields, dialect_.deadline));
+    const auto asked_ms =
+        read_number(find_field(head.fields, dialect_.deadline));
     if (asked_ms)
         head.remaining =
             std::min(head.remaining, support::milliseconds(*asked_ms));
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -22,6 +22,9 @@
 namespace {
 
 constexpr auto tick_interval = std::chrono::milliseconds(5);
+constexpr auto idle_tick_interval = std::chrono::milliseconds(50);
+/// A measurement of the upstream's speed that takes longer is of no use.
+constexpr support::milliseconds measure_timeout{100};
 /// Connections kept beyond the slots, so that one may be renewed.
 constexpr std::uint32_t spare_connections = 2;
 constexpr std::uint64_t own_entry_link = 0;
@@ -89,6 +92,8 @@
     void execute(const admission::start& begun);
     void execute(const admission::refuse& ended);
     void execute(const admission::abort_running& aborted);
+    void measure_speed();
+    void arm();
     void finished(const attempt_key& key,
                   upstream_result how,
                   support::duration took,
@@ -116,6 +121,8 @@
     std::uint64_t life_ = 0;
     bool serving_ = false;
     bool asking_ = false;
+    /// Whether the timer ticks often.
+    bool eager_ = false;
     unsigned announced_ = 0;
     support::time_point next_question_{};
     std::shared_ptr<upstream_client> client_;
@@ -135,11 +142,40 @@
     perform(gate_.on_tick(now));
     probe_if_due(now);
     publish_metrics(now);
-    timer_.expires_after(tick_interval);
-    timer_.async_wait([weak = weak_from_this()](boost::system::error_code) {
-        if (const auto self = weak.lock())
-            self->tick();
-    });
+    arm();
+}
+
+/// Ticks often only while calls wait to begin.
+void gate_runtime::impl::arm()
+{
+    eager_ = gate_.has_waiting();
+    timer_.expires_after(eager_ ? tick_interval : idle_tick_interval);
+    timer_.async_wait(
+        [weak = weak_from_this()](boost::system::error_code canceled) {
+            const auto self = weak.lock();
+            if (self && !canceled)
+                self->tick();
+        });
+}
+
+void gate_runtime::impl::measure_speed()
+{
+    if (!client_ || probe_path().empty()) {
+        perform(gate_.on_speed(std::nullopt, monotonic_clock::now()));
+        return;
+    }
+    client_->measure(probe_path(), measure_timeout,
+                     [weak = weak_from_this(), life = life_](
+                         const std::optional<upstream_load>& stated) {
+                         const auto self = weak.lock();
+                         if (!self || self->life_ != life)
+                             return;
+                         std::optional<double> slowdown;
+                         if (stated)
+                             slowdown = stated->slowdown;
+                         self->perform(self->gate_.on_speed(
+                             slowdown, monotonic_clock::now()));
+                     });
 }
 
 void gate_runtime::impl::submit(std::uint64_t link, link::exchange_ptr attempt)
@@ -157,6 +193,10 @@
 {
     for (const admission::action& next : actions)
         std::visit([this](const auto& what) { execute(what); }, next);
+    if (gate_.take_speed_question(monotonic_clock::now()))
+        measure_speed();
+    if (!eager_ && gate_.has_waiting())
+        arm();
     check_drained();
 }
 
@@ -271,14 +311,13 @@
         return;
     const link::exchange_ptr exchange = found->second.exchange;
     attempts_.erase(found);
-    telemetry::log_event(
-        telemetry::log_kind::failure, "gate.refused",
-        {{"call", name_of_call(exchange->head, dialect_)},
-         {"kind", to_string(ended.why.kind)},
-         {"outcome", to_string(ended.why.outcome)},
-         {"detail", ended.why.detail},
-         {"rank", exchange->head.rank},
-         {"retry_after_ms", ended.why.retry_after.count()}});
+    telemetry::log_event(telemetry::log_kind::failure, "gate.refused",
+                         {{"call", name_of_call(exchange->head, dialect_)},
+                          {"kind", to_string(ended.why.kind)},
+                          {"outcome", to_string(ended.why.outcome)},
+                          {"detail", ended.why.detail},
+                          {"rank", exchange->head.rank},
+                          {"retry_after_ms", ended.why.retry_after.count()}});
     exchange->request.cut();
     exchange->deliver(
         link::refused{ended.why, gate_.report(monotonic_clock::now())});
@@ -330,6 +369,8 @@
         run_result::answered, run_result::failed, run_result::shed,
         run_result::failed,   run_result::failed, run_result::failed};
     attempts_.erase(key);
+    if (stated)
+        perform(gate_.on_speed(stated->slowdown, monotonic_clock::now()));
     if (how == upstream_result::unreachable)
         stop_serving("no connection could be opened");
     if (how == upstream_result::replaced)
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -197,8 +197,8 @@
     asio::awaitable<bool> read_final_head();
     asio::awaitable<bool> read_own_head(support::answer_head& head);
     bool is_own(const support::answer_head& head) const;
-    std::optional<refusal> reason_not_to_pass_on(
-        const support::answer_head& head) const;
+    std::optional<refusal>
+    reason_not_to_pass_on(const support::answer_head& head) const;
     asio::awaitable<bool> read_whole(std::string& body);
     asio::awaitable<upstream_result> pass_on(support::answer_head head);
     bool may_reuse() const;
@@ -239,16 +239,16 @@
     const auto self = shared_from_this();
     const support::time_point begun = support::monotonic_clock::now();
     connection_ = co_await pool_->take_connection(
-        deadline_, attempt_->head.repeatable ? longest_idle
-                                             : longest_idle_unrepeatable);
+        deadline_,
+        attempt_->head.repeatable ? longest_idle : longest_idle_unrepeatable);
     upstream_result how = upstream_result::failed;
     std::optional<refusal> why = reason_not_to_start();
     if (why) {
         if (connection_)
             pool_->give_back(connection_);
-        how = refuse(std::move(*why), connection_
-                                          ? upstream_result::not_sent
-                                          : upstream_result::unreachable);
+        how =
+            refuse(std::move(*why), connection_ ? upstream_result::not_sent
+                                                : upstream_result::unreachable);
     } else {
         how = co_await exchange_messages();
         if (reusable_ && request_sent_ && !aborted_)
@@ -365,8 +365,8 @@
 
 /// An answer that no upstream vouches for, or that would tell the caller that
 /// a request did not run although it may have.
-std::optional<refusal> running_call::reason_not_to_pass_on(
-    const support::answer_head& head) const
+std::optional<refusal>
+running_call::reason_not_to_pass_on(const support::answer_head& head) const
 {
     if (dialect_.promises_not_run(head.status)) {
         return failure(run_outcome::unknown,
@@ -562,6 +562,61 @@
     return call;
 }
 
+namespace {
+
+/// One small request and its whole answer; nothing when there is none in time.
+asio::awaitable<std::optional<upstream_load>>
+ask_load(std::shared_ptr<connection_pool> pool,
+         std::string path,
+         support::duration timeout,
+         const http_dialect& dialect)
+{
+    const support::time_point end = support::monotonic_clock::now() + timeout;
+    const connection_ptr used =
+        co_await pool->take_connection(end, longest_idle_unrepeatable);
+    if (!used)
+        co_return std::nullopt;
+    bhttp::request<bhttp::empty_body> request(bhttp::verb::get, path, 11);
+    request.set(bhttp::field::host, to_string(pool->upstream()));
+    used->stream.expires_at(
+        std::chrono::steady_clock::time_point(end.time_since_epoch()));
+    const auto [unsent, sent] =
+        co_await bhttp::async_write(used->stream, request, awaiting);
+    if (unsent)
+        co_return std::nullopt;
+    bhttp::response_parser<bhttp::string_body> parser;
+    const auto [unread, size] = co_await bhttp::async_read(
+        used->stream, used->buffer, parser, awaiting);
+    if (unread)
+        co_return std::nullopt;
+    support::answer_head head;
+    head.status = parser.get().result_int();
+    for (const auto& field : parser.get()) {
+        head.fields.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+    }
+    if (parser.get().keep_alive() && !parser.get().need_eof() &&
+        used->buffer.size() == 0)
+        pool->give_back(used);
+    co_return dialect.read_load(head);
+}
+
+} // namespace
+
+void upstream_client::measure(
+    const std::string& path,
+    support::duration timeout,
+    std::function<void(const std::optional<upstream_load>&)> told)
+{
+    asio::co_spawn(
+        pool_->executor(),
+        [pool = pool_, path, timeout, &dialect = dialect_,
+         told = std::move(told)]() -> asio::awaitable<void> {
+            told(co_await ask_load(pool, path, timeout, dialect));
+        },
+        asio::detached);
+}
+
 void upstream_client::close()
 {
     pool_->close();
--- a/lib/telemetry/log.cpp
+++ b/lib/telemetry/log.cpp
@@ -49,8 +49,8 @@
 void append_text(std::string& line, std::string_view text)
 {
     // A caller's own bytes need not be UTF-8.
-    line += nlohmann::json(text).dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    line += nlohmann::json(text).dump(-1, ' ', false,
+                                      nlohmann::json::error_handler_t::replace);
 }
 
 void append_name(std::string& line, std::string_view name)
