Let every daemon on the platform watch the store for configurations

Ruled out: the translation (the same version was in force elsewhere after 0.1 s). Change: the number of watchers is a setting; on the platform all watch, at the price of one call for each version and 30 s. A connection whose peer falls silent ends after 3 s.

--- a/include/galenarudder/config/settings.hpp
+++ b/include/galenarudder/config/settings.hpp
@@ -91,6 +91,8 @@
     /// How long a starting member leaves the store's directory to others; long
     /// enough that a large fleet that starts at once does not claim in a crowd.
     support::milliseconds join_settling{10'000};
+    /// Members of a failure domain that watch the store for configurations.
+    std::uint32_t store_watchers = 2;
     retry_bounds retries;
     store_rates store_budget;
 };
--- a/include/galenarudder/rollout/rollout.hpp
+++ b/include/galenarudder/rollout/rollout.hpp
@@ -93,7 +93,12 @@
 class rollout
 {
 public:
-    rollout(std::string member, std::string domain, std::uint64_t seed);
+    /// \p watchers members of each failure domain watch the store; the others
+    /// hear of changes from peers.
+    rollout(std::string member,
+            std::string domain,
+            std::uint64_t seed,
+            std::size_t watchers = watchers_per_domain);
     ~rollout();
     rollout(const rollout&) = delete;
     rollout& operator=(const rollout&) = delete;
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -40,6 +40,7 @@
     "heartbeat": {"type": "string"},
     "leave_notice": {"type": "string"},
     "join_settling": {"type": "string"},
+    "store_watchers": {"type": "integer", "minimum": 1, "maximum": 100000},
     "retries": {"type": "object", "additionalProperties": false,
       "required": ["ratio", "window", "slack"],
       "properties": {
@@ -186,6 +187,8 @@
             read_span(document, field.name, settings.*field.member, file));
     }
     settings.service = document.value("service", "");
+    settings.store_watchers =
+        document.value("store_watchers", settings.store_watchers);
     if (document.contains("retries")) {
         const nlohmann::json& retries = document.at("retries");
         settings.retries.ratio = retries.at("ratio");
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -51,7 +51,7 @@
               settings.introducers,
               settings.keys,
               seed),
-      rollout_(settings.member, settings.domain, seed)
+      rollout_(settings.member, settings.domain, seed, settings.store_watchers)
 {
     router_.set_decision_log(decisions_);
 }
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -1,6 +1,8 @@
 // One request for each connection, over Beast.
 #include "galenarudder/http/client.hpp"
 
+#include "galenarudder/support/silent_socket.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -85,6 +87,7 @@
     if (connect_failure) {
         co_return not_connected(where, connect_failure);
     }
+    support::end_silent(stream.socket());
     auto converted = convert(where, wanted);
     const auto [write_failure, written] =
         co_await beast::http::async_write(stream, converted, awaiting);
--- a/lib/rollout/rollout.cpp
+++ b/lib/rollout/rollout.cpp
@@ -63,6 +63,7 @@
 {
     support::member_id member;
     std::string domain;
+    std::size_t watchers = watchers_per_domain;
     support::random_engine random;
     rollout_counters counters;
     std::optional<config::document> current;
@@ -141,7 +142,7 @@
         const auto other = std::pair(watcher_weight(id), std::string_view(id));
         before += other < own ? 1 : 0;
     }
-    return before < watchers_per_domain;
+    return before < watchers;
 }
 
 std::vector<support::member_id> rollout::state::peers_behind() const
@@ -321,12 +322,16 @@
     actions.emplace_back(read_store{});
 }
 
-rollout::rollout(std::string member, std::string domain, std::uint64_t seed)
+rollout::rollout(std::string member,
+                 std::string domain,
+                 std::uint64_t seed,
+                 std::size_t watchers)
     : state_(std::make_unique<state>())
 {
     state_->member = std::move(member);
     state_->domain = std::move(domain);
     state_->random.seed(seed);
+    state_->watchers = watchers;
 }
 
 rollout::~rollout() = default;
