Give up a connection attempt after one second

Change: connecting takes at most 1 s of a call's time, then the watch is tried again. Test: unittests/http, a peer that drops opening packets.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace galenarudder::http {
@@ -25,6 +26,16 @@
 
 namespace {
 
+/// The kernel repeats an opening packet at growing intervals, so that a
+/// connection that is waited for longer may miss the end of a partition by
+/// many seconds. A new attempt sends a packet at once.
+constexpr std::chrono::seconds connect_timeout{1};
+
+support::duration connect_time(support::duration timeout)
+{
+    return std::min<support::duration>(timeout, connect_timeout);
+}
+
 beast::http::request<beast::http::string_body>
 convert(const config::endpoint& where, client_request& wanted)
 {
@@ -79,7 +90,8 @@
 {
     constexpr auto awaiting = asio::as_tuple(asio::use_awaitable);
     beast::tcp_stream stream(co_await asio::this_coro::executor);
-    stream.expires_after(timeout);
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    stream.expires_after(connect_time(timeout));
     const asio::ip::tcp::endpoint remote(asio::ip::make_address(where.address),
                                          where.port);
     const auto [connect_failure] =
@@ -87,6 +99,7 @@
     if (connect_failure) {
         co_return not_connected(where, connect_failure);
     }
+    stream.expires_at(end);
     support::end_silent(stream.socket());
     auto converted = convert(where, wanted);
     const auto [write_failure, written] =
--- a/lib/telemetry/log.cpp
+++ b/lib/telemetry/log.cpp
@@ -23,6 +23,8 @@
 /// Shares of the budget that are kept for lines of the later kinds.
 constexpr double kept_from_routine = 0.5;
 constexpr double kept_from_failures = 0.1;
+/// How often at most a line counts what was left out.
+constexpr support::milliseconds left_out_interval{1000};
 /// Written once so much waits, and otherwise when the log is flushed.
 constexpr std::size_t write_bytes = 4 * 1024;
 /// More does not wait for a reader that is too slow.
@@ -100,7 +102,8 @@
             ++left_out_;
             return;
         }
-        if (left_out_ != 0) {
+        if (left_out_ != 0 && now - told_left_out_ >= left_out_interval) {
+            told_left_out_ = now;
             const std::uint64_t count = std::exchange(left_out_, 0);
             append("log.left_out", {{"lines", count}}, now);
         }
@@ -144,6 +147,7 @@
     double most_bytes_;
     std::string waiting_;
     std::uint64_t left_out_ = 0;
+    support::time_point told_left_out_{};
     log_counts counts_;
 };
 
