--- a/include/galenarudder/config/settings.hpp
+++ b/include/galenarudder/config/settings.hpp
@@ -39,24 +39,6 @@
     std::string secret;
 };
 
-/// Bounds of all calls that are sent to one service again, over the whole
-/// fleet and any window.
-struct retry_bounds
-{
-    /// Share of the calls; 0 leaves it to the configuration.
-    double ratio = 0;
-    support::milliseconds window{10'000};
-    /// Calls beyond the share.
-    std::uint32_t slack = 0;
-};
-
-/// Calls that all daemons together may make to the store in a second.
-struct store_rates
-{
-    double reads = 0;
-    double writes = 0;
-};
-
 struct daemon_settings
 {
     std::string member;
@@ -93,8 +75,6 @@
     support::milliseconds join_settling{10'000};
     /// Members of a failure domain that watch the store for configurations.
     std::uint32_t store_watchers = 2;
-    retry_bounds retries;
-    store_rates store_budget;
 };
 
 /// Parses and checks settings; \p file names the source in errors.
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -41,17 +41,6 @@
     "leave_notice": {"type": "string"},
     "join_settling": {"type": "string"},
     "store_watchers": {"type": "integer", "minimum": 1, "maximum": 100000},
-    "retries": {"type": "object", "additionalProperties": false,
-      "required": ["ratio", "window", "slack"],
-      "properties": {
-        "ratio": {"type": "number", "minimum": 0, "maximum": 1},
-        "window": {"type": "string"},
-        "slack": {"type": "integer", "minimum": 0, "maximum": 1000000}}},
-    "store_rates": {"type": "object", "additionalProperties": false,
-      "required": ["reads", "writes"],
-      "properties": {
-        "reads": {"type": "number", "minimum": 0},
-        "writes": {"type": "number", "minimum": 0}}},
     "keys": {"type": "array", "minItems": 1, "items": {
       "type": "object", "additionalProperties": false,
       "required": ["id", "secret"],
@@ -189,17 +178,6 @@
     settings.service = document.value("service", "");
     settings.store_watchers =
         document.value("store_watchers", settings.store_watchers);
-    if (document.contains("retries")) {
-        const nlohmann::json& retries = document.at("retries");
-        settings.retries.ratio = retries.at("ratio");
-        settings.retries.slack = retries.at("slack");
-        BOOST_OUTCOME_TRYV(
-            read_span(retries, "window", settings.retries.window, file));
-    }
-    if (document.contains("store_rates")) {
-        const nlohmann::json& rates = document.at("store_rates");
-        settings.store_budget = {rates.at("reads"), rates.at("writes")};
-    }
     return boost::outcome_v2::success();
 }
 
