--- a/include/galenarudder/daemon/integration.hpp
+++ b/include/galenarudder/daemon/integration.hpp
@@ -65,6 +65,8 @@
         const config::daemon_settings& settings,
         announcement_handlers handlers)>
         open_upstream_port;
+    /// Reads the settings again, when SIGHUP says that they changed.
+    std::function<support::result<config::daemon_settings>()> reload;
     /// Path on the readiness port.
     std::string readiness_path;
     /// Whether connections to the upstream are opened ahead of calls.
--- a/lib/daemon/program.cpp
+++ b/lib/daemon/program.cpp
@@ -30,6 +30,9 @@
                           {"settings", settings_path},
                           {"domain", settings.value().domain},
                           {"service", settings.value().service}});
+    with.reload = [settings_path] {
+        return config::load_settings(settings_path);
+    };
     runtime served(std::move(settings).value(), std::move(with));
     auto started = served.start();
     if (!started) {
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -98,6 +98,8 @@
     void serving_changed(std::optional<proxy::upstream_facts> upstream);
     support::result<void> open_readiness();
     bool is_ready() const;
+    void await_reload();
+    void reload();
     void drain(std::string_view asked_by);
     void close_to_callers();
     void start_drain(std::string_view asked_by);
@@ -140,6 +142,7 @@
     asio::steady_timer timer_;
     asio::steady_timer leave_timer_;
     asio::signal_set signals_;
+    asio::signal_set reload_signal_;
     /// The gate refuses new work.
     bool draining_ = false;
     /// The gate has no work left.
@@ -172,7 +175,7 @@
                    settings_.join_settling,
                    std::random_device{}()),
       gossip_(control_), timer_(control_), leave_timer_(control_),
-      signals_(control_, SIGTERM, SIGINT)
+      signals_(control_, SIGTERM, SIGINT), reload_signal_(control_, SIGHUP)
 {
 }
 
@@ -381,6 +384,7 @@
             if (self && !canceled)
                 self->drain("signal");
         });
+    await_reload();
     on_control([](impl& self) {
         self.introducers_.start();
         self.tick();
@@ -483,6 +487,42 @@
         support::from_ms(in_force->value(config::limit::claim_retention_ms)));
 }
 
+void runtime::impl::await_reload()
+{
+    reload_signal_.async_wait(
+        [weak = weak_from_this()](boost::system::error_code canceled, int) {
+            const auto self = weak.lock();
+            if (!self || canceled)
+                return;
+            self->reload();
+            self->await_reload();
+        });
+}
+
+/// Takes over what may change while the daemon runs; what it cannot read or
+/// use leaves the old settings in force.
+void runtime::impl::reload()
+{
+    if (!with_.reload)
+        return;
+    const auto read = with_.reload();
+    if (!read) {
+        telemetry::log_error("settings.refused", read.error());
+        return;
+    }
+    const config::daemon_settings& next = read.value();
+    const bool same_ports = next.callers == settings_.callers &&
+                            next.announcements == settings_.announcements &&
+                            next.link == settings_.link &&
+                            next.gossip == settings_.gossip &&
+                            next.operators == settings_.operators;
+    settings_.leave_notice = next.leave_notice;
+    settings_.upstream = next.upstream;
+    settings_.service = next.service;
+    telemetry::log_event(log_kind::belief, "settings.reloaded",
+                         {{"ports_need_a_restart", !same_ports}});
+}
+
 /// A signal after an operator's or upstream's drain still ends the daemon.
 void runtime::impl::drain(std::string_view asked_by)
 {
