List all introducers by one read; groups of members merge

A member read the directory only while it knew nobody, one random slot of its own domain three times in four; once two neighbours had met, nobody looked for other domains.

Ruled out: the routing estimate.

Change: platform_store lists a prefix; a member reads all slots by one call, eagerly at first, and contacts each introducer that is not present. The list of domains in the store is gone.

--- a/include/galenarudder/membership/introducer_directory.hpp
+++ b/include/galenarudder/membership/introducer_directory.hpp
@@ -2,8 +2,8 @@
 /// A few members of each failure domain keep their addresses in the store, so
 /// that new members find somebody. A state machine without I/O.
 ///
-/// Each failure domain has \c slots_per_domain keys, and one key lists the
-/// domains. A member that sees a free slot of its own domain may claim it by
+/// Each failure domain has \c slots_per_domain keys; all slots are read by one
+/// call. A member that sees a free slot of its own domain may claim it by
 /// compare-and-swap under its lease; the lease's end frees the slot. Only the
 /// members first in a rendezvous order try, so the calls depend on the number
 /// of domains and not of members.
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,8 +27,8 @@
 /// Slots of one failure domain in the directory.
 inline constexpr unsigned slots_per_domain = 3;
 
-/// The store's key with the list of failure domains.
-inline constexpr const char* domains_key = "galenarudder/introducers/domains";
+/// The slots of all failure domains lie below it.
+inline constexpr const char* introducer_prefix = "galenarudder/introducers/";
 /// The store's key of one slot.
 std::string introducer_key(const std::string& domain, unsigned slot);
 /// What a slot holds: the claimer's id and gossip address.
@@ -41,13 +42,11 @@
 /// Reads a slot's value; malformed values are errors.
 support::result<introducer> parse_introducer(const std::string& value);
 
-/// Read one slot and hand the answer to \c on_slot.
-struct read_slot
+/// Read all slots and hand the answer to \c on_listed.
+struct list_slots
 {
-    std::string key;
 };
-/// Swap a free slot for the own address under the lease, or the list of
-/// domains for one with the own domain, without a lease.
+/// Swap a free slot for the own address under the lease.
 struct claim_slot
 {
     std::string key;
@@ -61,7 +60,7 @@
     config::endpoint gossip;
 };
 
-using directory_action = std::variant<read_slot,
+using directory_action = std::variant<list_slots,
                                       claim_slot,
                                       introducer_found,
                                       store::grant_wanted,
@@ -84,9 +83,8 @@
             const std::function<std::size_t()>& rank_in_domain,
             support::time_point now);
     std::vector<directory_action>
-    on_slot(const std::string& key,
-            const support::result<store::versioned_value>& found,
-            support::time_point now);
+    on_listed(const support::result<std::vector<store::listed_value>>& found,
+              support::time_point now);
     std::vector<directory_action>
     on_claimed(const std::string& key,
                const support::result<store::swap_outcome>& outcome,
@@ -104,32 +102,26 @@
 
 private:
     std::vector<directory_action> take(std::vector<store::lease_action> more);
-    std::string next_key(bool alone);
     support::duration interval(bool alone);
-    void on_domains(const store::versioned_value& found,
+    void find_held(std::span<const store::listed_value> slots,
+                   support::time_point now);
+    void claim_free(std::span<const store::listed_value> slots,
+                    support::time_point now,
                     std::vector<directory_action>& actions);
-    void on_own_slot(const std::string& key,
-                     const store::versioned_value& found,
-                     support::time_point now,
-                     std::vector<directory_action>& actions);
 
     member_record self_;
     support::duration settling_;
     support::random_engine random_;
     store::lease_keeper lease_;
     std::string held_;
-    /// Key whose claim got no answer; empty when there is none.
-    std::string unresolved_;
+    /// A claim got no answer; the next listing tells what became of it.
+    bool unresolved_ = false;
     /// Slot whose claim waits for a lease.
     std::optional<claim_slot> wanted_;
     /// Whether this member is to hold a slot of its domain.
     bool candidate_ = false;
-    /// Whether the own domain is known to be in the list.
-    bool listed_ = false;
-    std::vector<std::string> domains_;
     /// Reads at the shorter interval that a candidate has left.
     unsigned eager_reads_;
-    unsigned reads_ = 0;
     unsigned failures_ = 0;
     support::time_point ready_at_{};
     support::time_point next_read_{};
--- a/include/galenarudder/store/consul_store.hpp
+++ b/include/galenarudder/store/consul_store.hpp
@@ -34,6 +34,9 @@
     void get(const std::string& key,
              support::duration timeout,
              callback<versioned_value> done) override;
+    void list(const std::string& prefix,
+              support::duration timeout,
+              callback<std::vector<listed_value>> done) override;
     void compare_and_swap(const std::string& key,
                           std::string value,
                           std::uint64_t expected_index,
--- a/include/galenarudder/store/platform_store.hpp
+++ b/include/galenarudder/store/platform_store.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace galenarudder::store {
 
@@ -21,6 +22,13 @@
     std::string lease;
 };
 
+/// A key with its value.
+struct listed_value
+{
+    std::string key;
+    versioned_value item;
+};
+
 /// What became of a compare-and-swap that was answered.
 enum class swap_outcome
 {
@@ -55,6 +63,12 @@
                      support::duration timeout,
                      callback<versioned_value> done) = 0;
 
+    /// Reads every key that begins with \p prefix, ordered by key. Keys that
+    /// change meanwhile may be missed.
+    virtual void list(const std::string& prefix,
+                      support::duration timeout,
+                      callback<std::vector<listed_value>> done) = 0;
+
     /// Writes \p value if the key's index is still \p expected_index; 0 stands
     /// for absent. A nonempty \p lease ties the key to that lease.
     virtual void compare_and_swap(const std::string& key,
--- a/lib/daemon/introducer_runtime.cpp
+++ b/lib/daemon/introducer_runtime.cpp
@@ -36,7 +36,7 @@
     using actions = std::vector<membership::directory_action>;
 
     void perform(const actions& wanted);
-    void execute(const membership::read_slot& wanted);
+    void execute(const membership::list_slots& wanted);
     void execute(const membership::claim_slot& wanted);
     void execute(const membership::introducer_found& found);
     void execute(const store::grant_wanted& wanted);
@@ -81,14 +81,13 @@
         std::visit([this](const auto& what) { execute(what); }, action);
 }
 
-void introducer_runtime::impl::execute(const membership::read_slot& wanted)
+void introducer_runtime::impl::execute(const membership::list_slots&)
 {
-    store_.get(wanted.key, store_timeout,
-               answered<store::versioned_value>(
-                   [key = wanted.key](auto& directory, auto found) {
-                       return directory.on_slot(key, found,
-                                                monotonic_clock::now());
-                   }));
+    store_.list(membership::introducer_prefix, store_timeout,
+                answered<std::vector<store::listed_value>>([](auto& directory,
+                                                              auto found) {
+                    return directory.on_listed(found, monotonic_clock::now());
+                }));
 }
 
 void introducer_runtime::impl::execute(const membership::claim_slot& wanted)
--- a/lib/membership/introducer_directory.cpp
+++ b/lib/membership/introducer_directory.cpp
@@ -1,4 +1,4 @@
-// Reads slots while alone, keeps one slot when this member is to hold one.
+// Lists the slots while alone, keeps one slot when this member is to hold one.
 #include "galenarudder/membership/introducer_directory.hpp"
 
 #include "galenarudder/store/backoff.hpp"
@@ -20,11 +20,9 @@
 constexpr support::milliseconds check_interval{30000};
 constexpr support::milliseconds claim_retry{2000};
 constexpr support::milliseconds longest_retry{15000};
-/// Of so many reads of a lone member, one reads the list of domains.
-constexpr unsigned reads_per_list = 4;
-/// Reads of a candidate without a slot before it turns to the longer interval.
+/// Reads of a candidate before it turns to the longer interval. Members of a
+/// starting fleet find each other in groups, which have to learn of each other.
 constexpr unsigned max_eager_reads = 8;
-constexpr std::size_t max_domains_listed = 64;
 
 support::error malformed()
 {
@@ -44,7 +42,7 @@
 
 std::string introducer_key(const std::string& domain, unsigned slot)
 {
-    return "galenarudder/introducers/" + domain + "/" + std::to_string(slot);
+    return introducer_prefix + domain + "/" + std::to_string(slot);
 }
 
 std::string introducer_value(const member_record& self)
@@ -71,8 +69,7 @@
                                            support::duration settling,
                                            std::uint64_t seed)
     : self_(std::move(self)), settling_(settling), random_(seed),
-      lease_(lease_ttl, random_()), domains_({self_.domain}),
-      eager_reads_(max_eager_reads)
+      lease_(lease_ttl, random_()), eager_reads_(max_eager_reads)
 {
 }
 
@@ -95,34 +92,12 @@
 {
     if (alone)
         return alone_interval;
-    if (!held_.empty())
-        eager_reads_ = max_eager_reads;
-    const bool eager = candidate_ && held_.empty() && eager_reads_ > 0;
-    if (!eager)
+    if (!candidate_ || eager_reads_ == 0)
         return check_interval;
     --eager_reads_;
     return claim_retry;
 }
 
-std::string introducer_directory::next_key(bool alone)
-{
-    // A claim whose answer was lost is resolved before anything else.
-    if (!unresolved_.empty())
-        return unresolved_;
-    ++reads_;
-    const bool reads_list =
-        alone ? reads_ % reads_per_list == 0 : candidate_ && !listed_;
-    if (reads_list)
-        return domains_key;
-    if (!held_.empty() && !alone)
-        return held_;
-    const std::string& domain =
-        alone ? domains_[support::uniform_below(random_, domains_.size())]
-              : self_.domain;
-    return introducer_key(domain, static_cast<unsigned>(support::uniform_below(
-                                      random_, slots_per_domain)));
-}
-
 std::vector<directory_action> introducer_directory::on_tick(
     bool alone,
     const std::function<std::size_t()>& rank_in_domain,
@@ -141,58 +116,59 @@
     next_read_ = now + jittered(interval(alone), random_);
     if (!ready)
         next_read_ = std::min(next_read_, ready_at_);
-    if (alone || candidate_ || !held_.empty() || !unresolved_.empty())
-        actions.emplace_back(read_slot{next_key(alone)});
+    if (alone || candidate_ || !held_.empty() || unresolved_)
+        actions.emplace_back(list_slots{});
     return actions;
 }
 
-void introducer_directory::on_domains(const store::versioned_value& found,
-                                      std::vector<directory_action>& actions)
-{
-    const json list = json::parse(found.value, nullptr, false);
-    std::vector<std::string> domains;
-    for (const json& one : list.is_array() ? list : json::array()) {
-        if (one.is_string() && domains.size() < max_domains_listed)
-            domains.push_back(one.get<std::string>());
-    }
-    listed_ = std::find(domains.begin(), domains.end(), self_.domain) !=
-              domains.end();
-    if (!listed_)
-        domains.push_back(self_.domain);
-    domains_ = std::move(domains);
-    if (listed_ || !candidate_)
-        return;
-    actions.emplace_back(
-        claim_slot{domains_key, json(domains_).dump(), found.index, ""});
-}
-
-void introducer_directory::on_own_slot(const std::string& key,
-                                       const store::versioned_value& found,
-                                       support::time_point now,
-                                       std::vector<directory_action>& actions)
+/// Finds the slot under the own lease. This also resolves a claim whose answer
+/// was lost.
+void introducer_directory::find_held(std::span<const store::listed_value> slots,
+                                     support::time_point now)
 {
     const std::string lease = lease_.held(now);
-    // Also resolves a claim whose answer was lost.
-    const bool mine = !lease.empty() && found.lease == lease;
-    if (mine)
-        held_ = key;
-    else if (held_ == key)
-        held_.clear();
-    if (!unresolved_.empty())
+    const auto mine = std::find_if(
+        slots.begin(), slots.end(), [&](const store::listed_value& slot) {
+            return !lease.empty() && slot.item.lease == lease;
+        });
+    if (mine != slots.end()) {
+        held_ = mine->key;
         return;
-    const bool free = found.index == 0 || found.lease.empty();
-    if (!candidate_ || !held_.empty() || !free)
+    }
+    if (!held_.empty())
+        eager_reads_ = max_eager_reads;
+    held_.clear();
+}
+
+/// Claims one of the free slots by chance, so that candidates seldom meet.
+void introducer_directory::claim_free(
+    std::span<const store::listed_value> slots,
+    support::time_point now,
+    std::vector<directory_action>& actions)
+{
+    std::vector<claim_slot> free;
+    for (unsigned number = 0; number < slots_per_domain; ++number) {
+        const std::string key = introducer_key(self_.domain, number);
+        const auto found = std::find_if(
+            slots.begin(), slots.end(),
+            [&](const store::listed_value& slot) { return slot.key == key; });
+        const bool absent = found == slots.end();
+        if (absent || found->item.lease.empty())
+            free.push_back({key, introducer_value(self_),
+                            absent ? 0 : found->item.index, ""});
+    }
+    if (free.empty())
         return;
-    claim_slot claim{key, introducer_value(self_), found.index, lease};
-    if (lease.empty())
-        wanted_ = std::move(claim);
+    claim_slot& chosen = free[support::uniform_below(random_, free.size())];
+    chosen.lease = lease_.held(now);
+    if (chosen.lease.empty())
+        wanted_ = std::move(chosen);
     else
-        actions.emplace_back(std::move(claim));
+        actions.emplace_back(std::move(chosen));
 }
 
-std::vector<directory_action> introducer_directory::on_slot(
-    const std::string& key,
-    const support::result<store::versioned_value>& found,
+std::vector<directory_action> introducer_directory::on_listed(
+    const support::result<std::vector<store::listed_value>>& found,
     support::time_point now)
 {
     std::vector<directory_action> actions;
@@ -203,21 +179,15 @@
         return actions;
     }
     failures_ = 0;
-    if (key == unresolved_)
-        unresolved_.clear();
-    if (key == domains_key) {
-        on_domains(found.value(), actions);
-        return actions;
-    }
-    if (found.value().index != 0) {
-        const auto holder = parse_introducer(found.value().value);
+    unresolved_ = false;
+    for (const store::listed_value& slot : found.value()) {
+        const auto holder = parse_introducer(slot.item.value);
         if (holder && holder.value().member != self_.id)
             actions.emplace_back(introducer_found{holder.value().gossip});
     }
-    const std::string own = introducer_key(self_.domain, 0);
-    const std::string prefix = own.substr(0, own.size() - 1);
-    if (key.starts_with(prefix))
-        on_own_slot(key, found.value(), now, actions);
+    find_held(found.value(), now);
+    if (candidate_ && held_.empty())
+        claim_free(found.value(), now, actions);
     return actions;
 }
 
@@ -229,15 +199,12 @@
     const bool swapped =
         outcome && outcome.value() == store::swap_outcome::swapped;
     if (!swapped) {
-        // Taken by another, or the answer was lost: the next read tells.
-        if (!outcome)
-            unresolved_ = key;
+        // Taken by another, or the answer was lost: the next listing tells.
+        unresolved_ = !outcome;
         next_read_ = std::min(next_read_, now + jittered(claim_retry, random_));
         return {};
     }
-    if (key == domains_key)
-        listed_ = true;
-    else if (lease_.holds(now))
+    if (lease_.holds(now))
         held_ = key;
     return {};
 }
--- a/lib/membership/member.cpp
+++ b/lib/membership/member.cpp
@@ -218,6 +218,7 @@
     if (state_->table.self().record.state == member_state::left)
         return {};
     state_->join_tick(now);
+    state_->greet_tick(now);
     state_->probe_tick(now);
     state_->relay_tick(now);
     state_->suspicion_tick(now);
@@ -263,6 +264,7 @@
 {
     std::vector<config::endpoint>& known = state_->introducers;
     for (const config::endpoint& where : found) {
+        state_->greet(where);
         if (std::find(known.begin(), known.end(), where) != known.end())
             continue;
         if (known.size() >= max_introducers)
--- a/lib/membership/member_news.cpp
+++ b/lib/membership/member_news.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/// Up to this many members a record that anti-entropy brings is passed on as
+/// news, so that groups that meet know each other within seconds. In larger
+/// fleets such news would use up the byte budget of 2,000 bytes a second.
+constexpr std::size_t small_fleet = 128;
+
 /// Transmissions of one piece of news for each decade of the fleet's size.
 constexpr double transmissions_per_decade = 3;
 /// With more news waiting than this, each is sent less often; anti-entropy
@@ -182,6 +187,7 @@
     if (known == nullptr) {
         known = &table.add(heard, now);
         expect_probe_of(*known);
+        pass_on = pass_on || is_small_fleet();
     } else {
         if (!supersedes(heard.incarnation, heard.state, *known))
             return;
@@ -202,6 +208,11 @@
     changed(*known);
 }
 
+bool member::state::is_small_fleet() const
+{
+    return table.live().size() <= small_fleet;
+}
+
 void member::state::change_state(peer& known,
                                  std::uint64_t incarnation,
                                  member_state told,
--- a/lib/membership/member_state.hpp
+++ b/lib/membership/member_state.hpp
@@ -87,6 +87,7 @@
                       member_state told,
                       support::time_point now);
     void changed(const peer& known, bool only_version = false);
+    bool is_small_fleet() const;
     void want(member_hash unknown);
     void gossip_at_once(std::size_t fanout, support::time_point now);
     unsigned transmit_limit() const;
@@ -108,7 +109,11 @@
     void sync_tick(support::time_point now);
     void reconnect_tick(support::time_point now);
     void purge_tick(support::time_point now);
+    void contact(const config::endpoint& where, support::time_point now);
     void contact_introducer(support::time_point now);
+    bool is_present(const config::endpoint& gossip) const;
+    void greet(const config::endpoint& introducer);
+    void greet_tick(support::time_point now);
     digest own_digest(bool wants_reply) const;
     std::vector<std::uint32_t> own_buckets(std::string_view domain) const;
     void
@@ -144,6 +149,8 @@
 
     member_table table;
     std::vector<config::endpoint> introducers;
+    /// Introducers found that are not present, to be contacted.
+    std::vector<config::endpoint> to_greet;
     std::vector<config::shared_key> keys;
     support::random_engine random;
     member_counters counters;
--- a/lib/membership/member_sync.cpp
+++ b/lib/membership/member_sync.cpp
@@ -11,6 +11,8 @@
 constexpr support::milliseconds first_join_retry{500};
 constexpr unsigned max_join_doublings = 4;
 constexpr std::size_t introducers_per_join = 3;
+/// Introducers that wait for the byte budget to be greeted.
+constexpr std::size_t max_greetings = 64;
 constexpr support::milliseconds digest_interval{10000};
 /// Interval of digests while many records are missing.
 constexpr support::milliseconds catch_up_interval{2000};
@@ -46,21 +48,50 @@
 
 } // namespace
 
-void member::state::contact_introducer(support::time_point now)
+/// Whether a member that is present, the own one included, listens there.
+bool member::state::is_present(const config::endpoint& gossip) const
 {
-    const config::endpoint& where =
-        introducers[support::uniform_below(random, introducers.size())];
-    if (where == table.self().record.gossip)
-        return;
-    const bool present = std::any_of(
-        table.live().begin(), table.live().end(),
-        [&](const peer* known) { return known->record.gossip == where; });
-    if (present)
+    return gossip == table.self().record.gossip ||
+           std::any_of(table.live().begin(), table.live().end(),
+                       [&](const peer* known) {
+                           return known->record.gossip == gossip;
+                       });
+}
+
+void member::state::contact(const config::endpoint& where,
+                            support::time_point now)
+{
+    if (is_present(where))
         return;
     const peer* const own[] = {&table.self()};
     send(where, 0, join{}, own, now);
 }
 
+void member::state::contact_introducer(support::time_point now)
+{
+    contact(introducers[support::uniform_below(random, introducers.size())],
+            now);
+}
+
+/// An introducer that is not present belongs to a group of members that this
+/// one has not met.
+void member::state::greet(const config::endpoint& introducer)
+{
+    const bool waits = std::find(to_greet.begin(), to_greet.end(),
+                                 introducer) != to_greet.end();
+    if (!waits && !is_present(introducer) && to_greet.size() < max_greetings)
+        to_greet.push_back(introducer);
+}
+
+void member::state::greet_tick(support::time_point now)
+{
+    while (!to_greet.empty() && may_send(now)) {
+        contact(to_greet.back(), now);
+        to_greet.pop_back();
+        next_digest = std::min(next_digest, now + jittered(catch_up_interval));
+    }
+}
+
 void member::state::join_tick(support::time_point now)
 {
     if (!table.live().empty()) {
--- a/lib/store/consul_store.cpp
+++ b/lib/store/consul_store.cpp
@@ -62,34 +62,60 @@
     return encoded;
 }
 
-support::result<versioned_value> parse_value(const http_result& answer)
+support::result<versioned_value> parse_entry(const json& entry)
+{
+    versioned_value found;
+    if (!entry.at("Value").is_null()) {
+        auto plain = support::base64_decode(
+            entry.at("Value").get_ref<const std::string&>());
+        if (!plain)
+            return unavailable("the store's value is not base64");
+        found.value = std::move(*plain);
+    }
+    found.index = entry.at("ModifyIndex");
+    found.lease = entry.value("Session", "");
+    return found;
+}
+
+support::result<std::vector<listed_value>> parse_list(const http_result& answer)
 {
     if (!answer)
         return read_failed(answer.error());
     if (answer.value().status == 404)
-        return versioned_value{};
+        return std::vector<listed_value>();
     if (answer.value().status != 200) {
         return unavailable("the store answered status " +
                            std::to_string(answer.value().status));
     }
     try {
-        const json entry = json::parse(answer.value().body).at(0);
-        versioned_value found;
-        if (!entry.at("Value").is_null()) {
-            auto plain = support::base64_decode(
-                entry.at("Value").get_ref<const std::string&>());
-            if (!plain)
-                return unavailable("the store's value is not base64");
-            found.value = std::move(*plain);
+        std::vector<listed_value> found;
+        for (const json& entry : json::parse(answer.value().body)) {
+            BOOST_OUTCOME_TRY(versioned_value item, parse_entry(entry));
+            found.push_back({entry.at("Key"), std::move(item)});
         }
-        found.index = entry.at("ModifyIndex");
-        found.lease = entry.value("Session", "");
         return found;
     } catch (const json::exception&) {
         return unavailable("the store's answer is malformed");
     }
 }
 
+support::result<versioned_value> parse_value(const http_result& answer)
+{
+    if (!answer)
+        return read_failed(answer.error());
+    if (answer.value().status == 404)
+        return versioned_value{};
+    if (answer.value().status != 200) {
+        return unavailable("the store answered status " +
+                           std::to_string(answer.value().status));
+    }
+    try {
+        return parse_entry(json::parse(answer.value().body).at(0));
+    } catch (const json::exception&) {
+        return unavailable("the store's answer is malformed");
+    }
+}
+
 support::result<swap_outcome> parse_swap(const http_result& answer)
 {
     if (!answer)
@@ -243,6 +269,16 @@
                           parse_value, std::move(done));
 }
 
+void consul_store::list(const std::string& prefix,
+                        support::duration timeout,
+                        callback<std::vector<listed_value>> done)
+{
+    send<std::vector<listed_value>>(
+        state_, state_->admit(state_->reads, &store_counters::reads),
+        {"GET", "/v1/kv/" + encode_key(prefix) + "?recurse", "", {}}, timeout,
+        parse_list, std::move(done));
+}
+
 void consul_store::compare_and_swap(const std::string& key,
                                     std::string value,
                                     std::uint64_t expected_index,
--- a/unittests/membership/member_test.cpp
+++ b/unittests/membership/member_test.cpp
@@ -416,3 +416,30 @@
         fleet.total(&membership::member_counters::bytes_sent) - before;
     CHECK(sent / fleet.size() / 30 <= 2000);
 }
+
+TEST_CASE("groups that never met merge once an introducer is found",
+          "[membership]")
+{
+    fleet_options options = of_size(16);
+    options.introducers = 0;
+    membership_fleet fleet(options);
+    // Each domain's members know each other and nobody else.
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        std::vector<membership::member_record> group;
+        for (std::size_t other = index % options.domains; other < fleet.size();
+             other += options.domains)
+            group.push_back(fleet.at(other).first);
+        fleet.core(index).load(group, fleet.now());
+    }
+    fleet.run(seconds(5));
+    CHECK_FALSE(fleet.core(0).find("member-1"));
+    for (const std::size_t holder : {0U, 1U, 2U}) {
+        const config::endpoint found[] = {
+            fleet.at((holder + 1) % options.domains).first.gossip};
+        fleet.core(holder).add_introducers(found);
+    }
+    const auto met = [&] { return fleet.all_count(fleet.size()); };
+    // Traffic may begin 8 s after a start of all, of which finding takes 3 s.
+    fleet.run(seconds(5), met);
+    CHECK(met());
+}
--- a/unittests/store/resolve_swap_test.cpp
+++ b/unittests/store/resolve_swap_test.cpp
@@ -21,6 +21,11 @@
                     support::duration,
                     callback<versioned_value>),
                override);
+    MAKE_MOCK3(list,
+               void(const std::string&,
+                    support::duration,
+                    callback<std::vector<listed_value>>),
+               override);
     MAKE_MOCK6(compare_and_swap,
                void(const std::string&,
                     std::string,
