Measure link delay without time at the gate; tell few calls from a stall

Cause: two terms of the routing estimate favoured whichever upstream had the most calls. The delay of a link was the low percentile of whole latencies, so that refusals after 1 ms made a crowded gate look near. An upstream with one call under way was taken for stalled after half a service time.

Ruled out: reports that are too old; they came with each answer.

Change: a load report carries how long its attempt was at the gate; what is left of the latency is the link's. A stall begins after two service times for each call under way, and never before half of one.

Tests: "a single call under way is no stall" (failed with the former rule), "time at the gate is no delay of its link".

--- a/benchmarks/bench_pick.cpp
+++ b/benchmarks/bench_pick.cpp
@@ -41,14 +41,13 @@
 void keep_busy(const routing::router& router, const std::atomic<bool>& stop)
 {
     support::random_engine random(2);
-    support::load_report report{3, 1, 9, 10, {0, 1, 1}, 0};
+    support::load_report report{3, 1, 9, 10, {0, 1, 1}, 0, 5};
     while (!stop) {
         const support::time_point now = support::monotonic_clock::now();
         const auto chosen = router.pick({"reservas", 1, {}}, now, random);
         router.on_sent(*chosen, now);
-        router.on_report(*chosen, report, now);
-        router.on_ended(*chosen, routing::attempt_result::answered,
-                        support::milliseconds(5), now);
+        router.on_report(*chosen, report, support::milliseconds(5), now);
+        router.on_ended(*chosen, routing::attempt_result::answered, now);
         std::this_thread::sleep_for(other_pause);
     }
 }
--- a/examples/embedding/main.cpp
+++ b/examples/embedding/main.cpp
@@ -78,8 +78,7 @@
         for (const auto& action : actions)
             std::visit(tallies[target->member], action);
         gate.on_ended(key, admission::run_result::answered, job_interval, now);
-        router.on_ended(*target, routing::attempt_result::answered,
-                        job_interval, now);
+        router.on_ended(*target, routing::attempt_result::answered, now);
     }
 
     int started = 0;
--- a/include/galenarudder/proxy/call_flow.hpp
+++ b/include/galenarudder/proxy/call_flow.hpp
@@ -106,7 +106,6 @@
     {
         routing::choice target;
         support::time_point sent_at;
-        support::time_point answered_at;
         unsigned status = 0;
         bool open = true;
         /// Refused before an upstream ran it.
--- a/include/galenarudder/routing/router.hpp
+++ b/include/galenarudder/routing/router.hpp
@@ -91,17 +91,16 @@
 
     /// An attempt was sent to \p chosen.
     void on_sent(const choice& chosen, support::time_point now) const;
-    /// An attempt ended after \p latency.
     void on_ended(const choice& chosen,
                   attempt_result how,
-                  support::duration latency,
                   support::time_point now) const;
     /// A gate told that it takes no more work; any thread.
     void on_leaving(const support::member_id& member,
                     support::time_point now) const;
-    /// A gate's load report arrived.
+    /// A gate's load report arrived, \p latency after its attempt was sent.
     void on_report(const choice& chosen,
                    const support::load_report& report,
+                   support::duration latency,
                    support::time_point now) const;
 
     /// Control thread: the load of every upstream known, by member.
--- a/include/galenarudder/routing/upstream_state.hpp
+++ b/include/galenarudder/routing/upstream_state.hpp
@@ -33,12 +33,11 @@
 /// failure domain.
 struct link_delay
 {
-    /// A low percentile of latency in milliseconds; negative before the first
-    /// sample. It holds the shortest work too, which is the same for every
-    /// domain of the service.
+    /// A low percentile of round trips in milliseconds; negative before the
+    /// first sample. Time spent at the gate is not part of them.
     std::atomic<double> floor_ms{-1};
 
-    void on_latency(support::duration latency);
+    void on_trip(support::duration trip);
 };
 
 /// Shared by all upstreams of one service.
--- a/include/galenarudder/support/call.hpp
+++ b/include/galenarudder/support/call.hpp
@@ -62,6 +62,9 @@
     std::vector<std::uint32_t> waiting_by_rank;
     /// Milliseconds since the upstream began serving; for slow start.
     double age_ms = 0;
+    /// Milliseconds that the attempt spent at the gate; the rest of its
+    /// latency was spent on links.
+    double held_ms = 0;
 };
 
 /// Everything about an answer but its body.
--- a/lib/link/message.cpp
+++ b/lib/link/message.cpp
@@ -110,7 +110,7 @@
 json encode_load(const support::load_report& load)
 {
     return json::array({load.running, load.waiting, load.limit, load.service_ms,
-                        load.waiting_by_rank, load.age_ms});
+                        load.waiting_by_rank, load.age_ms, load.held_ms});
 }
 
 support::load_report decode_load(const json& list)
@@ -123,6 +123,7 @@
     for (const json& waiting : list.at(4))
         load.waiting_by_rank.push_back(read_number<std::uint32_t>(waiting));
     load.age_ms = list.at(5);
+    load.held_ms = list.at(6);
     return load;
 }
 
--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -112,10 +112,9 @@
                                               support::random_engine& random)
 {
     attempt_record& record = attempts_[attempt];
-    router_.on_report(record.target, load, now);
+    router_.on_report(record.target, load, now - record.sent_at, now);
     if (decided_ || !record.open)
         return {};
-    record.answered_at = now;
     record.status = status;
     const bool failed = status >= first_server_error;
     if (failed && terms_.repeatable) {
@@ -159,7 +158,7 @@
 {
     attempt_record& record = attempts_[attempt];
     if (load.limit != 0)
-        router_.on_report(record.target, load, now);
+        router_.on_report(record.target, load, now - record.sent_at, now);
     if (!record.open)
         return {};
     record.not_run = why.outcome == run_outcome::not_run;
@@ -235,11 +234,7 @@
     if (!record.open)
         return;
     record.open = false;
-    // An answer's body takes as long as its caller reads, so that only the
-    // time to its begin tells of the upstream.
-    const bool begun = record.answered_at != support::time_point();
-    const support::time_point ended = begun ? record.answered_at : now;
-    router_.on_ended(record.target, how, ended - record.sent_at, now);
+    router_.on_ended(record.target, how, now);
 }
 
 void call_flow::cancel_open(attempt_result how,
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -89,6 +89,7 @@
         support::time_point started{};
     };
 
+    support::load_report report_on(const open_attempt& attempt) const;
     void execute(const admission::start& begun);
     void execute(const admission::refuse& ended);
     void execute(const admission::abort_running& aborted);
@@ -280,16 +281,29 @@
     published_probe_cost_ = cost;
 }
 
+/// The load together with what \p attempt has spent here so far.
+support::load_report
+gate_runtime::impl::report_on(const open_attempt& attempt) const
+{
+    const support::time_point now = monotonic_clock::now();
+    support::load_report load = gate_.report(now);
+    load.held_ms = support::to_ms(now - attempt.arrived);
+    return load;
+}
+
 void gate_runtime::impl::execute(const admission::start& begun)
 {
     const attempt_key key = begun.key;
     attempts_.at(key).started = monotonic_clock::now();
     const open_attempt attempt = attempts_.at(key);
     const std::weak_ptr<impl> weak = weak_from_this();
-    auto load = [weak]() -> support::load_report {
+    auto load = [weak, key]() -> support::load_report {
         const auto self = weak.lock();
-        return self ? self->gate_.report(monotonic_clock::now())
-                    : support::load_report{};
+        if (!self)
+            return {};
+        const auto found = self->attempts_.find(key);
+        return found == self->attempts_.end() ? support::load_report{}
+                                              : self->report_on(found->second);
     };
     auto done = [weak, key](upstream_result how, support::duration took,
                             const std::optional<upstream_load>& stated) {
@@ -310,6 +324,7 @@
     if (found == attempts_.end())
         return;
     const link::exchange_ptr exchange = found->second.exchange;
+    const support::load_report load = report_on(found->second);
     attempts_.erase(found);
     telemetry::log_event(telemetry::log_kind::failure, "gate.refused",
                          {{"call", name_of_call(exchange->head, dialect_)},
@@ -319,8 +334,7 @@
                           {"rank", exchange->head.rank},
                           {"retry_after_ms", ended.why.retry_after.count()}});
     exchange->request.cut();
-    exchange->deliver(
-        link::refused{ended.why, gate_.report(monotonic_clock::now())});
+    exchange->deliver(link::refused{ended.why, load});
 }
 
 void gate_runtime::impl::execute(const admission::abort_running& aborted)
--- a/lib/routing/estimate.cpp
+++ b/lib/routing/estimate.cpp
@@ -28,6 +28,9 @@
 constexpr double failure_half_age_ms = 1000;
 /// A stall shorter than this many service times is normal.
 constexpr double normal_stall_services = 0.5;
+/// An answer is awaited this many service times for each call under way, so
+/// that few calls may be without an answer for longer than many.
+constexpr double stall_services_of_one_call = 2;
 constexpr double least_slow_start_share = 0.5;
 
 double age_ms(std::int64_t at_ns, support::time_point now)
@@ -56,11 +59,15 @@
                 double service_ms,
                 support::time_point now)
 {
-    if (upstream.outstanding.load(std::memory_order_relaxed) == 0)
+    const std::uint32_t outstanding =
+        upstream.outstanding.load(std::memory_order_relaxed);
+    if (outstanding == 0)
         return 0;
     const double since =
         age_ms(upstream.progress_at_ns.load(std::memory_order_relaxed), now);
-    return std::max(0.0, since - normal_stall_services * service_ms);
+    const double normal = std::max(normal_stall_services,
+                                   stall_services_of_one_call / outstanding);
+    return std::max(0.0, since - normal * service_ms);
 }
 
 /// Cost of recent failures; it fades while no attempts are made.
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -375,7 +375,6 @@
 
 void router::on_ended(const choice& chosen,
                       attempt_result how,
-                      support::duration latency,
                       support::time_point now) const
 {
     upstream_state& state = *chosen.state;
@@ -388,12 +387,10 @@
         set_leaving(state, now);
         return;
     }
-    if (how != attempt_result::failed) {
-        state.link->on_latency(latency);
-        if (how == attempt_result::answered)
-            note_success(state);
+    if (how == attempt_result::answered)
+        note_success(state);
+    if (how != attempt_result::failed)
         return;
-    }
     const auto view = state_->view.read();
     if (!note_failure(state, view->limits, now))
         return;
@@ -420,6 +417,7 @@
 
 void router::on_report(const choice& chosen,
                        const support::load_report& report,
+                       support::duration latency,
                        support::time_point now) const
 {
     constexpr double mean_share = 0.05;
@@ -447,6 +445,7 @@
         state.serving_since_ns.store(now_ns - age_ns, relaxed);
     }
     state.reported_at_ns.store(now_ns, relaxed);
+    state.link->on_trip(latency - support::from_ms(report.held_ms));
     if (report.limit == 0)
         return;
     service_state& service = *state.service;
--- a/tools/galenarudder-replay/fake_upstream.cpp
+++ b/tools/galenarudder-replay/fake_upstream.cpp
@@ -75,7 +75,7 @@
         });
     }
     const admission::attempt terms = attempt.terms;
-    attempts_[terms.key] = {std::move(attempt), std::nullopt};
+    attempts_[terms.key] = {std::move(attempt), clock_.now(), std::nullopt};
     perform(gate_->offer(terms, clock_.now()));
 }
 
@@ -222,9 +222,10 @@
     const auto found = attempts_.find(ended.key);
     if (found == attempts_.end())
         return;
+    const support::time_point arrived_at = found->second.arrived_at;
     const sent_attempt sent = std::move(found->second.sent);
     attempts_.erase(found);
-    sent.reply({0, ended.why, report()});
+    sent.reply({0, ended.why, report(arrived_at)});
 }
 
 void fake_upstream::execute(const admission::abort_running& aborted)
@@ -266,6 +267,7 @@
         found->second.running->generation != generation)
         return;
     const running_call call = *found->second.running;
+    const support::time_point arrived_at = found->second.arrived_at;
     const sent_attempt sent = std::move(found->second.sent);
     attempts_.erase(found);
     const support::duration took = clock_.now() - call.started_at;
@@ -274,10 +276,11 @@
     perform(gate_->on_ended(
         which, call.fails ? run_result::failed : run_result::answered, took,
         clock_.now()));
-    sent.reply({call.fails ? status_failed : status_good, {}, report()});
+    sent.reply(
+        {call.fails ? status_failed : status_good, {}, report(arrived_at)});
 }
 
-support::load_report fake_upstream::report() const
+support::load_report fake_upstream::report(support::time_point arrived_at) const
 {
     if (!gate_)
         return {};
@@ -287,6 +290,7 @@
     };
     load.running = told(load.running);
     load.waiting = told(load.waiting);
+    load.held_ms = support::to_ms(clock_.now() - arrived_at);
     for (std::uint32_t& waiting : load.waiting_by_rank)
         waiting = told(waiting);
     return load;
--- a/tools/galenarudder-replay/fake_upstream.hpp
+++ b/tools/galenarudder-replay/fake_upstream.hpp
@@ -86,6 +86,7 @@
     struct open_attempt
     {
         sent_attempt sent;
+        support::time_point arrived_at;
         std::optional<running_call> running;
     };
     using key = admission::attempt_key;
@@ -105,7 +106,7 @@
     void plan_end(const key& which, running_call& call);
     void advance(running_call& call);
     void finish(const key& which, std::uint64_t generation);
-    support::load_report report() const;
+    support::load_report report(support::time_point arrived_at) const;
 
     timeline& clock_;
     upstream_spec spec_;
--- a/unittests/routing/estimate_test.cpp
+++ b/unittests/routing/estimate_test.cpp
@@ -47,7 +47,7 @@
     CHECK(cost(reported_upstream(9)) < cost(reported_upstream(9, 9)));
     CHECK(cost(idle) < cost(reported_upstream(0, 0, 100)));
     reported_upstream far(0);
-    far.link->on_latency(milliseconds(6));
+    far.link->on_trip(milliseconds(6));
     CHECK(cost(far) == Approx(cost(idle) + 6));
     reported_upstream failing(0, 0, 0.1);
     failing.error_rate = 0.5;
@@ -89,6 +89,21 @@
     CHECK(cost(stalled, now + milliseconds(200)) > cost(stalled) + 150);
 }
 
+TEST_CASE("a single call under way is no stall", "[routing]")
+{
+    reported_upstream near(9, 9);
+    near.outstanding = 8;
+    near.progress_at_ns = (now - milliseconds(1)).time_since_epoch().count();
+    reported_upstream quiet(1);
+    quiet.outstanding = 1;
+    quiet.progress_at_ns = (now - milliseconds(19)).time_since_epoch().count();
+    reported_upstream fresh(1);
+    fresh.outstanding = 1;
+    fresh.progress_at_ns = now.time_since_epoch().count();
+    CHECK(cost(quiet) == Approx(cost(fresh)));
+    CHECK(cost(quiet) < cost(near));
+}
+
 TEST_CASE("extra attempts stay within their share", "[routing]")
 {
     rc::check("taken <= share of deposits + burst", [] {
--- a/unittests/routing/router_test.cpp
+++ b/unittests/routing/router_test.cpp
@@ -63,8 +63,7 @@
     {
         for (int count = 0; count < times; ++count) {
             router.on_sent(chosen, now);
-            router.on_ended(chosen, attempt_result::failed, milliseconds(1),
-                            now);
+            router.on_ended(chosen, attempt_result::failed, now);
         }
     }
 
@@ -219,6 +218,24 @@
     CHECK(left == given_row.leaves);
 }
 
+TEST_CASE("time at the gate is no delay of its link", "[routing]")
+{
+    fixture given;
+    given.add(1, "bilbao");
+    given.add(1, "oviedo");
+    support::load_report report;
+    report.limit = 9;
+    report.service_ms = 100;
+    const choice near = given.pick_member("bilbao-0", start);
+    const choice far = given.pick_member("oviedo-0", start);
+    // The near gate refuses at once, the far one answers after its work.
+    given.router.on_report(near, report, milliseconds(1), start);
+    report.held_ms = 100;
+    given.router.on_report(far, report, milliseconds(111), start);
+    CHECK(near.state->link->floor_ms == Approx(1));
+    CHECK(far.state->link->floor_ms == Approx(11));
+}
+
 TEST_CASE("a large service is cut to a subset over all domains", "[routing]")
 {
     fixture given;
@@ -251,9 +268,8 @@
                 if (!chosen)
                     continue;
                 given.router.on_sent(*chosen, start);
-                given.router.on_report(*chosen, report, start);
-                given.router.on_ended(*chosen, attempt_result::failed,
-                                      milliseconds(1), start);
+                given.router.on_report(*chosen, report, milliseconds(1), start);
+                given.router.on_ended(*chosen, attempt_result::failed, start);
             }
         });
     }
