Hand calls back to their entries during slow spells of an upstream

Cause: an upstream's VM is slow for 150 ms at a time, a quarter to a third of all time, and a gate held every call until the spell was over although other upstreams of the service worked at their usual speed.

Ruled out: telling all entries of each spell; five changes a second for each gate to each member cost more than a round trip on demand.

Change: an attempt says whether its entry can send it elsewhere; a gate in a slow spell refuses such an attempt as not-run (`slow-spell`), at arrival or once a measurement tells. The entry asks up to three others without using its retry budget; the last one holds the call. Reports carry what is left of a spell, which the estimate adds.

--- a/include/galenarudder/admission/attempt.hpp
+++ b/include/galenarudder/admission/attempt.hpp
@@ -28,6 +28,8 @@
     std::string rank;
     support::time_point deadline;
     bool repeatable = false;
+    /// Whether its entry sends it elsewhere when it is handed back.
+    bool movable = false;
 };
 
 } // namespace galenarudder::admission
--- a/include/galenarudder/admission/gate.hpp
+++ b/include/galenarudder/admission/gate.hpp
@@ -60,6 +60,8 @@
     std::uint64_t refused_deadline = 0;
     /// Refused or displaced because the queue was full.
     std::uint64_t refused_overload = 0;
+    /// Handed back to their entries during slow spells.
+    std::uint64_t handed_back = 0;
     /// Would have been refused, but automation `shed` is in mode observe.
     std::uint64_t observed = 0;
 };
--- a/include/galenarudder/admission/speed_watch.hpp
+++ b/include/galenarudder/admission/speed_watch.hpp
@@ -24,6 +24,10 @@
 
     /// Whether work is better held than begun.
     bool is_slow(support::time_point now) const;
+    /// Whether a slow spell was stated so recently that it is no use to ask.
+    bool is_surely_slow(support::time_point now) const;
+    /// How long the slow spell should last from now on; 0 when there is none.
+    support::duration spell_left(support::time_point now) const;
     /// Whether too little is known to begin work.
     bool is_uncertain(support::time_point now) const;
     /// Whether to measure, when work waits to begin.
--- a/include/galenarudder/link/message.hpp
+++ b/include/galenarudder/link/message.hpp
@@ -16,7 +16,7 @@
 namespace galenarudder::link {
 
 /// Version of the protocol; both sides must state the same.
-inline constexpr unsigned protocol_version = 2;
+inline constexpr unsigned protocol_version = 3;
 
 /// Largest body part carried in one message, in bytes.
 inline constexpr std::size_t max_body_part_bytes = 16 * 1024;
--- a/include/galenarudder/proxy/call_flow.hpp
+++ b/include/galenarudder/proxy/call_flow.hpp
@@ -24,6 +24,8 @@
 {
     std::size_t attempt = 0;
     routing::choice target;
+    /// Whether the gate may hand the attempt back during a slow spell.
+    bool movable = false;
 };
 
 /// The answer of this attempt is no longer wanted.
@@ -74,8 +76,12 @@
 class call_flow
 {
 public:
-    /// Attempts of one call, hedges included.
+    /// Attempts of one call, hedges included; those that were handed back do
+    /// not count.
     static constexpr std::size_t max_attempts = 3;
+    /// Attempts that gates may hand back during slow spells. Each costs a round
+    /// trip, and three upstreams are seldom slow at once.
+    static constexpr std::size_t max_handed_back = 3;
 
     call_flow(const routing::router& router, call_terms terms);
 
@@ -123,6 +129,8 @@
                      std::vector<call_action>& actions,
                      std::optional<std::size_t> kept = std::nullopt);
     std::size_t open_count() const;
+    std::optional<routing::choice> pick(support::time_point now,
+                                        support::random_engine& random);
     bool may_run_again() const;
     bool can_send_again(support::time_point now) const;
     bool may_retry(const support::refusal& why, support::time_point now);
@@ -145,6 +153,10 @@
     std::shared_ptr<routing::service_state> service_;
     std::vector<attempt_record> attempts_;
     std::vector<support::member_id> tried_;
+    /// Those of tried_ that handed the call back; they may be asked again once
+    /// all others were tried.
+    std::vector<support::member_id> handed_back_to_;
+    std::size_t handed_back_ = 0;
     support::time_point started_at_;
     std::optional<support::time_point> hedge_at_;
     bool decided_ = false;
--- a/include/galenarudder/routing/router.hpp
+++ b/include/galenarudder/routing/router.hpp
@@ -30,6 +30,8 @@
     support::member_id member;
     config::endpoint link;
     std::shared_ptr<upstream_state> state;
+    /// Further upstreams that the pick could have taken.
+    std::size_t others = 0;
 };
 
 struct pick_request
--- a/include/galenarudder/routing/upstream_state.hpp
+++ b/include/galenarudder/routing/upstream_state.hpp
@@ -109,6 +109,8 @@
     std::atomic<double> reported_service_ms{0};
     /// Nanoseconds of the monotonic clock; 0 before the first report.
     std::atomic<std::int64_t> reported_at_ns{0};
+    /// Until when the upstream should be in a slow spell; 0 when it is not.
+    std::atomic<std::int64_t> spell_until_ns{0};
     /// Since when the upstream serves; 0 when it is not known.
     std::atomic<std::int64_t> serving_since_ns{0};
 
--- a/include/galenarudder/support/call.hpp
+++ b/include/galenarudder/support/call.hpp
@@ -39,6 +39,9 @@
     milliseconds remaining{0};
     /// Whether running the call twice is harmless.
     bool repeatable = false;
+    /// Whether the entry sends the call to another upstream when the gate
+    /// hands it back.
+    bool movable = false;
     /// The caller's Idempotency-Key; empty when there is none.
     std::string key;
     unsigned depth = 0;
@@ -65,6 +68,9 @@
     /// Milliseconds that the attempt spent at the gate; the rest of its
     /// latency was spent on links.
     double held_ms = 0;
+    /// Milliseconds after which a slow spell of the upstream should have ended;
+    /// 0 while it works at its usual speed.
+    double spell_left_ms = 0;
 };
 
 /// Everything about an answer but its body.
--- a/include/galenarudder/support/refusal.hpp
+++ b/include/galenarudder/support/refusal.hpp
@@ -39,6 +39,8 @@
     answer_not_kept,
     head_too_large,
     request_timeout,
+    /// The upstream works slowly for a moment and another one may not.
+    slow_spell,
 };
 
 /// A refusal as sent to the caller and between daemons.
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -88,6 +88,8 @@
     bool sheds(support::time_point now);
     support::milliseconds retry_after() const;
     refuse refuse_late(const attempt& call, std::string detail);
+    refuse hand_back(const attempt& call);
+    void hand_back_waiting(std::vector<action>& actions);
     refuse refuse_overflow(const attempt& call);
     bool may_begin(support::time_point now) const;
     void start_waiting(support::time_point now, std::vector<action>& actions);
@@ -195,6 +197,21 @@
                               "the queue is full of calls that go first")};
 }
 
+/// Another upstream may work at its usual speed meanwhile.
+refuse gate::state::hand_back(const attempt& call)
+{
+    ++counts.handed_back;
+    return {call.key, not_run(refusal_kind::slow_spell, shortest_retry_after,
+                              "the upstream works slowly for a moment")};
+}
+
+void gate::state::hand_back_waiting(std::vector<action>& actions)
+{
+    const auto movable = [](const attempt& waiter) { return waiter.movable; };
+    for (const attempt& waiter : queue.remove_if(movable))
+        actions.emplace_back(hand_back(waiter));
+}
+
 /// Whether the upstream works at its usual speed, as far as is known.
 bool gate::state::may_begin(support::time_point now) const
 {
@@ -327,6 +344,8 @@
     }
     if (arrived.deadline <= now)
         return {state_->refuse_late(arrived, "the deadline has passed")};
+    if (arrived.movable && state_->speed.is_surely_slow(now))
+        return {state_->hand_back(arrived)};
     const std::size_t rank = state_->queue.rank_of(arrived.rank);
     const support::duration wait = state_->wait_ahead_of(rank);
     if (state_->cannot_finish(arrived, wait, now) && state_->sheds(now)) {
@@ -378,6 +397,8 @@
     else
         state_->speed.on_unanswered(now);
     std::vector<action> actions;
+    if (state_->speed.is_slow(now))
+        state_->hand_back_waiting(actions);
     state_->start_waiting(now, actions);
     return actions;
 }
@@ -499,6 +520,7 @@
         report.waiting_by_rank.push_back(
             static_cast<std::uint32_t>(state_->queue.waiting(rank)));
     }
+    report.spell_left_ms = support::to_ms(state_->speed.spell_left(now));
     if (state_->present)
         report.age_ms = support::to_ms(now - state_->serving_since);
     return report;
--- a/lib/admission/speed_watch.cpp
+++ b/lib/admission/speed_watch.cpp
@@ -21,6 +21,11 @@
 /// Slowness that lasts longer is no spell but the new usual speed.
 constexpr support::milliseconds longest_spell{700};
 
+/// Spells of shared VMs last about this long.
+constexpr support::milliseconds usual_spell{150};
+/// A spell that outlasts the usual one is looked at again after this.
+constexpr support::milliseconds least_spell_left{25};
+
 } // namespace
 
 void speed_watch::on_stated(double slowdown, support::time_point now)
@@ -59,6 +64,19 @@
     return stated_ && now >= blind_until_ && slowdown_ > slow_ratio * usual_;
 }
 
+bool speed_watch::is_surely_slow(support::time_point now) const
+{
+    return is_slow(now) && now - stated_at_ < measure_interval;
+}
+
+support::duration speed_watch::spell_left(support::time_point now) const
+{
+    if (!is_slow(now))
+        return support::duration(0);
+    return std::max<support::duration>(usual_spell - (now - slow_since_),
+                                       least_spell_left);
+}
+
 bool speed_watch::is_uncertain(support::time_point now) const
 {
     if (!stated_ || now < blind_until_)
--- a/lib/link/message.cpp
+++ b/lib/link/message.cpp
@@ -110,7 +110,8 @@
 json encode_load(const support::load_report& load)
 {
     return json::array({load.running, load.waiting, load.limit, load.service_ms,
-                        load.waiting_by_rank, load.age_ms, load.held_ms});
+                        load.waiting_by_rank, load.age_ms, load.held_ms,
+                        load.spell_left_ms});
 }
 
 support::load_report decode_load(const json& list)
@@ -124,6 +125,7 @@
         load.waiting_by_rank.push_back(read_number<std::uint32_t>(waiting));
     load.age_ms = list.at(5);
     load.held_ms = list.at(6);
+    load.spell_left_ms = list.at(7);
     return load;
 }
 
@@ -195,13 +197,13 @@
     json operator()(const call_begin& sent) const
     {
         const support::call_head& head = sent.head;
-        return tagged(message_type::call_begin,
-                      {number(head.id), head.service, head.rank,
-                       encode_milliseconds(head.remaining), head.repeatable,
-                       head.key, head.depth, head.method, head.target,
-                       encode_fields(head.fields),
-                       encode_length(head.content_length), sent.number,
-                       encode_bytes(sent.body), sent.body_complete});
+        return tagged(
+            message_type::call_begin,
+            {number(head.id), head.service, head.rank,
+             encode_milliseconds(head.remaining), head.repeatable, head.key,
+             head.depth, head.method, head.target, encode_fields(head.fields),
+             encode_length(head.content_length), sent.number,
+             encode_bytes(sent.body), sent.body_complete, head.movable});
     }
     json operator()(const body_part& sent) const
     {
@@ -296,6 +298,7 @@
     head.target = list.at(9);
     head.fields = decode_fields(list.at(10));
     head.content_length = decode_length(list.at(11));
+    head.movable = list.at(15);
     return call_begin{std::move(head), read_number<std::uint64_t>(list.at(12)),
                       decode_bytes(list.at(13)), list.at(14)};
 }
--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -52,7 +52,8 @@
 {
     const bool elsewhere = why.kind == refusal_kind::draining ||
                            why.kind == refusal_kind::no_upstream ||
-                           why.kind == refusal_kind::link_broken;
+                           why.kind == refusal_kind::link_broken ||
+                           why.kind == refusal_kind::slow_spell;
     return elsewhere && why.outcome == run_outcome::not_run;
 }
 
@@ -166,6 +167,10 @@
     if (decided_)
         return {};
     may_have_run_ = may_have_run_ || why.outcome == run_outcome::unknown;
+    if (why.kind == refusal_kind::slow_spell) {
+        ++handed_back_;
+        handed_back_to_.push_back(record.target.member);
+    }
     if (open_count() != 0)
         return {};
     return retry_or_refuse(why, now, random);
@@ -211,18 +216,35 @@
                 now);
 }
 
+/// Asks those that handed the call back again once no other is left.
+std::optional<routing::choice> call_flow::pick(support::time_point now,
+                                               support::random_engine& random)
+{
+    const routing::pick_request request{terms_.service, terms_.rank, tried_};
+    auto target = router_.pick(request, now, random);
+    if (target || handed_back_to_.empty())
+        return target;
+    std::erase_if(tried_, [this](const support::member_id& member) {
+        return std::find(handed_back_to_.begin(), handed_back_to_.end(),
+                         member) != handed_back_to_.end();
+    });
+    handed_back_to_.clear();
+    return router_.pick({terms_.service, terms_.rank, tried_}, now, random);
+}
+
 bool call_flow::send_to_next(support::time_point now,
                              support::random_engine& random,
                              std::vector<call_action>& actions)
 {
-    const auto target =
-        router_.pick({terms_.service, terms_.rank, tried_}, now, random);
+    const auto target = pick(now, random);
     if (!target)
         return false;
     router_.on_sent(*target, now);
     tried_.push_back(target->member);
     attempts_.push_back({*target, now});
-    actions.emplace_back(send_attempt{attempts_.size() - 1, *target});
+    const bool movable = terms_.replayable && target->others > 0 &&
+                         handed_back_ < max_handed_back;
+    actions.emplace_back(send_attempt{attempts_.size() - 1, *target, movable});
     return true;
 }
 
@@ -262,8 +284,9 @@
 
 bool call_flow::can_send_again(support::time_point now) const
 {
-    return terms_.replayable && attempts_.size() < max_attempts &&
-           may_run_again() && now < terms_.deadline;
+    return terms_.replayable &&
+           attempts_.size() - handed_back_ < max_attempts && may_run_again() &&
+           now < terms_.deadline;
 }
 
 bool call_flow::may_run_again() const
@@ -312,8 +335,8 @@
     decided_ = true;
     if (may_have_run_)
         why.outcome = run_outcome::unknown;
-    const bool spent =
-        attempts_.size() > 1 || retry_denied_ || is_overload(why.kind);
+    const bool spent = attempts_.size() - handed_back_ > 1 || retry_denied_ ||
+                       is_overload(why.kind);
     why.retry_exhausted = why.retry_exhausted || spent;
     return {refuse_call{std::move(why)}};
 }
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -580,6 +580,7 @@
 {
     support::call_head head = current->head;
     head.id = entry_.next_call_id();
+    head.movable = wanted.movable;
     head.remaining = std::chrono::floor<support::milliseconds>(
         current->deadline - monotonic_clock::now());
     auto exchange = std::make_shared<link::exchange>(std::move(head),
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -185,7 +185,7 @@
     const attempt_key key{link, attempt->head.id};
     const support::time_point deadline = now + attempt->head.remaining;
     admission::attempt arrived{key, attempt->head.rank, deadline,
-                               attempt->head.repeatable};
+                               attempt->head.repeatable, attempt->head.movable};
     attempts_[key] = {std::move(attempt), deadline, nullptr, now, {}};
     perform(gate_.offer(arrived, now));
 }
@@ -269,6 +269,9 @@
     add("galenarudder_gate_refused_overload_total",
         "Calls refused because the queue was full", counts.refused_overload,
         published_.refused_overload);
+    add("galenarudder_gate_handed_back_total",
+        "Calls handed back to their entries during slow spells",
+        counts.handed_back, published_.handed_back);
     add("galenarudder_gate_shed_observed_total",
         "Calls that shedding in mode observe let through", counts.observed,
         published_.observed);
--- a/lib/routing/estimate.cpp
+++ b/lib/routing/estimate.cpp
@@ -84,6 +84,16 @@
     return faded * (failure_cost_services * mean_service_ms + failure_cost_ms);
 }
 
+/// Milliseconds until the upstream should begin further calls.
+double spell_ms(const upstream_state& upstream, support::time_point now)
+{
+    const std::int64_t left_ns =
+        upstream.spell_until_ns.load(std::memory_order_relaxed) -
+        now.time_since_epoch().count();
+    return support::to_ms(
+        support::duration(std::max<std::int64_t>(left_ns, 0)));
+}
+
 } // namespace
 
 double slow_start_share(const upstream_state& upstream,
@@ -135,6 +145,7 @@
                            own_call_weight * upstream.outstanding.load(relaxed);
     const double trip = std::max(0.0, upstream.link->floor_ms.load(relaxed));
     double cost = trip + service_ms * (1 + queued + crowded);
+    cost += spell_ms(upstream, terms.now);
     cost += stall_ms(upstream, service_ms, terms.now);
     cost += error_cost_ms(upstream, mean_service, terms.now);
     return cost / slow_start_share(upstream, terms);
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -362,7 +362,7 @@
     const std::span<const candidate*> all = usable.all();
     const candidate& picked =
         *all[service->strategy->pick(all, context, random)];
-    return choice{picked.member, picked.link, picked.state};
+    return choice{picked.member, picked.link, picked.state, all.size() - 1};
 }
 
 void router::on_sent(const choice& chosen, support::time_point now) const
@@ -440,6 +440,9 @@
     const std::uint32_t own = state.outstanding.load(relaxed);
     state.own_in_report.store(own > 0 ? own - 1 : 0, relaxed);
     state.sent_since_report.store(0, relaxed);
+    const std::int64_t spell_ns =
+        support::from_ms(report.spell_left_ms).count();
+    state.spell_until_ns.store(spell_ns > 0 ? now_ns + spell_ns : 0, relaxed);
     if (report.age_ms > 0) {
         const std::int64_t age_ns = support::from_ms(report.age_ms).count();
         state.serving_since_ns.store(now_ns - age_ns, relaxed);
--- a/lib/support/refusal.cpp
+++ b/lib/support/refusal.cpp
@@ -15,7 +15,7 @@
     std::string_view remedy;
 };
 
-constexpr std::array<refusal_row, 17> rows = {{
+constexpr std::array<refusal_row, 18> rows = {{
     {refusal_kind::no_such_service, "no-such-service", 404,
      "name a service of the configuration in Host or the first path segment"},
     {refusal_kind::no_upstream, "no-upstream", 503,
@@ -49,6 +49,8 @@
      "send fewer or shorter fields"},
     {refusal_kind::request_timeout, "request-timeout", 408,
      "send the whole request without pauses"},
+    {refusal_kind::slow_spell, "slow-spell", 503,
+     "retry; another upstream takes the call"},
 }};
 
 const refusal_row& row_of(refusal_kind kind)
--- a/unittests/admission/speed_watch_test.cpp
+++ b/unittests/admission/speed_watch_test.cpp
@@ -90,4 +90,40 @@
     CHECK(count_starts(under_test.on_speed(1, now + milliseconds(31))) == 2);
 }
 
+TEST_CASE("during a slow spell calls that can go elsewhere are handed back")
+{
+    gate under_test(config::default_configuration());
+    time_point now = start_of_test;
+    under_test.on_upstream(4, now);
+    under_test.on_speed(1, now);
+    now += milliseconds(100);
+    attempt movable = call(1);
+    movable.movable = true;
+    // Its speed is not known: the call waits until the upstream was asked.
+    CHECK(under_test.offer(movable, now).empty());
+    CHECK(under_test.offer(call(2), now).empty());
+    REQUIRE(under_test.take_speed_question(now));
+    const auto told = under_test.on_speed(5, now);
+    REQUIRE(told.size() == 1);
+    const auto& back = std::get<refuse>(told.front());
+    CHECK(back.key == movable.key);
+    CHECK(back.why.kind == support::refusal_kind::slow_spell);
+    CHECK(back.why.outcome == support::run_outcome::not_run);
+    CHECK(under_test.report(now).spell_left_ms > 0);
+
+    movable.key = call(3).key;
+    const auto refused = under_test.offer(movable, now + milliseconds(1));
+    REQUIRE(refused.size() == 1);
+    CHECK(std::get<refuse>(refused.front()).key == movable.key);
+    CHECK(under_test.counts().handed_back == 2);
+
+    // The spell may be over: the next call waits for an answer.
+    movable.key = call(4).key;
+    CHECK(under_test.offer(movable, now + milliseconds(25)).empty());
+    CHECK(under_test.take_speed_question(now + milliseconds(25)));
+    const auto begun = under_test.on_speed(1, now + milliseconds(30));
+    CHECK(count_starts(begun) == 2);
+    CHECK(under_test.report(now + milliseconds(30)).spell_left_ms == 0);
+}
+
 } // namespace galenarudder::admission
--- a/unittests/call_flow/call_flow_test.cpp
+++ b/unittests/call_flow/call_flow_test.cpp
@@ -124,6 +124,44 @@
     CHECK(count<refuse_call>(actions) == (given_row.sent_again ? 0 : 1));
 }
 
+TEST_CASE("a call handed back goes to each other upstream, then is held",
+          "[call_flow]")
+{
+    fixture given(3);
+    call_flow flow = given.make(false);
+    auto actions = flow.start(begin, given.random);
+    std::vector<support::member_id> asked;
+    for (std::size_t attempt = 0; attempt < 2; ++attempt) {
+        const auto sent = std::get<send_attempt>(actions.front());
+        CHECK(sent.movable);
+        asked.push_back(sent.target.member);
+        actions = flow.on_refusal(
+            attempt,
+            make_refusal(refusal_kind::slow_spell, run_outcome::not_run),
+            no_load, begin, given.random);
+    }
+    const auto last = std::get<send_attempt>(actions.front());
+    CHECK_FALSE(last.movable);
+    CHECK(std::find(asked.begin(), asked.end(), last.target.member) ==
+          asked.end());
+    // One that handed the call back is asked again when the last one leaves.
+    actions = flow.on_refusal(
+        2, make_refusal(refusal_kind::draining, run_outcome::not_run), no_load,
+        begin, given.random);
+    const auto again = std::get<send_attempt>(actions.front());
+    CHECK(again.target.member != last.target.member);
+    CHECK(count<forward_answer>(
+              flow.on_answer(3, no_load, 200, begin, given.random)) == 1);
+}
+
+TEST_CASE("a call whose body is gone is never handed back", "[call_flow]")
+{
+    fixture given;
+    call_flow flow = given.make(false, false);
+    const auto actions = flow.start(begin, given.random);
+    CHECK_FALSE(std::get<send_attempt>(actions.front()).movable);
+}
+
 TEST_CASE("a call that can have run is not refused as not-run", "[call_flow]")
 {
     fixture given;
--- a/unittests/link/message_test.cpp
+++ b/unittests/link/message_test.cpp
@@ -12,6 +12,7 @@
     head.service = "reservas";
     head.rank = "urgent";
     head.remaining = support::milliseconds(250);
+    head.movable = true;
     head.key = "k1";
     head.method = "POST";
     head.target = "/deposits?x=1";
@@ -23,6 +24,7 @@
     CHECK(begun.head.service == head.service);
     CHECK(begun.head.rank == head.rank);
     CHECK(begun.head.remaining == head.remaining);
+    CHECK(begun.head.movable);
     CHECK(begun.head.key == head.key);
     CHECK(begun.head.target == head.target);
     CHECK(begun.head.fields.size() == 2);
--- a/unittests/routing/estimate_test.cpp
+++ b/unittests/routing/estimate_test.cpp
@@ -89,6 +89,16 @@
     CHECK(cost(stalled, now + milliseconds(200)) > cost(stalled) + 150);
 }
 
+TEST_CASE("a slow spell costs what is left of it", "[routing]")
+{
+    reported_upstream slow(0);
+    slow.spell_until_ns = (now + milliseconds(100)).time_since_epoch().count();
+    const reported_upstream idle(0);
+    CHECK(cost(slow) == Approx(cost(idle) + 100));
+    const time_point later = now + milliseconds(101);
+    CHECK(cost(slow, later) == Approx(cost(idle, later)));
+}
+
 TEST_CASE("a single call under way is no stall", "[routing]")
 {
     reported_upstream near(9, 9);
