--- a/include/galenarudder/config/settings.hpp
+++ b/include/galenarudder/config/settings.hpp
@@ -75,6 +75,9 @@
     support::milliseconds join_settling{10'000};
     /// Members of a failure domain that watch the store for configurations.
     std::uint32_t store_watchers = 2;
+    /// Retries and hedges that all entries together may save up for one
+    /// service; 0 when only each entry's own bound applies.
+    double saved_extra_attempts = 0;
 };
 
 /// Parses and checks settings; \p file names the source in errors.
--- a/include/galenarudder/routing/budget.hpp
+++ b/include/galenarudder/routing/budget.hpp
@@ -17,8 +17,9 @@
     /// Extra attempts that may be made at once after enough calls.
     static constexpr std::int64_t max_burst = 10;
 
-    /// A call began; \p share is what it adds, 0 to 1.
-    void deposit(double share);
+    /// A call began; \p share is what it adds, 0 to 1. No more than \p most
+    /// tokens are kept, those that were there before included.
+    void deposit(double share, double most = max_burst);
     /// Takes one token; false when there is none.
     bool take();
     /// Whether take would succeed.
--- a/include/galenarudder/routing/fleet_view.hpp
+++ b/include/galenarudder/routing/fleet_view.hpp
@@ -36,6 +36,8 @@
     double retry_share = 0;
     double hedge_share = 0;
     double hedge_percentile = 1;
+    /// Retries, and as many hedges, that this entry may save up for a service.
+    double saved_extra = budget::max_burst;
     config::automation_mode eject = config::automation_mode::automatic;
     config::automation_mode reroute = config::automation_mode::automatic;
     config::automation_mode retry = config::automation_mode::automatic;
--- a/include/galenarudder/routing/router.hpp
+++ b/include/galenarudder/routing/router.hpp
@@ -86,6 +86,11 @@
     /// Records ejections and reroutes; call it before any other thread.
     void set_decision_log(telemetry::decision_log& log);
 
+    /// Bounds the retries and hedges that all entries together save up for one
+    /// service; 0 for no bound but each entry's own. Call it before any other
+    /// thread.
+    void set_saved_extra(double of_fleet);
+
     /// Chooses an upstream, or nothing when the service has none left.
     std::optional<choice> pick(const pick_request& request,
                                support::time_point now,
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -41,6 +41,7 @@
     "leave_notice": {"type": "string"},
     "join_settling": {"type": "string"},
     "store_watchers": {"type": "integer", "minimum": 1, "maximum": 100000},
+    "saved_extra_attempts": {"type": "number", "minimum": 0},
     "keys": {"type": "array", "minItems": 1, "items": {
       "type": "object", "additionalProperties": false,
       "required": ["id", "secret"],
@@ -178,6 +179,8 @@
     settings.service = document.value("service", "");
     settings.store_watchers =
         document.value("store_watchers", settings.store_watchers);
+    settings.saved_extra_attempts =
+        document.value("saved_extra_attempts", settings.saved_extra_attempts);
     return boost::outcome_v2::success();
 }
 
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -54,6 +54,7 @@
       rollout_(settings.member, settings.domain, seed, settings.store_watchers)
 {
     router_.set_decision_log(decisions_);
+    router_.set_saved_extra(settings.saved_extra_attempts);
 }
 
 std::vector<node_action> node::take(std::vector<membership::action> actions,
--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -99,8 +99,8 @@
     if (!send_to_next(now, random, actions))
         return conclude(no_upstream(terms_.service));
     service_ = attempts_.front().target.state->service;
-    service_->retries.deposit(limits_.retry_share);
-    service_->hedges.deposit(limits_.hedge_share);
+    service_->retries.deposit(limits_.retry_share, limits_.saved_extra);
+    service_->hedges.deposit(limits_.hedge_share, limits_.saved_extra);
     plan_hedge(now);
     actions.emplace_back(next_timer());
     return actions;
--- a/lib/routing/budget.cpp
+++ b/lib/routing/budget.cpp
@@ -5,13 +5,14 @@
 
 namespace galenarudder::routing {
 
-void budget::deposit(double share)
+void budget::deposit(double share, double most)
 {
     const auto added = static_cast<std::int64_t>(share * token);
+    const auto bound = static_cast<std::int64_t>(most * token);
     std::int64_t now = balance_.load(std::memory_order_relaxed);
     std::int64_t next = 0;
     do {
-        next = std::min(now + added, max_burst * token);
+        next = std::min(now + added, bound);
     } while (
         !balance_.compare_exchange_weak(now, next, std::memory_order_relaxed));
 }
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -145,12 +145,13 @@
     std::map<std::string, std::set<support::member_id>> members_of;
     std::map<std::string, std::shared_ptr<service_state>> services;
     std::map<std::string, std::shared_ptr<link_delay>> links;
+    double saved_extra_of_fleet = 0;
     config::configuration in_force = config::default_configuration();
     fleet_view current;
     // Read on the path of a call.
     support::rcu_cell<fleet_view> view{std::make_unique<fleet_view>()};
 
-    void publish() { view.replace(std::make_unique<fleet_view>(current)); }
+    void publish();
     void forget(const member_record& record);
     void rebuild(const std::string& service);
     std::shared_ptr<const service_view> view_of(const std::string& name);
@@ -164,6 +165,19 @@
                         support::time_point now) const;
 };
 
+/// Each upstream has an entry beside it, so that their number divides what the
+/// fleet may save; retries and hedges take one half each.
+void router::state::publish()
+{
+    if (saved_extra_of_fleet > 0) {
+        const double entries =
+            static_cast<double>(std::max<std::size_t>(records.size(), 1));
+        current.limits.saved_extra = std::clamp<double>(
+            saved_extra_of_fleet / (2 * entries), 1, budget::max_burst);
+    }
+    view.replace(std::make_unique<fleet_view>(current));
+}
+
 void router::state::forget(const member_record& record)
 {
     members_of[record.service].erase(record.id);
@@ -301,6 +315,12 @@
     state_->decisions = &log;
 }
 
+void router::set_saved_extra(double of_fleet)
+{
+    state_->saved_extra_of_fleet = of_fleet;
+    state_->publish();
+}
+
 void router::state::record_reroute(const service_view& service,
                                    bool out,
                                    automation_mode mode,
--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -378,6 +378,7 @@
                            "control": f"{self.ip}:8306"},
                 "portRange": [7620, 7635], "heartbeat": "300ms",
                 "localApp": f"{self.ip}:8301", "service": self.service,
+                "bounds": {"budgetSlack": 56},
                 "infra": {"address": self.rig.store_address}}
 
     def start(self):
@@ -406,7 +407,9 @@
 
 
 def render(template, facts):
-    """Fills {{a}}, {{a.b}} and {{a.0}} in."""
+    """Fills {{a}}, {{a.b}} and {{a.0}} in; sections of fields are kept."""
+    template = re.sub(r"\{\{[#/][\w.]+\}\}", "", template)
+
     def value(match):
         found = facts
         for part in match.group(1).split("."):
--- a/unittests/routing/router_test.cpp
+++ b/unittests/routing/router_test.cpp
@@ -236,6 +236,32 @@
     CHECK(far.state->link->floor_ms == Approx(11));
 }
 
+TEST_CASE("entries share what the fleet may save for extra attempts",
+          "[routing]")
+{
+    struct row
+    {
+        int upstreams;
+        double of_fleet;
+        double saved;
+    };
+    const auto given_row =
+        GENERATE(row{14, 56, 2}, row{2, 56, 10}, row{100, 56, 1},
+                 row{14, 0, budget::max_burst});
+    fixture given;
+    given.router.set_saved_extra(given_row.of_fleet);
+    given.add(given_row.upstreams);
+    const routing_limits limits = given.router.limits();
+    CHECK(limits.saved_extra == Approx(given_row.saved));
+    budget tokens;
+    for (int call = 0; call < 1000; ++call)
+        tokens.deposit(0.1, limits.saved_extra);
+    int taken = 0;
+    while (tokens.take())
+        ++taken;
+    CHECK(taken == static_cast<int>(given_row.saved));
+}
+
 TEST_CASE("a large service is cut to a subset over all domains", "[routing]")
 {
     fixture given;
