--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -1,6 +1,8 @@
 // Passes events to the parts and turns their actions into the daemon's.
 #include "galenarudder/daemon/node.hpp"
 
+#include "galenarudder/telemetry/log.hpp"
+
 namespace galenarudder::daemon {
 
 namespace {
@@ -39,6 +41,16 @@
         to.push_back(std::move(action));
 }
 
+void log_change(const membership::member_record& record)
+{
+    telemetry::log_event(telemetry::log_kind::belief, "member.changed",
+                         {{"peer", record.id},
+                          {"state", membership::to_string(record.state)},
+                          {"incarnation", record.incarnation},
+                          {"service", record.service},
+                          {"slots", record.slots}});
+}
+
 } // namespace
 
 node::node(const config::daemon_settings& settings,
@@ -67,8 +79,10 @@
             continue;
         }
         const auto& changed = std::get<membership::record_changed>(action);
-        if (!changed.only_version)
+        if (!changed.only_version) {
+            log_change(changed.record);
             router_.on_record(changed.record, now);
+        }
         rollout_.on_member(changed.record, now);
     }
     return taken;
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -596,7 +596,7 @@
         telemetry::log_kind::routine, "attempt.sent",
         {{"call", name_of_call(exchange->head, entry_.dialect())},
          {"attempt", wanted.attempt},
-         {"member", wanted.target.member},
+         {"upstream", wanted.target.member},
          {"service", exchange->head.service},
          {"remaining_ms", exchange->head.remaining.count()}});
     current->attempts.push_back({exchange, gate});
--- a/lib/store/consul_store.cpp
+++ b/lib/store/consul_store.cpp
@@ -2,8 +2,10 @@
 #include "galenarudder/store/consul_store.hpp"
 
 #include "galenarudder/http/client.hpp"
+#include "galenarudder/store/reachability.hpp"
 #include "galenarudder/support/base64.hpp"
 #include "galenarudder/support/rate_budget.hpp"
+#include "galenarudder/telemetry/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -184,6 +186,7 @@
     support::rate_budget reads;
     support::rate_budget writes;
     store_counters counters;
+    reachability reach;
     std::mutex guard;
 
     /// Takes a token and counts the call; watches take a read's.
@@ -196,10 +199,23 @@
         return admitted;
     }
 
-    void count_failure()
+    /// Counts a call that ended and tells when the store was lost or regained.
+    void note_end(bool answered, std::string_view cause)
     {
         const std::lock_guard lock(guard);
-        ++counters.failures;
+        counters.failures += answered ? 0 : 1;
+        const auto change =
+            reach.on_call(answered, support::monotonic_clock::now());
+        if (!change)
+            return;
+        if (change->reachable) {
+            telemetry::log_event(
+                telemetry::log_kind::belief, "store.regained",
+                {{"outage_ms", support::to_ms(change->outage)}});
+        } else {
+            telemetry::log_event(telemetry::log_kind::belief, "store.lost",
+                                 {{"cause", cause}});
+        }
     }
 };
 
@@ -234,8 +250,11 @@
             const http_result answer =
                 co_await http::fetch(state->where, request, timeout);
             support::result<T> parsed = parse(answer);
-            if (!parsed)
-                state->count_failure();
+            // A lease that lapsed is an answer too.
+            const bool answered =
+                parsed || parsed.error().kind == error_kind::not_found;
+            state->note_end(answered, answered ? std::string_view()
+                                               : parsed.error().message);
             done(std::move(parsed));
         },
         asio::detached);
--- a/test/process/test_platform.py
+++ b/test/process/test_platform.py
@@ -3,6 +3,7 @@
 configuration, calls, leaving upstreams, late check-ins, restarts while the
 store is away, refused and lost store answers, odd input, SIGTERM."""
 
+import json
 import pathlib
 import signal
 import sys
@@ -152,6 +153,29 @@
     check(leaver.process.wait(timeout=6) == 0, "it leaves with 0 in time")
 
 
+def logs_are_one_object_a_line(rig):
+    def without_repetition(pairs):
+        names = [name for name, _ in pairs]
+        check_quietly(len(names) == len(set(names)), f"fields repeat: {names}")
+        return dict(pairs)
+
+    def check_quietly(condition, what):
+        if not condition:
+            raise AssertionError(what)
+
+    events = set()
+    for vm in rig.vms:
+        for line in vm.log.read_text().splitlines():
+            said = json.loads(line, object_pairs_hook=without_repetition)
+            check_quietly(said["member"] == vm.name, f"its own name: {line}")
+            events.add(said["event"])
+    expected = {"daemon.started", "daemon.stopped", "configuration.in_force",
+                "store.lost", "store.regained", "member.changed",
+                "upstream.presence", "attempt.sent", "call.answered",
+                "call.refused", "check_in.refused"}
+    check(expected <= events, f"logged: {sorted(expected)}")
+
+
 def main():
     with Rig(sys.argv[1], ["alpha", "beta", "alpha", "beta"]) as rig:
         start_without_configuration(rig)
@@ -161,6 +185,7 @@
         restarts_while_the_store_is_away(rig)
         store_that_misbehaves(rig)
         leaving_daemon(rig)
+        logs_are_one_object_a_line(rig)
         print("ran again:", rig.ran_more_than_once("/"), flush=True)
         check(not rig.ran_more_than_once("/b/"),
               "no call that must not repeat ran twice")
