Reproduce the abort of a daemon by an upload that ends midway

Cause: callers saw calls lost on a grown site; the users' probe ends a daemon with an upload that is refused before its body has arrived. The rig's upstream can answer before it reads a body and reads chunked bodies.

--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -33,7 +33,15 @@
         pass
 
     def body(self):
-        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        if self.headers.get("Transfer-Encoding") != "chunked":
+            return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        data = b""
+        # A body that is cut off has no further size, so that int() raises.
+        while size := int(self.rfile.readline(), 16):
+            data += self.rfile.read(size)
+            self.rfile.readline()
+        self.rfile.readline()
+        return data
 
     def answer(self, status, body=b"", fields=()):
         self.send_response(status)
@@ -252,6 +260,9 @@
         self.control = control
         self.received_calls = []
         self.delay_s = 0
+        # Status of answers that are sent before the request's body is read;
+        # None to read the body first.
+        self.early_status = None
         self.sequence = 0
         self.is_draining = False
         self.check_ins_enabled = threading.Event()
@@ -297,7 +308,8 @@
 class UpstreamHandler(QuietHandler):
     def serve(self):
         upstream = self.server
-        body = self.body()
+        early = upstream.early_status if self.command == "POST" else None
+        body = b"" if early else self.body()
         load = [("Backend-Load", "0,0,4,100"),
                 ("Instance-Id", upstream.instance)]
         if self.path == "/healthz":
@@ -313,9 +325,15 @@
             "caller": self.headers.get("Caller-Service"),
             "received_at_s": time.monotonic()})
         time.sleep(upstream.delay_s)
-        self.answer(200, b"done by " + upstream.instance.encode(),
-                    load + [("Attempt-Id", attempt),
-                            ("Reply-Seal", "seal-of-" + attempt)])
+        fields = load + [("Attempt-Id", attempt),
+                         ("Reply-Seal", "seal-of-" + attempt)]
+        if early == 503:
+            fields.append(("Not-Executed", "1"))
+        self.answer(early or 200, b"done by " + upstream.instance.encode(),
+                    fields)
+        if early:
+            self.wfile.flush()
+            self.body()
 
     do_GET = do_POST = serve
 
