Give the read of a streamed body an owner that awaits its end

What callers saw: calls that a daemon had accepted ended without an answer; the daemon aborted in Beast's pending_guard (stream_base.hpp:116, "! *b_") and took every call that it held with it. Cause: caller_session started stream_body detached. Nothing stopped it or waited for it when the call was refused or answered before its body was in, and the session then read from the same stream, to discard the rest of the body. Class: an asynchronous operation that nobody owns outlives what it uses. Change: support::child_task is a coroutine whose end its owner awaits. The session runs stream_body in one and stops and awaits it before the connection is used again or closed. caller_connection reads with one primitive, read_bytes, asserts that only one read is in progress, and can end it. A part of a body that cannot be parsed is now bounded too. The timeout of a body no longer cancels a response that is being written. Why it works: the second read can only start after join() returned, and a read that was stopped reports failure even if bytes arrived meanwhile, so that the coroutine cannot go on to another read.

--- a/lib/proxy/caller_connection.cpp
+++ b/lib/proxy/caller_connection.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <cassert>
 
 namespace galenarudder::proxy {
 
@@ -35,7 +36,8 @@
 /// How long the rest of a refused request's body is read and discarded.
 constexpr auto close_linger = std::chrono::seconds(2);
 constexpr std::size_t read_buffer_bytes = 4 * 1024;
-/// Limit on the bytes of pipelined requests that are read ahead.
+/// Limit on the bytes that are read ahead: of pipelined requests, or of a part
+/// of a body that cannot be parsed yet.
 constexpr std::size_t max_read_ahead_bytes = 64 * 1024;
 
 constexpr unsigned status_no_content = 204;
@@ -203,25 +205,19 @@
     stream_.socket().set_option(tcp::no_delay(true), ignored);
 }
 
-void caller_connection::start_read_timeout(support::duration timeout,
-                                           bool stops_writes)
+void caller_connection::start_read_timeout(support::duration timeout)
 {
     read_timed_out_ = false;
     read_timer_.expires_after(timeout);
     read_timer_.async_wait([weak = weak_from_this(), read = ++read_number_,
-                            timeout,
-                            stops_writes](boost::system::error_code canceled) {
+                            timeout](boost::system::error_code canceled) {
         const auto self = weak.lock();
         if (!self || canceled || self->read_number_ != read)
             return;
-        if (!stops_writes && self->idle_ && self->has_open_calls_ &&
-            self->has_open_calls_())
-            return self->start_read_timeout(timeout, stops_writes);
+        if (self->idle_ && self->has_open_calls_ && self->has_open_calls_())
+            return self->start_read_timeout(timeout);
         self->read_timed_out_ = true;
-        if (stops_writes)
-            self->stream_.cancel();
-        else
-            self->stop_read_.emit(asio::cancellation_type::terminal);
+        self->stop_read_.emit(asio::cancellation_type::terminal);
     });
 }
 
@@ -232,17 +228,28 @@
 }
 
 /// Reads available bytes into the buffer; a response may be written at the same
-/// time.
-asio::awaitable<bool> caller_connection::read_bytes(support::duration timeout)
-{
-    start_read_timeout(timeout, false);
+/// time. Returns false if no bytes were read or the read was stopped.
+asio::awaitable<bool> caller_connection::read_bytes(support::duration timeout,
+                                                    std::size_t max_bytes)
+{
+    assert(!reading_ && !watching_ && "the connection has one read at a time");
+    reading_ = true;
+    read_stopped_ = false;
+    start_read_timeout(timeout);
     const auto [failure, size] = co_await stream_.socket().async_read_some(
-        buffer_.prepare(read_buffer_bytes),
+        buffer_.prepare(max_bytes),
         asio::bind_cancellation_slot(stop_read_.slot(), use_nothrow_awaitable));
     stop_read_timeout();
+    reading_ = false;
     buffer_.commit(size);
     closed_by_caller_ = failure && failure != asio::error::operation_aborted;
-    co_return !failure;
+    co_return !failure && !read_stopped_;
+}
+
+void caller_connection::stop_reading()
+{
+    read_stopped_ = true;
+    stop_read_.emit(asio::cancellation_type::terminal);
 }
 
 asio::awaitable<bool>
@@ -253,7 +260,8 @@
         co_return true;
     if (!draining_) {
         idle_ = true;
-        const bool request_begun = co_await read_bytes(limits_.idle_time);
+        const bool request_begun =
+            co_await read_bytes(limits_.idle_time, read_buffer_bytes);
         idle_ = false;
         if (request_begun)
             co_return true;
@@ -262,7 +270,8 @@
     if (!draining_ || closed_by_caller_ || waiting_stopped_)
         co_return false;
     idle_ = true;
-    const bool request_begun = co_await read_bytes(drain_linger);
+    const bool request_begun =
+        co_await read_bytes(drain_linger, read_buffer_bytes);
     idle_ = false;
     co_return request_begun;
 }
@@ -270,8 +279,7 @@
 void caller_connection::stop_waiting()
 {
     waiting_stopped_ = true;
-    if (idle_)
-        stop_read_.emit(asio::cancellation_type::terminal);
+    stop_reading();
 }
 
 asio::awaitable<head_result>
@@ -291,7 +299,8 @@
         if (more) {
             const support::duration left =
                 deadline - support::monotonic_clock::now();
-            more = co_await read_bytes(std::max(left, support::duration(1)));
+            more = co_await read_bytes(std::max(left, support::duration(1)),
+                                       read_buffer_bytes);
         }
         if (more)
             continue;
@@ -331,15 +340,27 @@
         part.resize(link::max_body_part_bytes);
         parser.get().body().data = part.data();
         parser.get().body().size = part.size();
-        start_read_timeout(timeout);
-        const auto [failure, size] = co_await bhttp::async_read_some(
-            stream_, buffer_, parser, use_nothrow_awaitable);
-        stop_read_timeout();
-        if (failure && failure != bhttp::error::need_buffer)
-            co_return make_body_failure(failure, read_timed_out_);
+        boost::system::error_code failure;
+        const std::size_t consumed = parser.put(buffer_.data(), failure);
+        buffer_.consume(consumed);
         part.resize(part.size() - parser.get().body().size);
         if (!part.empty())
             co_return make_body_part(std::move(part), parser.is_done());
+        if (failure && failure != bhttp::error::need_more)
+            co_return make_body_failure(failure, read_timed_out_);
+        if (consumed != 0)
+            continue;
+        // The parser does not limit the length of a chunk's header.
+        if (buffer_.size() >= max_read_ahead_bytes) {
+            co_return make_body_failure(bhttp::error::buffer_overflow,
+                                        read_timed_out_);
+        }
+        const bool more =
+            co_await read_bytes(timeout, link::max_body_part_bytes);
+        if (!more) {
+            co_return make_body_failure(bhttp::error::partial_message,
+                                        read_timed_out_);
+        }
     }
     co_return make_body_part(std::string(), true);
 }
@@ -465,6 +486,7 @@
 {
     if (buffer_.size() >= max_read_ahead_bytes)
         return;
+    assert(!reading_ && "the connection has one read at a time");
     watching_ = true;
     stream_.socket().async_read_some(
         buffer_.prepare(read_buffer_bytes),
@@ -517,13 +539,14 @@
         co_return;
     // Closing a socket with unread bytes resets the connection, and the caller
     // could lose the response.
-    stream_.expires_after(close_linger);
-    for (;;) {
+    const support::time_point end =
+        support::monotonic_clock::now() + close_linger;
+    bool more = true;
+    while (more) {
         buffer_.clear();
-        const auto [failure, size] = co_await stream_.async_read_some(
-            buffer_.prepare(link::max_body_part_bytes), use_nothrow_awaitable);
-        if (failure)
-            co_return;
+        const support::duration left = end - support::monotonic_clock::now();
+        more = left > support::duration(0) &&
+               co_await read_bytes(left, link::max_body_part_bytes);
     }
 }
 
--- a/lib/proxy/caller_connection.hpp
+++ b/lib/proxy/caller_connection.hpp
@@ -82,6 +82,8 @@
     /// Reads the next part of the request's body within \p timeout.
     boost::asio::awaitable<body_result>
     read_body_part(request_parser& parser, support::duration timeout);
+    /// Ends the read that is in progress, if any, as if it had failed.
+    void stop_reading();
 
     /// Writes the head and the body that \p exchange delivers; returns false if
     /// the upstream's body or the caller's connection was cut off. \p claim, if
@@ -112,7 +114,8 @@
     boost::asio::awaitable<void> close(bool unread_body);
 
 private:
-    boost::asio::awaitable<bool> read_bytes(support::duration timeout);
+    boost::asio::awaitable<bool> read_bytes(support::duration timeout,
+                                            std::size_t max_bytes);
     boost::asio::awaitable<bool>
     write_without_body(const support::response_head& head,
                        link::exchange_ptr exchange,
@@ -123,12 +126,9 @@
                     std::shared_ptr<held_claim> claim,
                     response_framing framing);
     /// Cancels the next read after \p timeout. Beast's own timeout would close
-    /// the socket, so that no refusal could be written. \p stops_writes says
-    /// whether the timeout also cancels a write that is in progress. If false,
-    /// the timeout is extended while the connection waits for a request and
-    /// has open calls.
-    void start_read_timeout(support::duration timeout,
-                            bool stops_writes = true);
+    /// the socket, so that no refusal could be written. The timeout is extended
+    /// while the connection waits for a request and has open calls.
+    void start_read_timeout(support::duration timeout);
     void stop_read_timeout();
     void continue_watching();
     void on_watch_read(boost::system::error_code failure, std::size_t size);
@@ -148,6 +148,10 @@
     /// Number of the current read; a timeout of an earlier read is ignored.
     std::uint64_t read_number_ = 0;
     bool read_timed_out_ = false;
+    /// Whether read_bytes has a read in progress.
+    bool reading_ = false;
+    /// Whether that read is to end without success.
+    bool read_stopped_ = false;
     std::function<void()> on_closed_;
     bool watching_ = false;
     /// Whether the connection waits for a request.
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -152,6 +152,7 @@
       caller_address_(address_of(socket)),
       connection_(std::make_shared<caller_connection>(
           std::move(socket), context.shared_entry->dialect())),
+      body_stream_(connection_->executor()),
       call_ended_(connection_->executor())
 {
     call_ended_.expires_at(asio::steady_timer::time_point::max());
@@ -406,9 +407,22 @@
         co_await run_attempts(parser, size_counter, call);
     call->timer.cancel();
     const bool keep_open = co_await finish_call(parser, call, started_at);
+    co_await stop_body_stream();
     co_return keep_open;
 }
 
+/// Stops reading the body of a call that has ended. Only then may the
+/// connection be read for another purpose.
+asio::awaitable<void> caller_session::stop_body_stream()
+{
+    if (body_stream_.running()) {
+        stream_target_->request_body.abort();
+        connection_->stop_reading();
+        co_await body_stream_.join();
+    }
+    stream_target_ = nullptr;
+}
+
 /// Claims the call's idempotency key. Returns false if the call has ended: the
 /// recorded response was written, or the caller disconnected before the call
 /// was sent to an upstream.
@@ -505,15 +519,12 @@
     perform(call,
             call->flow.start(monotonic_clock::now(), thread_random_engine()));
     if (stream_target_) {
-        asio::co_spawn(
-            connection_->executor(),
+        body_stream_.start(
             [self = shared_from_this(), parser, size_counter, call,
-             exchange = std::move(stream_target_)]() -> asio::awaitable<void> {
+             exchange = stream_target_]() -> asio::awaitable<void> {
                 co_await self->stream_body(parser, size_counter, call,
                                            exchange);
-            },
-            asio::detached);
-        stream_target_ = nullptr;
+            });
     }
     while (!call->refusal && !call->forwarded_attempt && !call->abandoned) {
         auto [failure, event] =
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -8,6 +8,7 @@
 
 #include "galenarudder/proxy/call_flow.hpp"
 #include "galenarudder/proxy/entry.hpp"
+#include "galenarudder/support/child_task.hpp"
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
 
@@ -159,6 +160,7 @@
                                              body_size_counter size_counter,
                                              call_ptr call,
                                              link::exchange_ptr exchange);
+    boost::asio::awaitable<void> stop_body_stream();
     boost::asio::awaitable<void> run_attempts(parser_ptr parser,
                                               body_size_counter size_counter,
                                               call_ptr call);
@@ -189,9 +191,10 @@
     /// IP address of the caller.
     std::string caller_address_;
     std::shared_ptr<caller_connection> connection_;
-    /// The attempt that gets the streamed body; set when it was submitted and
-    /// cleared when streaming begins.
+    /// The attempt that gets the streamed body of the current exclusive call.
     link::exchange_ptr stream_target_;
+    /// Runs stream_body for stream_target_.
+    support::child_task body_stream_;
     /// Whether a part of the last request's body was not read.
     bool unread_body_ = false;
     /// Calls that run concurrently, the earliest first.
