Let rigs of process tests run side by side

Cause: all rigs used the same loopback addresses, so that a soak could not run beside other tests. Change: the first two numbers of the addresses are a parameter of the rig; the default is what it was. No test changes.

--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -393,7 +393,7 @@
 
     def __init__(self, rig, number, service, zone):
         self.name = f"side-{zone}-{number}"
-        self.ip = f"127.7.0.{number}"
+        self.ip = f"{rig.network}.0.{number}"
         self.service = service
         self.zone = zone
         self.rig = rig
@@ -454,11 +454,14 @@
 
 
 class Rig:
-    """A store and VMs of several services in two failure domains."""
+    """A store and VMs of several services in two failure domains.
 
-    store_address = "127.7.1.1:8309"
+    Rigs with different `network`s can run at the same time.
+    """
 
-    def __init__(self, build, services):
+    def __init__(self, build, services, network="127.7"):
+        self.network = network
+        self.store_address = f"{network}.1.1:8309"
         self.build = pathlib.Path(build).resolve()
         self.temporary = tempfile.TemporaryDirectory(prefix="galenarudder-")
         self.folder = pathlib.Path(self.temporary.name)
