Start no call behind the response that closes its connection

What callers saw: after SIGTERM a call that was pipelined behind the last response was run by its upstream, and the connection ended without an answer. Cause: the session reads on while a response is written. Whether a response closes the connection is decided when it is framed, but a request that was read between then and the end of the write was still started, and dropped with the connection. Change: framing a response that closes the connection ends the acceptance of calls. Such a request is left unread, so that its caller may send it again. Evidence: process_test_closing_connections. A caller that reads slowly sends a second call while the last response is written. Landed code: the second call ran and got no answer. Now: it never reaches an upstream. Why it works: no call can be started after the frame that says that none will be answered; all of it runs on the connection's strand.

--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -183,9 +183,10 @@
            (more_responses_follow || !*context_.draining);
 }
 
-response_framing caller_session::framing_of(const request_parser& parser,
-                                            bool keep_alive) const
+response_framing caller_session::frame_response(const request_parser& parser,
+                                                bool keep_alive)
 {
+    last_response_framed_ = last_response_framed_ || !keep_alive;
     const auto& request = parser.get();
     const unsigned version = request.version() == 10 ? 10 : 11;
     return {version, keep_alive, request.method() == bhttp::verb::head};
@@ -194,7 +195,7 @@
 asio::awaitable<bool> caller_session::write_refusal(
     const refusal& reason, const request_parser& parser, bool keep_alive)
 {
-    const response_framing framing = framing_of(parser, keep_alive);
+    const response_framing framing = frame_response(parser, keep_alive);
     const bool written = co_await connection_->write_refusal(reason, framing);
     co_return written&& keep_alive;
 }
@@ -217,7 +218,7 @@
         co_await write_refusal(*head.refusal, *parser, false);
         co_return false;
     }
-    if (!head.ready)
+    if (!head.ready || last_response_framed_)
         co_return false;
     auto open_count_guard =
         std::make_shared<open_call_count>(*context_.open_calls);
@@ -432,7 +433,7 @@
     claim_result result = co_await entry_.claim(call->head, deadline);
     if (const auto* recorded = std::get_if<once::recorded_outcome>(&result)) {
         const bool keep_alive = call->body_complete && may_keep_alive(*parser);
-        const response_framing framing = framing_of(*parser, keep_alive);
+        const response_framing framing = frame_response(*parser, keep_alive);
         const bool written =
             co_await connection_->write_recorded(*recorded, framing);
         call->body_complete = call->body_complete && written;
@@ -494,7 +495,7 @@
     const bool self_delimiting = has_length || parser->get().version() >= 11;
     const bool keep_alive =
         may_keep_alive(*parser) && call->body_complete && self_delimiting;
-    const response_framing framing = framing_of(*parser, keep_alive);
+    const response_framing framing = frame_response(*parser, keep_alive);
     const bool complete = co_await connection_->write_response(
         call->response.head, chosen_attempt.exchange, call->claim, framing);
     call->flow.on_response_end(complete, monotonic_clock::now());
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -182,8 +182,8 @@
     boost::asio::awaitable<bool> write_refusal(const support::refusal& reason,
                                                const request_parser& parser,
                                                bool keep_alive);
-    response_framing framing_of(const request_parser& parser,
-                                bool keep_alive) const;
+    response_framing frame_response(const request_parser& parser,
+                                    bool keep_alive);
     bool may_keep_alive(const request_parser& parser) const;
 
     session_context context_;
@@ -202,6 +202,9 @@
     /// Never expires; it is canceled to wake waiters when a call of
     /// concurrent_calls_ has ended.
     boost::asio::steady_timer call_ended_;
+    /// Whether a response was framed that closes the connection. No further
+    /// call is started then, since it could not be answered.
+    bool last_response_framed_ = false;
     /// Whether no further response is written.
     bool closing_ = false;
 };
--- /dev/null
+++ b/test/process/test_closing_connections.py
@@ -0,0 +1,96 @@
+#!/usr/bin/env python3
+"""Connections that a daemon closes after a response, over real processes.
+
+No call may be passed on that cannot be answered any more.
+"""
+
+import pathlib
+import signal
+import socket
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from platform_rig import HOST, Rig, check, configuration, wait_for
+from raw_http import Connection
+
+ROUTES = {"/a/": ("alpha", "idempotent")}
+# More than the buffers between upstream and caller hold.
+LARGE_ANSWER_BYTES = 32_000_000
+
+
+class SlowCaller:
+    """A caller that pipelines and reads late, through a small buffer."""
+
+    def __init__(self, rig, vm):
+        address, port = vm.outbound.split(":")
+        self.rig = rig
+        self.connection = Connection.__new__(Connection)
+        self.connection.socket = socket.socket()
+        self.connection.socket.setsockopt(socket.SOL_SOCKET,
+                                          socket.SO_RCVBUF, 4096)
+        self.connection.socket.settimeout(20)
+        self.connection.socket.connect((address, int(port)))
+        self.connection.read_ahead = b""
+
+    def send(self):
+        attempt = f"call-{next(self.rig.attempt_numbers)}"
+        self.connection.send(
+            f"GET /a/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
+            "Timeout-Ms: 10000\r\n\r\n")
+        return attempt
+
+    def read(self):
+        """Return the attempt and the size of an answer, or None at the end."""
+        try:
+            answer = self.connection.read_answer()
+        except ConnectionResetError:
+            return None
+        return answer and (answer[1].get("attempt-id"), len(answer[2]))
+
+
+def runs(rig, attempt):
+    return sum(call["id"] == attempt for vm in rig.vms
+               for call in vm.upstream.received_calls)
+
+
+def call_behind_the_last_response_is_not_passed_on(rig, vm):
+    for other in rig.vms:
+        other.upstream.answer_bytes = LARGE_ANSWER_BYTES
+    caller = SlowCaller(rig, vm)
+    vm.process.send_signal(signal.SIGTERM)
+    time.sleep(0.2)
+    first = caller.send()
+    wait_for(lambda: runs(rig, first) == 1, "the first call runs")
+    time.sleep(0.5)
+    second = caller.send()
+    time.sleep(0.3)
+    check(caller.read() == (first, LARGE_ANSWER_BYTES),
+          "the response that closes the connection is complete")
+    answered = caller.read() is not None
+    check(answered or runs(rig, second) == 0,
+          "a call behind the last response is answered or never passed on")
+
+
+def main():
+    with Rig(sys.argv[1], ["alpha", "alpha"], network="127.8") as rig:
+        for vm in rig.vms:
+            vm.start()
+        rig.store.put_configuration(configuration(3, ROUTES))
+        for vm in rig.vms:
+            vm.upstream.check_ins_enabled.set()
+        for case in (call_behind_the_last_response_is_not_passed_on,):
+            for other in rig.vms:
+                other.upstream.answer_bytes = 0
+            vm = rig.vms[0]
+            wait_for(vm.is_ready, f"{vm.name} is ready")
+            wait_for(lambda: vm.call("/a/1")[1] == 200, "it serves")
+            case(rig, vm)
+            check(vm.process.wait(timeout=6) == 0, "it exits with 0 in 6 s")
+            vm.start()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
