Let callers read the last response although they sent more

What callers saw: a response that closes its connection was cut off when the caller had sent further requests: the connection was reset. Cause: a socket that is closed with unread bytes is reset, and the part of the response that is still in its send buffer is discarded. The session lingered only for the rest of a body, not for requests behind the last response. Change: after a response that closes the connection, what the caller sent behind it is read and discarded until the caller closes, 2 s at most, 1 s in a drain. Why it works: nothing is unread when the socket is closed, so it ends with FIN, after everything in its send buffer.

--- a/lib/proxy/caller_connection.cpp
+++ b/lib/proxy/caller_connection.cpp
@@ -29,12 +29,12 @@
 namespace {
 
 constexpr auto use_nothrow_awaitable = asio::as_tuple(asio::use_awaitable);
-/// How long a draining daemon waits for a further request on a connection
+/// How long a draining daemon waits on a connection for what is in flight
 /// before it closes the connection.
-constexpr auto drain_linger = std::chrono::seconds(1);
+constexpr support::duration drain_linger = std::chrono::seconds(1);
 constexpr auto write_timeout = std::chrono::seconds(60);
-/// How long the rest of a refused request's body is read and discarded.
-constexpr auto close_linger = std::chrono::seconds(2);
+/// How long bytes that follow the last response are read and discarded.
+constexpr support::duration close_linger = std::chrono::seconds(2);
 constexpr std::size_t read_buffer_bytes = 4 * 1024;
 /// Limit on the bytes that are read ahead: of pipelined requests, or of a part
 /// of a body that cannot be parsed yet.
@@ -531,16 +531,16 @@
         stop_read_.emit(asio::cancellation_type::terminal);
 }
 
-asio::awaitable<void> caller_connection::close(bool unread_body)
+asio::awaitable<void> caller_connection::close(bool more_may_follow)
 {
     boost::system::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    if (!unread_body)
+    if (!more_may_follow || closed_by_caller_)
         co_return;
     // Closing a socket with unread bytes resets the connection, and the caller
     // could lose the response.
-    const support::time_point end =
-        support::monotonic_clock::now() + close_linger;
+    const support::duration linger = draining_ ? drain_linger : close_linger;
+    const support::time_point end = support::monotonic_clock::now() + linger;
     bool more = true;
     while (more) {
         buffer_.clear();
--- a/lib/proxy/caller_connection.hpp
+++ b/lib/proxy/caller_connection.hpp
@@ -109,9 +109,9 @@
     /// Closes the connection shortly if no request is being served.
     void drain();
     /// Closes the connection so that the caller can still read what was
-    /// written. \p unread_body says whether a request's body was not read to
-    /// its end.
-    boost::asio::awaitable<void> close(bool unread_body);
+    /// written. \p more_may_follow says whether the caller may have sent more
+    /// than was read: the rest of a body, or further requests.
+    boost::asio::awaitable<void> close(bool more_may_follow);
 
 private:
     boost::asio::awaitable<bool> read_bytes(support::duration timeout,
--- a/test/process/test_closing_connections.py
+++ b/test/process/test_closing_connections.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Connections that a daemon closes after a response, over real processes.
 
-No call may be passed on that cannot be answered any more.
+No call may be passed on that cannot be answered any more, and no response may
+be lost because the caller had sent more.
 """
 
 import pathlib
@@ -18,6 +19,8 @@
 ROUTES = {"/a/": ("alpha", "idempotent")}
 # More than the buffers between upstream and caller hold.
 LARGE_ANSWER_BYTES = 32_000_000
+# Less than the daemon's send buffer takes at once.
+BUFFERED_ANSWER_BYTES = 200_000
 
 
 class SlowCaller:
@@ -73,6 +76,25 @@
           "a call behind the last response is answered or never passed on")
 
 
+def response_is_not_lost_when_more_was_sent(rig, vm):
+    for other in rig.vms:
+        other.upstream.answer_bytes = BUFFERED_ANSWER_BYTES
+    caller = SlowCaller(rig, vm)
+    vm.process.send_signal(signal.SIGTERM)
+    time.sleep(0.2)
+    first = caller.send()
+    wait_for(lambda: runs(rig, first) == 1, "the first call runs")
+    time.sleep(0.3)
+    for _ in range(3):
+        try:
+            caller.send()
+        except OSError:
+            break
+        time.sleep(0.1)
+    check(caller.read() == (first, BUFFERED_ANSWER_BYTES),
+          "a response is complete although the caller sent more behind it")
+
+
 def main():
     with Rig(sys.argv[1], ["alpha", "alpha"], network="127.8") as rig:
         for vm in rig.vms:
@@ -80,7 +102,8 @@
         rig.store.put_configuration(configuration(3, ROUTES))
         for vm in rig.vms:
             vm.upstream.check_ins_enabled.set()
-        for case in (call_behind_the_last_response_is_not_passed_on,):
+        for case in (call_behind_the_last_response_is_not_passed_on,
+                     response_is_not_lost_when_more_was_sent):
             for other in rig.vms:
                 other.upstream.answer_bytes = 0
             vm = rig.vms[0]
