Answer a call of a lost gate at once if nobody can state its outcome

What callers saw: a call that must not run twice, or an upload, whose upstream's daemon was killed was held to its deadline: 1.65 s in the users' probe, although the link had broken at once. Cause: after a link breaks, the entry keeps such calls for up to 2 s to ask the gate for their outcome, also while every attempt to connect fails. The record of outcomes lives in the gate's process; once nobody listens there, nobody will know. Change: a failed attempt to open the link ends the calls that wait for an answer about their outcome, as unknown. Why it works: a process that lives takes links again at once, is asked, and answers as before; only a gate that takes none is given up. What was weighed: a gate that is cut off for less than 1.5 s is still asked, since an attempt to connect lasts that long; its calls end as unknown then instead of after 2 s.

--- a/lib/link/entry_links.cpp
+++ b/lib/link/entry_links.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace galenarudder::link {
 
@@ -211,8 +212,9 @@
 
 /// Ends the calls of a link that was lost. A call that was not sent did not
 /// run. For a call that was sent, the gate is asked after reconnecting, unless
-/// the call may run twice; then its outcome is reported as unknown at once,
-/// since the entry can retry it without knowing whether it ran.
+/// reconnecting fails or the call may run twice; then its outcome is reported
+/// as unknown at once. The entry can retry a call that may run twice without
+/// knowing whether it ran.
 void entry_links::handle_loss(outbound_link& link, time_point now)
 {
     const bool was_open = link.state == link_state::open;
@@ -233,6 +235,8 @@
     for (const exchange_ptr& attempt : link.pending)
         attempt->deliver(gate_not_reached(link.member));
     link.pending.clear();
+    if (!was_open)
+        give_up_unresolved_calls(link);
     for (auto& [id, call] : link.calls) {
         stop_request_body(call);
         if (call.response_begun) {
@@ -250,6 +254,16 @@
     link.calls.clear();
 }
 
+/// Ends the calls whose outcome can no longer be asked for: the gate does not
+/// take links, so the process that knew their outcome is gone or cut off.
+void entry_links::give_up_unresolved_calls(outbound_link& link)
+{
+    const std::vector<unresolved_call> calls =
+        std::exchange(link.unresolved_calls, {});
+    for (const unresolved_call& call : calls)
+        call.attempt->deliver(outcome_unknown(link.member));
+}
+
 void entry_links::query_outcomes(outbound_link& link)
 {
     std::map<std::uint64_t, std::vector<std::uint64_t>> numbers_by_epoch;
--- a/lib/link/entry_links.hpp
+++ b/lib/link/entry_links.hpp
@@ -118,6 +118,7 @@
     void on_refusal(outbound_link& link, call_refused& refusal_message);
     bool on_body_part(outbound_link& link, body_part& part);
     void on_outcome_reply(outbound_link& link, const outcome_reply& reply);
+    void give_up_unresolved_calls(outbound_link& link);
     void query_outcomes(outbound_link& link);
     void expire_unresolved_calls(outbound_link& link, support::time_point now);
     void check_timeouts(outbound_link& link, support::time_point now);
--- a/test/process/test_platform.py
+++ b/test/process/test_platform.py
@@ -8,6 +8,7 @@
 twice.
 """
 
+import concurrent.futures
 import json
 import pathlib
 import signal
@@ -142,6 +143,29 @@
                  f"{vm.name} follows the store after its return", 10)
 
 
+def call_of_a_killed_daemon_is_not_held_to_its_deadline(rig):
+    caller, upstreams = rig.vms[0], [rig.vms[1], rig.vms[3]]
+    for vm in upstreams:
+        vm.upstream.delay_s = 1.5
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        call = pool.submit(caller.call, "/b/held", "POST", b"one")
+        wait_for(lambda: any(call["path"] == "/b/held" for vm in upstreams
+                             for call in vm.upstream.received_calls),
+                 "a call runs")
+        running = next(vm for vm in upstreams
+                       for call in vm.upstream.received_calls
+                       if call["path"] == "/b/held")
+        running.stop(signal.SIGKILL)
+        _, code, _, body = call.result()
+    for vm in upstreams:
+        vm.upstream.delay_s = 0
+    check(code == 502 and json.loads(body)["kind"] == "link-broken",
+          "a call whose upstream's daemon is killed ends with its link")
+    running.start()
+    wait_for(lambda: running.is_ready() and serves(running),
+             f"{running.name} is back")
+
+
 def store_faults(rig):
     rig.store.write_answers_to_lose = 3
     rig.store.compact_history()
@@ -205,6 +229,7 @@
         malformed_input_changes_nothing(rig)
         draining_upstream_gets_no_calls(rig)
         daemons_restart_without_the_store(rig)
+        call_of_a_killed_daemon_is_not_held_to_its_deadline(rig)
         store_faults(rig)
         daemon_leaves_on_sigterm(rig)
         log_lines_are_json_objects(rig)
--- a/test/process/test_uploads.py
+++ b/test/process/test_uploads.py
@@ -14,7 +14,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 from platform_rig import HOST, Rig, check, configuration, wait_for
-from raw_http import Connection
+from raw_http import Connection, parse_problem
 
 ROUTES = {"/near/": ("alpha", "upload"), "/far/": ("beta", "upload"),
           "/small/": ("alpha", "idempotent")}
@@ -47,6 +47,10 @@
         except OSError:
             pass
 
+    def problem_kind(self):
+        problem = parse_problem(self.connection.read_answer())
+        return problem and problem["kind"]
+
     def status(self):
         answer = self.connection.read_answer()
         return answer and answer[0]
@@ -59,7 +63,7 @@
 
 def kill_upstreams_daemon(rig, upload):
     rig.vms[1].stop(signal.SIGKILL)
-    return upload.status() in (502, 503, 504)
+    return upload.problem_kind() == "link-broken"
 
 
 def pass_the_deadline(rig, upload):
