Count running calls by the name of their rank

A daemon that had no configuration yet ran a peer's call in the lane of unknown ranks. When the configuration named the rank while the call ran, the count stayed in that lane; the end of the call was looked up in the rank's own lane, found no running call there and aborted the daemon. A rank that was removed and added again had the same effect.

The queue counts running calls by rank name and rebuilds the counts of the lanes when the ranks change. The new unit test passes; a minimal program with the same steps aborts on the code before.

--- a/include/galenarudder/admission/rank_queue.hpp
+++ b/include/galenarudder/admission/rank_queue.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -61,14 +62,16 @@
     /// Removes and returns the call to start next, among the ranks for which
     /// \p eligible holds.
     std::optional<attempt> pop(const rank_predicate& eligible);
-    /// Charges \p rank for a started call that is expected to occupy one slot
-    /// for \p cost_ms. \p limit is the number of calls that may run at once; it
-    /// bounds the credit of each rank.
-    void charge(std::size_t rank, double cost_ms, std::uint32_t limit);
+    /// Charges \p rank_name for a started call that is expected to occupy one
+    /// slot for \p cost_ms. \p limit is the number of calls that may run at
+    /// once; it bounds the credit of each rank.
+    void charge(const std::string& rank_name,
+                double cost_ms,
+                std::uint32_t limit);
     /// Accounts for the end of a started call of \p rank_name. It was
     /// charged \p charged_ms and took \p took_ms; the difference is charged or
     /// refunded.
-    void release(std::string_view rank_name,
+    void release(const std::string& rank_name,
                  double charged_ms,
                  double took_ms,
                  std::uint32_t limit);
@@ -107,6 +110,9 @@
     static void clear_credit_if_idle(lane& rank_lane);
 
     std::vector<lane> lanes_;
+    /// Started calls by the name of their rank, which may be unknown: it can
+    /// become known, or be removed, before the call ends.
+    std::map<std::string, std::size_t> running_by_name_;
     std::size_t capacity_ = 0;
     double window_ms_ = 0;
     std::uint64_t last_sequence_ = 0;
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -252,7 +252,7 @@
             continue;
         }
         const double cost_ms = service_times.mean_ms(next->rank);
-        queue.charge(queue.rank_of(next->rank), cost_ms, concurrency.current());
+        queue.charge(next->rank, cost_ms, concurrency.current());
         ++counts.started;
         actions.emplace_back(start{next->key});
         const attempt_key key = next->key;
--- a/lib/admission/rank_queue.cpp
+++ b/lib/admission/rank_queue.cpp
@@ -44,10 +44,11 @@
     for (lane& previous_lane : previous_lanes) {
         lane& new_lane = lanes_[rank_of(previous_lane.name)];
         new_lane.credit_ms = previous_lane.credit_ms;
-        new_lane.running += previous_lane.running;
         for (queued_call& queued : previous_lane.waiting)
             insert(std::move(queued));
     }
+    for (const auto& [name, count] : running_by_name_)
+        lanes_[rank_of(name)].running += count;
 }
 
 std::size_t rank_queue::rank_of(std::string_view name) const
@@ -139,13 +140,16 @@
     return next;
 }
 
-void rank_queue::charge(std::size_t rank, double cost_ms, std::uint32_t limit)
+void rank_queue::charge(const std::string& rank_name,
+                        double cost_ms,
+                        std::uint32_t limit)
 {
-    assert(rank < lanes_.size() && "the rank must be a position in the queue");
+    const std::size_t rank = rank_of(rank_name);
     charge_and_credit(rank, cost_ms, limit);
     lane& charged_lane = lanes_[rank];
     charged_lane.credit_ms = std::max(charged_lane.credit_ms, -cost_ms);
     ++charged_lane.running;
+    ++running_by_name_[rank_name];
 }
 
 /// Charges a cost to \p rank and credits each rank that is not idle with its
@@ -191,15 +195,18 @@
     return removed;
 }
 
-void rank_queue::release(std::string_view rank_name,
+void rank_queue::release(const std::string& rank_name,
                          double charged_ms,
                          double took_ms,
                          std::uint32_t limit)
 {
     const std::size_t rank = rank_of(rank_name);
     lane& call_lane = lanes_[rank];
-    assert(call_lane.running > 0 &&
+    const auto running_calls = running_by_name_.find(rank_name);
+    assert(running_calls != running_by_name_.end() &&
            "a call must be started before it is released");
+    if (--running_calls->second == 0)
+        running_by_name_.erase(running_calls);
     charge_and_credit(rank, took_ms - charged_ms, limit);
     call_lane.credit_ms = std::max(call_lane.credit_ms, -took_ms);
     --call_lane.running;
--- a/unittests/admission/rank_queue_test.cpp
+++ b/unittests/admission/rank_queue_test.cpp
@@ -102,7 +102,7 @@
     queue.push(make_attempt(1, "normal"));
     queue.push(make_attempt(2, "bulk"));
     queue.push(make_attempt(3, "normal"));
-    queue.charge(queue.rank_of("normal"), 4, 9);
+    queue.charge("normal", 4, 9);
     const std::vector<config::rank_policy> changed = {{"bulk", 0, 0},
                                                       {"urgent", 0, 0}};
     queue.configure(changed, 10, support::milliseconds(1000));
@@ -116,6 +116,33 @@
     CHECK(order == std::vector<std::uint64_t>{2, 1, 3});
 }
 
+TEST_CASE("a running call is counted for its rank when the ranks change")
+{
+    const std::vector<config::rank_policy> none;
+    using changes = std::vector<std::vector<config::rank_policy>>;
+    const auto [name, ranks] = GENERATE_COPY(table<std::string, changes>({
+        {"its rank becomes known", changes{none, three_ranks}},
+        {"its rank is removed", changes{three_ranks, none}},
+        {"its rank is removed and added again",
+         changes{three_ranks, none, three_ranks}},
+    }));
+    CAPTURE(name);
+    rank_queue queue;
+    queue.configure(ranks.front(), 10, support::milliseconds(1000));
+    queue.charge("normal", 4, 9);
+    queue.charge("unknown", 4, 9);
+    for (const auto& changed : ranks)
+        queue.configure(changed, 10, support::milliseconds(1000));
+    CHECK(queue.running() == 2);
+    CHECK(queue.running(queue.rank_of("normal")) ==
+          (ranks.back().empty() ? 2 : 1));
+    queue.release("normal", 4, 4, 9);
+    CHECK(queue.running() == 1);
+    CHECK(queue.running(queue.rank_of("unknown")) == 1);
+    queue.release("unknown", 4, 4, 9);
+    CHECK(queue.running() == 0);
+}
+
 TEST_CASE("each rank with waiting calls gets at least its minimum share minus "
           "the time of two calls")
 {
@@ -144,7 +171,7 @@
             RC_ASSERT(next);
             const std::size_t rank = queue.rank_of(next->rank);
             queue.push(make_attempt(++id, next->rank));
-            queue.charge(rank, cost_ms.at(rank), 9);
+            queue.charge(next->rank, cost_ms.at(rank), 9);
             queue.release(next->rank, cost_ms.at(rank), cost_ms.at(rank), 9);
             served_ms.at(rank) += cost_ms.at(rank);
             total_ms += cost_ms.at(rank);
