End the write that waits for room when a body is aborted

What callers see: every call of a service refused with 503 "the deadline passed in the queue", until its daemon is restarted, after as many callers as the upstream has slots left midway through a large answer. Cause: body_pipe::abort closed an Asio channel. Closing one (Boost 1.81) ends the operations that wait to receive, not those that wait to send. The attempt stayed in body_pipe::write for good, with its slot and its connection. A session that joins its read of a body waits for the same write. Change: a writer receives a permit before it passes a chunk on, so that all operations of the pipe that wait are receives. Why it works: close() ends waiting receives, and makes later ones fail, under the channel's lock; a permit returns only after its chunk was read, so that the channel of chunks always has room.

--- a/include/galenarudder/link/body_pipe.hpp
+++ b/include/galenarudder/link/body_pipe.hpp
@@ -43,7 +43,8 @@
     boost::asio::awaitable<std::optional<body_chunk>> read();
     /// Returns the next chunk if one is in the pipe, or std::nullopt.
     std::optional<body_chunk> try_read();
-    /// Closes the pipe for reader and writer, also before the last chunk.
+    /// Closes the pipe, also before the last chunk, and ends the read and the
+    /// write that wait.
     void abort();
 
     /// Sets the function that is called with the size in bytes of each chunk
@@ -51,9 +52,17 @@
     void set_consumed_handler(std::function<void(std::size_t)> handler);
 
 private:
-    using channel = boost::asio::experimental::concurrent_channel<void(
+    using chunk_channel = boost::asio::experimental::concurrent_channel<void(
         boost::system::error_code, body_chunk)>;
-    channel channel_;
+    using permit_channel = boost::asio::experimental::concurrent_channel<void(
+        boost::system::error_code)>;
+
+    /// Returns the permit of a chunk that was read.
+    void on_read(const body_chunk& chunk);
+
+    chunk_channel chunks_;
+    /// One permit for each further chunk that the pipe has room for.
+    permit_channel permits_;
     std::function<void(std::size_t)> consumed_handler_;
 };
 
--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -263,6 +263,8 @@
         # Status of answers that are sent before the request's body is read;
         # None to read the body first.
         self.early_status = None
+        # Size of the bodies of answers; 0 for a short text.
+        self.answer_bytes = 0
         self.sequence = 0
         self.is_draining = False
         self.check_ins_enabled = threading.Event()
@@ -329,8 +331,8 @@
                          ("Reply-Seal", "seal-of-" + attempt)]
         if early == 503:
             fields.append(("Not-Executed", "1"))
-        self.answer(early or 200, b"done by " + upstream.instance.encode(),
-                    fields)
+        self.answer(early or 200, b"x" * upstream.answer_bytes
+                    or b"done by " + upstream.instance.encode(), fields)
         if early:
             self.wfile.flush()
             self.body()
