Play uploads to upstreams that do not read

Cause: the search for the same class found that a refused upload whose bytes wait for room would have waited for good; no process test played that. Change: two cases of process_test_uploads, across a link and beside the upstream; the rig's upstream can wait before it reads a body.

--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -263,6 +263,8 @@
         # Status of answers that are sent before the request's body is read;
         # None to read the body first.
         self.early_status = None
+        # Time before the body of a request is read.
+        self.body_delay_s = 0
         # Size to which the bodies of answers are padded.
         self.answer_bytes = 0
         self.sequence = 0
@@ -311,6 +313,8 @@
     def serve(self):
         upstream = self.server
         early = upstream.early_status if self.command == "POST" else None
+        if self.command == "POST":
+            time.sleep(upstream.body_delay_s)
         body = b"" if early else self.body()
         load = [("Backend-Load", "0,0,4,100"),
                 ("Instance-Id", upstream.instance)]
--- a/test/process/test_uploads.py
+++ b/test/process/test_uploads.py
@@ -25,7 +25,10 @@
 class Upload:
     """An upload of which only the first part is sent at first."""
 
-    def __init__(self, rig, vm, path, time_left_ms=5000, chunked=False):
+    def __init__(self, rig, vm, path, time_left_ms=5000, chunked=False,
+                 body_delay_s=0):
+        for other in rig.vms:
+            other.upstream.body_delay_s = body_delay_s
         address, port = vm.outbound.split(":")
         self.attempt = f"upload-{next(rig.attempt_numbers)}"
         self.connection = Connection(address, int(port))
@@ -70,6 +73,11 @@
     return upload.status() in (408, 503, 504)
 
 
+def stall(rig, upload):
+    upload.send_rest()
+    return upload.status() in (503, 504)
+
+
 def answer_early(status):
     def play(rig, upload):
         return upload.status() == status
@@ -95,6 +103,10 @@
      {"time_left_ms": 700}),
     ("refused at its deadline beside its upstream", "/near/",
      pass_the_deadline, None, {"time_left_ms": 700}),
+    ("refused while its upstream does not read", "/far/", stall, None,
+     {"time_left_ms": 700, "body_delay_s": 3}),
+    ("refused while its upstream does not read, beside it", "/near/", stall,
+     None, {"time_left_ms": 700, "body_delay_s": 3}),
     ("answered early", "/far/", answer_early(200), 200, {}),
     ("answered early beside its upstream", "/near/", answer_early(200), 200,
      {}),
@@ -149,6 +161,8 @@
         check(as_expected is True, f"an upload {name} gets its answer")
         check(statuses == [200], f"beside an upload {name} a call is answered")
         upstreams_answer_early(rig, None)
+        for vm in rig.vms:
+            vm.upstream.body_delay_s = 0
         far_vm = rig.vms[1]
         if far_vm.process.poll() is not None:
             far_vm.start()
