Write the buffered log lines when the daemon aborts

What operators saw: the log of a daemon that aborted lacked its last 0.2 s, in which the cause lies; a call that the daemon itself dropped was logged as if its caller had closed the connection. Cause: lines are buffered until the next tick; both ends of a call shared one text. Change: SIGABRT writes the buffer before the process ends; a call that is dropped behind an earlier response says so. Evidence: process_test_platform aborts a daemon right after a call.

--- a/include/galenarudder/telemetry/log.hpp
+++ b/include/galenarudder/telemetry/log.hpp
@@ -97,6 +97,9 @@
 /// Writes buffered lines as far as standard output accepts them without
 /// blocking. Must be called regularly.
 void flush_log();
+/// Makes an abort of the process, as by a failed assertion, write the buffered
+/// lines first.
+void flush_log_on_abort();
 
 /// Returns the numbers of lines written and dropped.
 log_counts get_log_counts();
--- a/lib/daemon/program.cpp
+++ b/lib/daemon/program.cpp
@@ -10,6 +10,7 @@
 int run_program(const std::string& settings_path, integration deployment)
 {
     telemetry::open_log("");
+    telemetry::flush_log_on_abort();
     if (settings_path.empty()) {
         telemetry::log_error("daemon.not_started",
                              {support::error_kind::invalid_document,
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -97,6 +97,13 @@
             support::milliseconds(0), "the caller closed its connection"};
 }
 
+refusal dropped_refusal()
+{
+    return {refusal_kind::canceled, run_outcome::unknown, true,
+            support::milliseconds(0),
+            "an earlier response closed the connection"};
+}
+
 refusal disconnected_before_start()
 {
     return {refusal_kind::canceled, run_outcome::not_run, true,
@@ -302,7 +309,8 @@
 void caller_session::drop_call(const call_ptr& call)
 {
     perform(call, call->flow.on_caller_disconnected(monotonic_clock::now()));
-    call->refusal = caller_disconnected_refusal();
+    call->refusal =
+        call->disconnected ? caller_disconnected_refusal() : dropped_refusal();
     log_refusal(*call, call->started_at);
     entry_.metrics().record_refusal(call->head.service, call->head.rank,
                                     *call->refusal);
--- a/lib/telemetry/log.cpp
+++ b/lib/telemetry/log.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <csignal>
 #include <ctime>
 #include <mutex>
 #include <optional>
@@ -220,6 +221,18 @@
         writer->write_buffer();
 }
 
+void flush_log_on_abort()
+{
+    std::signal(SIGABRT, [](int) {
+        // The abort may have come while this thread held the mutex.
+        const std::unique_lock lock(writer_mutex, std::try_to_lock);
+        if (lock && writer)
+            writer->write_buffer();
+        std::signal(SIGABRT, SIG_DFL);
+        std::raise(SIGABRT);
+    });
+}
+
 log_counts get_log_counts()
 {
     const std::lock_guard lock(writer_mutex);
--- a/test/process/test_platform.py
+++ b/test/process/test_platform.py
@@ -166,6 +166,16 @@
              f"{running.name} is back")
 
 
+def last_lines_before_an_abort_are_logged(rig):
+    vm = rig.vms[3]
+    attempt = vm.call("/a/last")[0]
+    vm.stop(signal.SIGABRT)
+    check(f'"{attempt}"' in vm.log.read_text(),
+          "an abort writes the lines that were buffered")
+    vm.start()
+    wait_for(lambda: vm.is_ready() and serves(vm), f"{vm.name} is back")
+
+
 def store_faults(rig):
     rig.store.write_answers_to_lose = 3
     rig.store.compact_history()
@@ -230,6 +240,7 @@
         draining_upstream_gets_no_calls(rig)
         daemons_restart_without_the_store(rig)
         call_of_a_killed_daemon_is_not_held_to_its_deadline(rig)
+        last_lines_before_an_abort_are_logged(rig)
         store_faults(rig)
         daemon_leaves_on_sigterm(rig)
         log_lines_are_json_objects(rig)
