End the response of a call that the entry canceled

What callers see: every call of a service behind a link refused with 503 "the deadline passed in the queue", as long as the link lives, after as many callers as the upstream has slots left midway through a large answer. Cause: gate_links::on_cancel left the response's body open. The entry grants no credit for a call that it canceled, so the body_sender waited for credit and the attempt for room in the body, with its slot and its connection, until the link closed. The canceled call also stayed in the link's calls. Change: on_cancel aborts the response's body, and ends the call if its response has begun. Why it works: end_call stops the sender, and the aborted body ends the write for which the attempt waits, so that the attempt ends and frees both.

--- a/lib/link/gate_links.cpp
+++ b/lib/link/gate_links.cpp
@@ -233,6 +233,8 @@
     return true;
 }
 
+/// Ends the bodies of a canceled call. A response that has begun gets no more
+/// credit, so its call ends here; other calls end with the gate's result.
 void gate_links::on_cancel(connection_id connection,
                            inbound_link& link,
                            attempt_id id)
@@ -243,7 +245,10 @@
     // The rest of an incomplete body will not follow.
     if (!found->second.request_complete)
         found->second.attempt->request_body.abort();
+    found->second.attempt->response_body.abort();
     context_->handlers.call_canceled(connection, id);
+    if (found->second.sender)
+        end_call(connection, id);
 }
 
 /// Answers an outcome query. If some of its calls have not ended, waits first,
--- a/test/process/test_downloads.py
+++ b/test/process/test_downloads.py
@@ -16,7 +16,8 @@
 
 # Calls of the kind "idempotent" may run twice.
 ROUTES = {"/near/": ("alpha", "upload"),
-          "/near-again/": ("alpha", "idempotent")}
+          "/near-again/": ("alpha", "idempotent"),
+          "/far/": ("beta", "upload"), "/far-again/": ("beta", "idempotent")}
 # More than the buffers of the sockets on the way take.
 ANSWER_BYTES = 32_000_000
 # More than the slots of an upstream.
@@ -39,7 +40,8 @@
     caller_vm = rig.vms[0]
     for vm in rig.vms:
         vm.upstream.answer_bytes = ANSWER_BYTES
-    statuses = [leave_midway(caller_vm, path + "large", f"{path[1:-1]}-{number}")
+    statuses = [leave_midway(caller_vm, path + "large",
+                             f"{path[1:-1]}-{number}")
                 for number in range(CALLERS)]
     check(statuses == [200] * CALLERS,
           f"{path}: {CALLERS} large answers begin: {statuses}")
