Await the end of the request when an attempt ends

What callers would see: calls refused with 503 while slots are free, after an upstream answered uploads early and stopped to read them. By the code, each such call kept a connection up to its deadline or, once a long answer was forwarded, up to 60 s, and the gate took the upstream for unreachable. Cause: running_attempt spawned send_request detached. When the response came first, the attempt ended and its slot was free, while send_request still waited in a write and kept the connection counted in the pool. Class: an asynchronous operation that nobody owns outlives what it uses. Change: the attempt runs send_request in a child_task. At its end it closes the connection of a request that was not sent in full and awaits the task. Why it works: closing the stream ends its write with an error and fails later ones, and aborting the body ends its read, so that join() returns; only then the slot is reported free.

--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -6,6 +6,7 @@
 
 #include "galenarudder/link/message.hpp"
 #include "galenarudder/proxy/http_fields.hpp"
+#include "galenarudder/support/child_task.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -185,7 +186,7 @@
         : pool_(std::move(pool)), attempt_(std::move(attempt)),
           deadline_(deadline), get_load_(std::move(get_load)),
           on_finished_(std::move(on_finished)), instance_(std::move(instance)),
-          dialect_(dialect)
+          dialect_(dialect), request_task_(pool_->executor())
     {
     }
 
@@ -213,6 +214,7 @@
     asio::awaitable<void> skip_body();
     refusal no_response(const boost::system::error_code& failure) const;
     asio::awaitable<void> send_request();
+    asio::awaitable<void> stop_request();
     asio::awaitable<bool> forward_body();
     void deliver_head(support::response_head head)
     {
@@ -233,6 +235,8 @@
     const http_dialect& dialect_;
     std::optional<upstream_load> stated_load_;
     connection_ptr connection_;
+    /// Runs send_request.
+    support::child_task request_task_;
     /// Parser of the response being read; replaced after each interim (1xx) or
     /// skipped response.
     std::optional<response_parser> parser_;
@@ -265,6 +269,7 @@
                                                 : upstream_result::unreachable);
     } else {
         result = co_await exchange_messages();
+        co_await stop_request();
         if (reusable_ && request_sent_ && !aborted_)
             pool_->give_back(connection_);
     }
@@ -290,15 +295,13 @@
 
 asio::awaitable<void> running_attempt::send_request()
 {
-    const auto self = shared_from_this();
-    const connection_ptr connection = connection_;
     auto request = build_request(attempt_->head, to_string(pool_->upstream()),
                                  deadline_ - support::monotonic_clock::now(),
                                  instance_, dialect_);
     bhttp::request_serializer<bhttp::buffer_body> serializer{request};
     sending_started_ = true;
     const auto [head_failure, head_size] = co_await bhttp::async_write_header(
-        connection->stream, serializer, use_nothrow_awaitable);
+        connection_->stream, serializer, use_nothrow_awaitable);
     if (head_failure)
         co_return;
     bool more = request.body().more;
@@ -307,7 +310,7 @@
             co_await attempt_->request_body.read();
         if (!chunk) {
             // The caller's body was cut off: the request cannot be completed.
-            connection->stream.cancel();
+            connection_->stream.cancel();
             co_return;
         }
         more = !chunk->last;
@@ -316,21 +319,29 @@
         request.body().size = chunk->data.size();
         request.body().more = more;
         const auto [failure, size] = co_await bhttp::async_write(
-            connection->stream, serializer, use_nothrow_awaitable);
+            connection_->stream, serializer, use_nothrow_awaitable);
         if (failure && failure != bhttp::error::need_buffer)
             co_return;
     }
     request_sent_ = true;
 }
 
+/// Ends a request that was not sent to its end, and closes its connection.
+asio::awaitable<void> running_attempt::stop_request()
+{
+    if (!request_task_.running())
+        co_return;
+    reusable_ = false;
+    attempt_->request_body.abort();
+    connection_->stream.close();
+    co_await request_task_.join();
+}
+
 asio::awaitable<upstream_result> running_attempt::exchange_messages()
 {
-    asio::co_spawn(
-        pool_->executor(),
-        [self = shared_from_this()]() -> asio::awaitable<void> {
-            co_await self->send_request();
-        },
-        asio::detached);
+    request_task_.start([self = shared_from_this()]() -> asio::awaitable<void> {
+        co_await self->send_request();
+    });
     support::response_head head;
     if (!co_await read_matching_head(head))
         co_return refuse(no_response(read_failure_), upstream_result::failed);
--- a/unittests/entry/upstream_client_test.cpp
+++ b/unittests/entry/upstream_client_test.cpp
@@ -1,6 +1,8 @@
 // upstream_client against an upstream on loopback with scripted responses.
 #include "galenarudder/proxy/upstream_client.hpp"
 
+#include "galenarudder/link/message.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -52,6 +54,8 @@
     /// Sends no response until release_responses is called.
     void hold_responses() { holding_ = true; }
     void release_responses() { holding_ = false; }
+    /// Reads no more from a connection after it was sent a response.
+    void read_one_request_each() { reads_one_request_ = true; }
     /// Closes the connections that are open.
     void close_all()
     {
@@ -86,6 +90,14 @@
         }
     }
 
+    static asio::awaitable<void>
+    wait_briefly(std::shared_ptr<tcp::socket> socket)
+    {
+        asio::steady_timer poll_timer(socket->get_executor(),
+                                      std::chrono::milliseconds(1));
+        co_await poll_timer.async_wait(use_nothrow_awaitable);
+    }
+
     asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
     {
         std::string buffer;
@@ -97,15 +109,14 @@
                 break;
             buffer.erase(0, size);
             ++requests;
-            while (holding_) {
-                asio::steady_timer poll_timer(socket->get_executor(),
-                                              std::chrono::milliseconds(1));
-                co_await poll_timer.async_wait(use_nothrow_awaitable);
-            }
+            while (holding_)
+                co_await wait_briefly(socket);
             if (response_.empty())
                 break;
             co_await asio::async_write(*socket, asio::buffer(response_),
                                        use_nothrow_awaitable);
+            while (reads_one_request_)
+                co_await wait_briefly(socket);
         }
         socket->close();
         --open;
@@ -114,6 +125,7 @@
     tcp::acceptor acceptor_;
     std::string response_;
     bool holding_ = false;
+    bool reads_one_request_ = false;
     std::vector<std::shared_ptr<tcp::socket>> sockets_;
 };
 
@@ -138,13 +150,15 @@
     {
     }
 
+    /// Without \p content_length, the body is streamed by the test.
     call_ptr send(const std::string& method,
-                  support::duration time_left = ample_time)
+                  support::duration time_left = ample_time,
+                  std::optional<std::uint64_t> content_length = 0)
     {
         support::call_head head;
         head.method = method;
         head.target = "/";
-        head.content_length = 0;
+        head.content_length = content_length;
         auto call = std::make_shared<observed_call>();
         call->exchange = std::make_shared<link::exchange>(std::move(head),
                                                           io.get_executor());
@@ -333,6 +347,37 @@
     CHECK(given.upstream.accepted == 1);
 }
 
+TEST_CASE("a request that the upstream does not read ends with its call")
+{
+    const std::string refused_early =
+        GENERATE(as<std::string>{},
+                 "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 503 Busy\r\nGalenarudder-Outcome: not-run\r\n"
+                 "Content-Length: 0\r\n\r\n");
+    CAPTURE(refused_early);
+    fixture given(refused_early);
+    given.client.set_max_connections(1, 0);
+    given.upstream.hold_responses();
+    given.upstream.read_one_request_each();
+    const call_ptr call = given.send("POST", ample_time, std::nullopt);
+    const std::string part(link::max_body_part_bytes, 'x');
+    // The sockets have taken all they can once the body's pipe stays full.
+    auto last_written_at = monotonic_clock::now();
+    REQUIRE(given.run_until([&] {
+        while (call->exchange->request_body.try_write(
+            link::make_chunk(part, false)))
+            last_written_at = monotonic_clock::now();
+        return monotonic_clock::now() - last_written_at >
+               std::chrono::milliseconds(500);
+    }));
+    given.upstream.release_responses();
+    given.wait_until_ended(call);
+    CHECK(given.client.open_connections() == 0);
+    const call_ptr next = given.send("GET", support::milliseconds(2000));
+    given.wait_until_ended(next);
+    CHECK(next->result != upstream_result::unreachable);
+}
+
 TEST_CASE("abort closes the connection of a running call")
 {
     fixture given("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
