Bound the unparsed bytes of a response

What callers would see: an upstream that sends a chunk's size, a chunk extension or a trailer without end makes the daemon keep all of it until the call's deadline; on a machine of 160 MB the kernel ends the daemon with all its calls within seconds. The load query has the same fault. Cause: Beast's parser has a limit for heads and one for bodies, but none for what lies between; the connection's flat_buffer grew without bound. Evidence: unit_entry, 23 endless responses to calls and 6 to load queries from a server on loopback. Before, 6 of the calls and 2 of the queries grew the process by more than 32 MiB (34 to 48 MB when the test stopped) and had no end then; now all 29 end and stay below. The others passed before. Why it works: the buffer has a maximum of 64 KiB. A read that would need more fails with buffer_overflow and the connection is closed.

--- a/lib/proxy/connection_pool.hpp
+++ b/lib/proxy/connection_pool.hpp
@@ -18,6 +18,11 @@
 
 namespace galenarudder::proxy {
 
+/// Longest part of a response that is kept until it can be parsed: the line of
+/// a chunk's size with its extension, or a trailer. The head of a response has
+/// a lower limit in the parser.
+inline constexpr std::size_t max_unparsed_bytes = 64 * 1024;
+
 /// A connection to the upstream and the bytes that were read ahead from it.
 struct connection
 {
@@ -31,7 +36,7 @@
     connection& operator=(const connection&) = delete;
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_unparsed_bytes};
     std::function<void()> on_closed;
     /// Since when it is idle.
     support::time_point idle_since{};
