Bound the interim responses before a response

What callers would see: a call to an upstream that sends 1xx responses without end gets no refusal before its deadline and keeps a slot and the processor busy until then. Cause: read_final_head skips interim responses in a loop without a bound. Why it works: after 32 interim responses, more than an upstream has a use for, the next one counts as no response.

--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t max_buffered_response_bytes = 64 * 1024;
 /// Responses to other calls that are skipped on one connection.
 constexpr unsigned max_unrelated_responses = 4;
+/// Interim responses (1xx) that are skipped before one final response.
+constexpr unsigned max_interim_responses = 32;
 /// Bodies of responses that are not forwarded are read up to this size, so that
 /// the connection can be reused.
 constexpr std::size_t max_skipped_body_bytes = 64 * 1024;
@@ -489,7 +491,7 @@
 /// Reads response heads up to the first that is not an interim one (1xx).
 asio::awaitable<bool> running_attempt::read_final_head()
 {
-    do {
+    for (unsigned interim = 0; interim <= max_interim_responses; ++interim) {
         parser_.emplace();
         parser_->body_limit(boost::none);
         if (attempt_->head.method == "HEAD")
@@ -503,8 +505,11 @@
         read_failure_ = failure;
         if (failure)
             co_return false;
-    } while (parser_->get().result_int() < status_ok);
-    co_return true;
+        if (parser_->get().result_int() >= status_ok)
+            co_return true;
+    }
+    read_failure_ = bhttp::error::bad_status;
+    co_return false;
 }
 
 /// Reads a small body of a response that is not forwarded, so that the
--- a/unittests/entry/endless_response_test.cpp
+++ b/unittests/entry/endless_response_test.cpp
@@ -213,7 +213,16 @@
          {"HTTP/1.1 200 OK\r\n", "Name: a\r\n", trickle},
          short_time,
          ending::refused_unknown},
-
+        {"interim responses",
+         plain,
+         {"", fill("HTTP/1.1 103 Early Hints\r\n\r\n")},
+         ample_time,
+         ending::refused_unknown},
+        {"interim responses, trickled",
+         plain,
+         {"", "HTTP/1.1 103 Early Hints\r\n\r\n", trickle},
+         short_time,
+         ending::refused_unknown},
         {"responses to other calls",
          sealed,
          {"", fill("HTTP/1.1 200 OK\r\nAttempt-Id: 2\r\n"
