Keep the deadline of a response that arrives without a pause

What callers would see: a signed response without end was forwarded for ever and held its slot; an aborted call went on reading, also after its entry had left. Cause, two faults of one promise that the tests can only tell apart together: (1) forward_body allowed 60 s for each part and had no end for the whole; (2) while the next bytes are ready at every read, Beast's timer handler finds that its read has already completed, and cancel() finds no read to cancel, so that neither the deadline nor an abort ended the reading. Change: read_body_part is the only read of a body and checks the abort and the time before each part. In dialects with signatures the deadline, with its grace of 250 ms, also bounds the whole body. Streams of the default dialect have no such end, as before; a test holds that. Why it works: the check does not depend on the order of a timer and a read.

--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -33,7 +33,8 @@
 /// Time after the deadline within which a response must begin: the upstream
 /// stops work at the deadline, and the response may still be in flight.
 constexpr auto response_grace = std::chrono::milliseconds(250);
-/// Longest time between two parts of a response body.
+/// Longest time between two parts of a response body. In dialects with
+/// signatures the deadline also bounds the whole body.
 constexpr auto body_read_timeout = std::chrono::seconds(60);
 /// Response bodies up to this size are read completely before any part is
 /// forwarded, so that the entry can still replace one that is cut off.
@@ -61,6 +62,9 @@
 constexpr double usable_share_of_idle_timeout = 0.8;
 
 using response_parser = bhttp::response_parser<bhttp::buffer_body>;
+/// How a read of a part of a body ended, and how many bytes it took with the
+/// framing.
+using part_read = std::pair<boost::system::error_code, std::size_t>;
 
 bool has_body(const support::call_head& head)
 {
@@ -208,10 +212,13 @@
     bool is_matching(const support::response_head& head) const;
     std::optional<refusal>
     refusal_of_response(const support::response_head& head) const;
+    asio::awaitable<part_read> read_body_part(char* data, std::size_t capacity);
     asio::awaitable<bool> buffer_body(std::string& body);
     asio::awaitable<upstream_result>
     forward_response(support::response_head head);
     bool may_reuse() const;
+    std::chrono::steady_clock::time_point end_of_response() const;
+    std::chrono::steady_clock::time_point end_of_next_part() const;
     asio::awaitable<void> skip_body();
     refusal no_response(const boost::system::error_code& failure) const;
     asio::awaitable<void> send_request();
@@ -239,6 +246,8 @@
     /// skipped response.
     std::optional<response_parser> parser_;
     boost::system::error_code read_failure_;
+    /// When the read in progress must have ended.
+    std::chrono::steady_clock::time_point read_end_{};
     bool aborted_ = false;
     /// Whether the whole request was written.
     bool request_sent_ = false;
@@ -413,6 +422,28 @@
     return std::nullopt;
 }
 
+/// Reads the next part of the body to \p data; the parser's body states how
+/// much of the capacity is left. Checks the time and the abort itself: an
+/// upstream that sends without a pause has the next bytes ready before a timer
+/// can end a read, and an operation that has completed cannot be canceled.
+asio::awaitable<part_read> running_attempt::read_body_part(char* data,
+                                                           std::size_t capacity)
+{
+    if (aborted_)
+        co_return part_read(asio::error::operation_aborted, 0);
+    if (std::chrono::steady_clock::now() >= read_end_)
+        co_return part_read(beast::error::timeout, 0);
+    connection_->stream.expires_at(read_end_);
+    parser_->get().body().data = data;
+    parser_->get().body().size = capacity;
+    const auto [failure, size] = co_await bhttp::async_read_some(
+        connection_->stream, connection_->buffer, *parser_,
+        use_nothrow_awaitable);
+    if (failure == bhttp::error::need_buffer)
+        co_return part_read(boost::system::error_code(), size);
+    co_return part_read(failure, size);
+}
+
 /// Reads the body into \p body, up to the size of buffered responses. Returns
 /// false if the body was cut off.
 asio::awaitable<bool> running_attempt::buffer_body(std::string& body)
@@ -420,13 +451,10 @@
     while (!parser_->is_done() && body.size() < max_buffered_response_bytes) {
         const std::size_t old_size = body.size();
         body.resize(old_size + link::max_body_part_bytes);
-        parser_->get().body().data = body.data() + old_size;
-        parser_->get().body().size = link::max_body_part_bytes;
-        const auto [failure, size] = co_await bhttp::async_read_some(
-            connection_->stream, connection_->buffer, *parser_,
-            use_nothrow_awaitable);
+        const auto [failure, size] = co_await read_body_part(
+            body.data() + old_size, link::max_body_part_bytes);
         body.resize(body.size() - parser_->get().body().size);
-        if (failure && failure != bhttp::error::need_buffer) {
+        if (failure) {
             read_failure_ = failure;
             co_return false;
         }
@@ -488,6 +516,22 @@
                                 failure.message());
 }
 
+/// Returns when a response must have begun, and must have ended if the dialect
+/// has signatures.
+std::chrono::steady_clock::time_point running_attempt::end_of_response() const
+{
+    return std::chrono::steady_clock::time_point(deadline_.time_since_epoch()) +
+           response_grace;
+}
+
+/// Returns when the next part of a body that is being forwarded must have
+/// arrived.
+std::chrono::steady_clock::time_point running_attempt::end_of_next_part() const
+{
+    const auto end = std::chrono::steady_clock::now() + body_read_timeout;
+    return dialect_.signature.empty() ? end : std::min(end, end_of_response());
+}
+
 /// Reads response heads up to the first that is not an interim one (1xx).
 asio::awaitable<bool> running_attempt::read_final_head()
 {
@@ -496,14 +540,13 @@
         parser_->body_limit(boost::none);
         if (attempt_->head.method == "HEAD")
             parser_->skip(true);
-        connection_->stream.expires_at(std::chrono::steady_clock::time_point(
-                                           deadline_.time_since_epoch()) +
-                                       response_grace);
+        read_end_ = end_of_response();
+        connection_->stream.expires_at(read_end_);
         const auto [failure, size] = co_await bhttp::async_read_header(
             connection_->stream, connection_->buffer, *parser_,
             use_nothrow_awaitable);
-        read_failure_ = failure;
-        if (failure)
+        read_failure_ = aborted_ ? asio::error::operation_aborted : failure;
+        if (read_failure_)
             co_return false;
         if (parser_->get().result_int() >= status_ok)
             co_return true;
@@ -519,12 +562,9 @@
     std::array<char, 4096> scratch{};
     std::size_t skipped = 0;
     while (!parser_->is_done() && skipped < max_skipped_body_bytes) {
-        parser_->get().body().data = scratch.data();
-        parser_->get().body().size = scratch.size();
-        const auto [failure, size] = co_await bhttp::async_read_some(
-            connection_->stream, connection_->buffer, *parser_,
-            use_nothrow_awaitable);
-        if (failure && failure != bhttp::error::need_buffer)
+        const auto [failure, size] =
+            co_await read_body_part(scratch.data(), scratch.size());
+        if (failure)
             co_return;
         skipped += size;
     }
@@ -537,13 +577,10 @@
     std::string part;
     while (!parser_->is_done()) {
         part.resize(link::max_body_part_bytes);
-        parser_->get().body().data = part.data();
-        parser_->get().body().size = part.size();
-        connection_->stream.expires_after(body_read_timeout);
-        const auto [failure, size] = co_await bhttp::async_read_some(
-            connection_->stream, connection_->buffer, *parser_,
-            use_nothrow_awaitable);
-        if (failure && failure != bhttp::error::need_buffer) {
+        read_end_ = end_of_next_part();
+        const auto [failure, size] =
+            co_await read_body_part(part.data(), part.size());
+        if (failure) {
             attempt_->response_body.abort();
             co_return false;
         }
--- a/unittests/entry/endless_response_test.cpp
+++ b/unittests/entry/endless_response_test.cpp
@@ -284,19 +284,32 @@
          {signed_head + chunked + "0\r\n", "Name: a\r\n", trickle},
          short_time,
          ending::refused_unknown},
-
+        {"chunks, signed",
+         sealed,
+         {signed_head + chunked, fill("1\r\na\r\n")},
+         short_time,
+         ending::cut_off},
         {"chunks, signed and trickled",
          sealed,
          {signed_head + chunked, "1\r\na\r\n", trickle},
          short_time,
          ending::refused_unknown},
-
+        {"large chunks, signed and trickled",
+         sealed,
+         {signed_head + chunked, "4000\r\n" + std::string(0x4000, 'a') + "\r\n",
+          trickle},
+         short_time,
+         ending::cut_off},
         {"chunks with long extensions, signed",
          sealed,
          {signed_head + chunked, "1;" + std::string(60'000, 'a') + "\r\na\r\n"},
          short_time,
          ending::refused_unknown},
-
+        {"body without a length, signed",
+         sealed,
+         {signed_head + "\r\n", fill("a")},
+         short_time,
+         ending::cut_off},
         {"body without a length, signed and trickled",
          sealed,
          {signed_head + "\r\n", "a", trickle},
@@ -327,6 +340,48 @@
     CHECK(given.growth.bytes() < max_growth_bytes);
 }
 
+TEST_CASE("an aborted call goes on reading bytes that arrive without end")
+{
+    struct row
+    {
+        std::string name;
+        endless_bytes response;
+    };
+    const auto& [name, response] = GENERATE(values<row>({
+        {"trickled status line", {"HTTP/1.1 200 ", "a", trickle}},
+        {"chunks", {signed_head + chunked, fill("1\r\na\r\n")}},
+        {"chunks with long extensions",
+         {signed_head + chunked,
+          "1;" + std::string(60'000, 'a') + "\r\na\r\n"}},
+        {"trickled body of a refusal",
+         {"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n" + chunked, "1\r\na\r\n",
+          trickle}},
+    }));
+    CAPTURE(name);
+    fixture given(response, signed_dialect());
+    const call_ptr call = given.send("GET", ample_time);
+    REQUIRE(given.run_until(
+        [&] { return given.upstream.open_connections() == 1; }));
+    const auto abort_at = monotonic_clock::now() + short_time;
+    given.run_until([&] { return monotonic_clock::now() >= abort_at; });
+    call->running_call->abort();
+    CHECK(given.run_until([&] { return call->result.has_value(); }));
+    CHECK(given.run_until([&] { return given.all_closed(); }));
+}
+
+TEST_CASE("a stream without a length is cut off at the deadline")
+{
+    fixture given({"HTTP/1.1 200 OK\r\n" + chunked, "1\r\na\r\n", trickle},
+                  product_dialect());
+    const call_ptr call = given.send("GET", short_time);
+    const auto later = monotonic_clock::now() + 4 * short_time;
+    given.run_until([&] { return monotonic_clock::now() >= later; });
+    CHECK(call->end() == ending::open);
+    CHECK(call->event);
+    call->exchange->response_body.abort();
+    CHECK(given.run_until([&] { return given.all_closed(); }));
+}
+
 TEST_CASE("a load query is never ended by a response without end")
 {
     const std::string head = "HTTP/1.1 200 OK\r\nBackend-Load: 1,0,2\r\n";
