Bound the unparsed bytes of responses of the store and of peers

What callers would see: a store, a peer or a health path that sends a chunk's size, a chunk extension or a trailer without end makes the daemon keep all of it until the time limit of the request, up to its end by the kernel. Cause: fetch read into a buffer without a maximum; the time limit rested on a timer that may find each of its reads completed. Evidence: unit_http, 12 endless responses. Before, 3 grew the process by more than 64 MiB and were open when the test stopped; now all 12 are refused, their connections are closed and they stay below. The other 9 passed before, also the one for the timer, whose fault was seen in the reads of upstream_client only. Why it works: the buffer has a maximum of 64 KiB, the limit of a body (8 MiB, Beast's default until now) has a name, and read_response checks the time before each read.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -31,6 +31,12 @@
 /// a SYN at once.
 constexpr std::chrono::seconds connect_timeout{1};
 
+/// Longest part of a response that is kept until it can be parsed: the line of
+/// a chunk's size with its extension, or a trailer. The head of a response has
+/// a lower limit in the parser.
+constexpr std::size_t max_unparsed_bytes = 64 * 1024;
+constexpr std::uint64_t max_body_bytes = 8 * 1024 * 1024;
+
 support::duration connect_time_limit(support::duration timeout)
 {
     return std::min<support::duration>(timeout, connect_timeout);
@@ -83,6 +89,31 @@
             "check that the service runs and retry"};
 }
 
+using response_parser = beast::http::response_parser<beast::http::string_body>;
+
+/// Reads the response to its end or to \p deadline. Checks the time itself: a
+/// server that sends without a pause has the next bytes ready before a timer
+/// can end a read.
+asio::awaitable<boost::system::error_code>
+read_response(beast::tcp_stream& stream,
+              response_parser& parser,
+              std::chrono::steady_clock::time_point deadline)
+{
+    constexpr auto nothrow_awaitable = asio::as_tuple(asio::use_awaitable);
+    beast::flat_buffer buffer(max_unparsed_bytes);
+    parser.eager(true);
+    parser.body_limit(max_body_bytes);
+    while (!parser.is_done()) {
+        if (std::chrono::steady_clock::now() >= deadline)
+            co_return beast::error::timeout;
+        const auto [failure, size] = co_await beast::http::async_read_some(
+            stream, buffer, parser, nothrow_awaitable);
+        if (failure)
+            co_return failure;
+    }
+    co_return boost::system::error_code();
+}
+
 } // namespace
 
 asio::awaitable<support::result<response>> fetch(config::endpoint server,
@@ -107,13 +138,12 @@
         co_await beast::http::async_write(stream, converted, nothrow_awaitable);
     if (write_failure)
         co_return no_answer_error(server, write_failure);
-    beast::flat_buffer buffer;
-    beast::http::response<beast::http::string_body> received;
-    const auto [read_failure, size] = co_await beast::http::async_read(
-        stream, buffer, received, nothrow_awaitable);
+    response_parser parser;
+    const boost::system::error_code read_failure =
+        co_await read_response(stream, parser, deadline);
     if (read_failure)
         co_return no_answer_error(server, read_failure);
-    co_return to_response(received);
+    co_return to_response(parser.get());
 }
 
 support::result<response> fetch_blocking(const config::endpoint& server,
