Teach the stand-in store to come back from a copy

Cause: on the users' platform the store may be restored from a copy some seconds old; no test could play that. Change: Store.take_copy and Store.restore: items, leases, revision and log go back, the era rises by one, each answer has Store-Era, a watch from a revision that the store does not have gets 410, and waiting watches are cut. Lease ids come from the revision and so are given out again. Answers to writes are made under the lock, so that they bear the era in which the write was carried out.

--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import copy
 import http.client
 import http.server
 import json
@@ -77,7 +78,9 @@
     `mode` is "up", "silent" (no answer until the mode changes), "busy" (status
     503 to every request) or "many" (429 to every request). It carries out
     the next `write_answers_to_lose` writes but closes the connection without
-    an answer. A watch from before `compacted_revision` gets 410.
+    an answer. A watch from before `compacted_revision` or from after the
+    current revision gets 410. Each answer has the header Store-Era, which
+    `restore` raises by one.
     """
 
     def __init__(self, address):
@@ -88,6 +91,7 @@
         self.leases = {}
         self.revision = 10
         self.compacted_revision = 0
+        self.era = 1
         self.log = []
         self.requested_paths = []
         super().__init__(address, StoreHandler)
@@ -133,6 +137,19 @@
             self.log.clear()
             self.changed.notify_all()
 
+    def take_copy(self):
+        with self.changed:
+            return copy.deepcopy((self.items, self.leases, self.revision,
+                                  self.compacted_revision, self.log))
+
+    def restore(self, earlier):
+        """Forget what was written since `take_copy` returned `earlier`."""
+        with self.changed:
+            (self.items, self.leases, self.revision, self.compacted_revision,
+             self.log) = copy.deepcopy(earlier)
+            self.era += 1
+            self.changed.notify_all()
+
     def set_mode(self, mode):
         with self.changed:
             self.mode = mode
@@ -140,6 +157,10 @@
 
 
 class StoreHandler(QuietHandler):
+    def answer(self, status, body=b"", fields=()):
+        super().answer(status, body,
+                       [*fields, ("Store-Era", str(self.server.era))])
+
     def apply_fault_mode(self):
         """Return True if the mode prevented the request from being served."""
         mode = self.server.mode
@@ -183,18 +204,22 @@
 
     def watch(self, prefix, after, wait_s):
         store = self.server
+        era = store.era
 
         def new_events():
             return [event for event in store.log
                     if event["rev"] > after
                     and event["key"].startswith(prefix)]
+
+        def history_is_missing():
+            return after < store.compacted_revision or after > store.revision
         store.changed.wait_for(
-            lambda: new_events() or after < store.compacted_revision
-            or store.mode != "up",
+            lambda: new_events() or history_is_missing()
+            or store.mode != "up" or store.era != era,
             wait_s)
-        if store.mode != "up":
+        if store.mode != "up" or store.era != era:
             return self.drop_connection()
-        if after < store.compacted_revision:
+        if history_is_missing():
             return self.answer(410)
         self.answer_json(200, {"events": new_events(),
                                "currentRev": store.revision})
@@ -208,10 +233,10 @@
         with store.changed:
             store.expire_leases()
             status, value = self.perform(json.loads(body or b"{}"))
-        if store.write_answers_to_lose > 0:
-            store.write_answers_to_lose -= 1
-            return self.drop_connection()
-        self.answer_json(status, value)
+            if store.write_answers_to_lose > 0:
+                store.write_answers_to_lose -= 1
+                return self.drop_connection()
+            self.answer_json(status, value)
 
     do_DELETE = do_POST
 
