Identify a change by the era of the store too

What operators would see: after the store came back from an older copy, an acknowledged change was in force on no daemon until the next one, and nothing told of the restore. Cause: a bare revision stood for the identity of a change. A restored store gives revisions and lease numbers out again: a watch opened again from a cursor that exists again misses what lies below it, an equal revision counts as known, a swap that expects an old revision overwrites what another writer has stored under it, and a lease is renewed that is another's. Why it works: two changes of a key can only be equal if number and era are, and an era has each number once.

--- a/include/galenarudder/membership/introducer_directory.hpp
+++ b/include/galenarudder/membership/introducer_directory.hpp
@@ -55,7 +55,7 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t expected_index = 0;
+    store::change_index expected_index;
     std::string lease;
 };
 /// Add an introducer that was read from the directory.
--- a/include/galenarudder/once/claims.hpp
+++ b/include/galenarudder/once/claims.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "galenarudder/once/claim_shard.hpp"
+#include "galenarudder/store/change_index.hpp"
 #include "galenarudder/support/refusal.hpp"
 #include "galenarudder/support/time.hpp"
 
@@ -80,7 +81,7 @@
 {
     shard_id shard{};
     std::string value;
-    std::uint64_t expected_index = 0;
+    store::change_index expected_index;
 };
 
 /// Dispatch the call: its claim is in the store.
@@ -132,7 +133,7 @@
 
     std::vector<claim_action> on_read(shard_id shard,
                                       std::string_view value,
-                                      std::uint64_t index,
+                                      const store::change_index& index,
                                       const instant& now);
     std::vector<claim_action> on_read_failed(shard_id shard,
                                              const instant& now);
--- a/include/galenarudder/rollout/rollout.hpp
+++ b/include/galenarudder/rollout/rollout.hpp
@@ -8,6 +8,7 @@
 #include "galenarudder/config/document.hpp"
 #include "galenarudder/membership/record.hpp"
 #include "galenarudder/rollout/transfer.hpp"
+#include "galenarudder/store/change_index.hpp"
 #include "galenarudder/support/random.hpp"
 #include "galenarudder/support/time.hpp"
 
@@ -36,7 +37,7 @@
 struct watch_store
 {
     std::uint64_t watch_number = 0;
-    std::uint64_t known_index = 0;
+    store::change_index known_index;
 };
 
 /// Write \p document to the store if the index of the key is still
@@ -45,7 +46,7 @@
 struct restore_store
 {
     std::string document;
-    std::uint64_t expected_index = 0;
+    store::change_index expected_index;
 };
 
 /// Send a transfer to a peer.
@@ -110,15 +111,16 @@
     /// Takes a complete document from an operator or the replay of a trace.
     std::vector<action> on_document(std::string_view text,
                                     support::time_point now);
-    /// The store answered a read; \p index is 0 when it has no document.
+    /// The store answered a read; \p index is the default if it has no
+    /// document.
     std::vector<action> on_store_answer(std::string_view text,
-                                        std::uint64_t index,
+                                        const store::change_index& index,
                                         support::time_point now);
     /// A read of the store failed.
     std::vector<action> on_store_unavailable(support::time_point now);
     std::vector<action> on_watch_answer(std::uint64_t watch_number,
                                         std::string_view text,
-                                        std::uint64_t index,
+                                        const store::change_index& index,
                                         support::time_point now);
     std::vector<action> on_watch_failed(std::uint64_t watch_number,
                                         support::time_point now);
--- a/include/galenarudder/store/consul_store.hpp
+++ b/include/galenarudder/store/consul_store.hpp
@@ -1,6 +1,7 @@
 /// \file
 /// Client of the platform's key-value service over HTTP, according to Consul's
-/// KV and session APIs.
+/// KV and session APIs. These do not report a restore, so that all changes have
+/// era 0.
 #pragma once
 
 #include "galenarudder/config/settings.hpp"
@@ -40,12 +41,12 @@
               callback<std::vector<listed_value>> done) override;
     void compare_and_swap(const std::string& key,
                           std::string value,
-                          std::uint64_t expected_index,
+                          const change_index& expected_index,
                           const std::string& lease,
                           support::duration timeout,
                           callback<swap_outcome> done) override;
     void watch(const std::string& key,
-               std::uint64_t known_index,
+               const change_index& known_index,
                support::duration wait,
                callback<indexed_value> done) override;
     void grant_lease(support::duration ttl,
--- a/include/galenarudder/store/platform_store.hpp
+++ b/include/galenarudder/store/platform_store.hpp
@@ -2,6 +2,7 @@
 /// Interface of the platform's key-value service.
 #pragma once
 
+#include "galenarudder/store/change_index.hpp"
 #include "galenarudder/support/error.hpp"
 #include "galenarudder/support/time.hpp"
 
@@ -13,12 +14,11 @@
 
 namespace galenarudder::store {
 
-/// A key's value with the index of its last change; index 0 means that the key
-/// is absent.
+/// A key's value with the index of its last change.
 struct indexed_value
 {
     std::string value;
-    std::uint64_t index = 0;
+    change_index index;
     /// The lease to which the key is tied; empty when there is none.
     std::string lease;
 };
@@ -61,7 +61,8 @@
 public:
     virtual ~platform_store() = default;
 
-    /// Reads a key; an absent key gives a value with index 0.
+    /// Reads a key; an absent key gives a value with the default
+    /// index.
     virtual void get(const std::string& key,
                      support::duration timeout,
                      callback<indexed_value> done) = 0;
@@ -72,12 +73,12 @@
                       support::duration timeout,
                       callback<std::vector<listed_value>> done) = 0;
 
-    /// Writes \p value if the key's index still equals \p expected_index; 0
-    /// means that the key must be absent. A nonempty \p lease ties the key to
-    /// that lease.
+    /// Writes \p value if the key's index still equals \p expected_index; the
+    /// default means that the key must be absent. A nonempty \p lease ties the
+    /// key to that lease; fails with not_found when it has lapsed.
     virtual void compare_and_swap(const std::string& key,
                                   std::string value,
-                                  std::uint64_t expected_index,
+                                  const change_index& expected_index,
                                   const std::string& lease,
                                   support::duration timeout,
                                   callback<swap_outcome> done) = 0;
@@ -85,7 +86,7 @@
     /// Blocking query: waits until the key's index differs from \p known_index
     /// or \p wait has passed, then reads the key.
     virtual void watch(const std::string& key,
-                       std::uint64_t known_index,
+                       const change_index& known_index,
                        support::duration wait,
                        callback<indexed_value> done) = 0;
 
--- a/include/galenarudder/store/resolve_swap.hpp
+++ b/include/galenarudder/store/resolve_swap.hpp
@@ -15,7 +15,7 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t expected_index = 0;
+    change_index expected_index;
     /// Empty when the key is not tied to a lease.
     std::string lease;
     /// Returns whether a value that was read back is the written one or a later
--- a/lib/daemon/rollout_runtime.cpp
+++ b/lib/daemon/rollout_runtime.cpp
@@ -70,7 +70,8 @@
     }
 
     void read();
-    void watch(std::uint64_t watch_number, std::uint64_t known_index);
+    void watch(std::uint64_t watch_number,
+               const store::change_index& known_index);
     void restore(const rollout::restore_store& action);
     void push(const rollout::push_to_peer& action);
     void pull(const rollout::pull_from_peer& action);
@@ -116,7 +117,7 @@
 }
 
 void rollout_runtime::impl::watch(std::uint64_t watch_number,
-                                  std::uint64_t known_index)
+                                  const store::change_index& known_index)
 {
     store_.watch(store::configuration_key, known_index, watch_timeout,
                  [weak = weak_from_this(), watch_number](
--- a/lib/membership/introducer_directory.cpp
+++ b/lib/membership/introducer_directory.cpp
@@ -158,8 +158,9 @@
             [&](const store::listed_value& slot) { return slot.key == key; });
         const bool absent = slot_entry == slots.end();
         if (absent || slot_entry->item.lease.empty())
-            free_slots.push_back({key, introducer_value(self_),
-                                  absent ? 0 : slot_entry->item.index, ""});
+            free_slots.push_back(
+                {key, introducer_value(self_),
+                 absent ? store::change_index() : slot_entry->item.index, ""});
     }
     if (free_slots.empty())
         return;
--- a/lib/once/claims.cpp
+++ b/lib/once/claims.cpp
@@ -182,7 +182,7 @@
 
 std::vector<claim_action> claims::on_read(shard_id shard,
                                           std::string_view value,
-                                          std::uint64_t index,
+                                          const store::change_index& index,
                                           const instant& now)
 {
     auto decoded = claim_shard::decode(value);
--- a/lib/rollout/rollout.cpp
+++ b/lib/rollout/rollout.cpp
@@ -86,7 +86,7 @@
     bool watching = false;
     bool watch_open = false;
     std::uint64_t watch_number = 0;
-    std::uint64_t known_index = 0;
+    store::change_index known_index;
     time_point next_watch{};
     milliseconds watch_backoff = first_backoff;
 
@@ -117,10 +117,11 @@
                        std::vector<action>& actions,
                        time_point now);
     void take_document_of_store(std::string_view serialized,
-                                std::uint64_t index,
+                                const store::change_index& index,
                                 std::vector<action>& actions,
                                 time_point now);
-    void restore(std::uint64_t index, std::vector<action>& actions);
+    void restore(const store::change_index& index,
+                 std::vector<action>& actions);
     void watch_tick(std::vector<action>& actions, time_point now);
     void pull_tick(std::vector<action>& actions, time_point now);
     void read_tick(std::vector<action>& actions, time_point now);
@@ -283,7 +284,7 @@
 }
 
 void rollout::state::take_document_of_store(std::string_view serialized,
-                                            std::uint64_t index,
+                                            const store::change_index& index,
                                             std::vector<action>& actions,
                                             time_point now)
 {
@@ -295,7 +296,8 @@
 }
 
 /// Writes the document in force to a store that has an older document or none.
-void rollout::state::restore(std::uint64_t index, std::vector<action>& actions)
+void rollout::state::restore(const store::change_index& index,
+                             std::vector<action>& actions)
 {
     if (!watching || recent_documents.empty())
         return;
@@ -360,14 +362,14 @@
 }
 
 std::vector<action> rollout::on_store_answer(std::string_view text,
-                                             std::uint64_t index,
+                                             const store::change_index& index,
                                              time_point now)
 {
     std::vector<action> actions;
     state_->last_contact = now;
     state_->read_backoff = first_backoff;
     state_->store_answered = true;
-    if (index != 0)
+    if (!index.is_absent())
         state_->take_document_of_store(text, index, actions, now);
     return actions;
 }
@@ -380,7 +382,7 @@
 
 std::vector<action> rollout::on_watch_answer(std::uint64_t watch_number,
                                              std::string_view text,
-                                             std::uint64_t index,
+                                             const store::change_index& index,
                                              time_point now)
 {
     std::vector<action> actions;
@@ -393,11 +395,11 @@
     state_->known_index = index;
     // The store answers a watch of an absent key at once, so watching again
     // without a delay would be a busy loop.
-    if (index == 0) {
+    if (index.is_absent()) {
         state_->next_watch = now + max_backoff / 2;
         state_->restore(index, actions);
     }
-    if (index != 0 && changed)
+    if (!index.is_absent() && changed)
         state_->take_document_of_store(text, index, actions, now);
     state_->watch_tick(actions, now);
     return actions;
--- a/lib/store/consul_store.cpp
+++ b/lib/store/consul_store.cpp
@@ -75,7 +75,7 @@
             return unavailable("the store's value is not base64");
         parsed.value = std::move(*decoded);
     }
-    parsed.index = entry.at("ModifyIndex");
+    parsed.index.number = entry.at("ModifyIndex");
     parsed.lease = entry.value("Session", "");
     return parsed;
 }
@@ -305,13 +305,13 @@
 
 void consul_store::compare_and_swap(const std::string& key,
                                     std::string value,
-                                    std::uint64_t expected_index,
+                                    const change_index& expected_index,
                                     const std::string& lease,
                                     support::duration timeout,
                                     callback<swap_outcome> done)
 {
-    std::string path =
-        "/v1/kv/" + encode_key(key) + "?cas=" + std::to_string(expected_index);
+    std::string path = "/v1/kv/" + encode_key(key) +
+                       "?cas=" + std::to_string(expected_index.number);
     if (!lease.empty())
         path += "&acquire=" + http::percent_encode(lease);
     send<swap_outcome>(
@@ -321,12 +321,12 @@
 }
 
 void consul_store::watch(const std::string& key,
-                         std::uint64_t known_index,
+                         const change_index& known_index,
                          support::duration wait,
                          callback<indexed_value> done)
 {
     const std::string path = "/v1/kv/" + encode_key(key) +
-                             "?index=" + std::to_string(known_index) +
+                             "?index=" + std::to_string(known_index.number) +
                              "&wait=" + seconds_text(wait);
     send<indexed_value>(
         state_, state_->admit(state_->read_budget, &store_counters::watches),
--- a/test/process/test_restored_store.py
+++ b/test/process/test_restored_store.py
@@ -67,6 +67,21 @@
              "each daemon holds an introducer slot")
 
 
+def change_before_the_first_call_is_not_missed(rig):
+    earlier = rig.store.take_copy()
+    write_other_keys(rig, 5)
+    put(rig, 5, "/c5/")
+    in_force_everywhere(rig, "/c5/", "version 5 is in force")
+    with rig.store.changed:
+        known = rig.store.revision
+        rig.store.restore(earlier)
+        put(rig, 6, "/c6/")
+        write_other_keys_until(rig, known + 20)
+    in_force_everywhere(
+        rig, "/c6/", "a change is not missed where the first call after the "
+        "restore is a watch")
+
+
 def change_below_the_known_revision_is_not_missed(rig):
     earlier = rig.store.take_copy()
     write_other_keys(rig, 5)
@@ -205,7 +220,8 @@
              network="127.9") as rig:
         start(rig)
         failures = []
-        for scenario in (change_below_the_known_revision_is_not_missed,
+        for scenario in (change_before_the_first_call_is_not_missed,
+                         change_below_the_known_revision_is_not_missed,
                          change_under_the_known_revision_is_not_missed,
                          change_under_the_known_revision_is_read_after_410,
                          older_configuration_is_not_taken,
--- a/unittests/membership/introducer_directory_test.cpp
+++ b/unittests/membership/introducer_directory_test.cpp
@@ -72,7 +72,7 @@
             return directory.on_listed(store_down(), now);
         std::vector<store::listed_value> slots;
         for (const auto& [key, value] : platform.values) {
-            if (key.starts_with(introducer_prefix) && value.index != 0)
+            if (key.starts_with(introducer_prefix) && !value.index.is_absent())
                 slots.push_back({key, value});
         }
         return directory.on_listed(slots, now);
@@ -87,7 +87,7 @@
             return directory.on_claimed(
                 claim.key, store::swap_outcome::index_mismatch, now);
         }
-        current = {claim.value, ++platform.index, claim.lease};
+        current = {claim.value, {++platform.index}, claim.lease};
         if (platform.answers_lost)
             return directory.on_claimed(claim.key, store_down(), now);
         return directory.on_claimed(claim.key, store::swap_outcome::swapped,
@@ -371,7 +371,7 @@
     introducer_directory directory(record_of(1), settling, 1);
     const auto actions = directory.on_listed(
         std::vector<store::listed_value>{
-            {introducer_key("bilbao", 0), {value, 3, "lease"}}},
+            {introducer_key("bilbao", 0), {value, {3}, "lease"}}},
         time_point{milliseconds(1000)});
     CHECK(actions.empty());
 }
--- a/unittests/once/claims_test.cpp
+++ b/unittests/once/claims_test.cpp
@@ -23,7 +23,7 @@
     struct stored_value
     {
         std::string value;
-        std::uint64_t index = 0;
+        store::change_index index;
     };
     std::map<shard_id, stored_value> values;
     std::uint64_t last_index = 0;
@@ -34,7 +34,7 @@
         if (stored.index != write.expected_index)
             return false;
         stored.value = write.value;
-        stored.index = ++last_index;
+        stored.index = {++last_index};
         return true;
     }
 };
@@ -222,7 +222,7 @@
     const instant now = start();
     daemon_a.call(1, "k", now);
     const auto reads = std::exchange(daemon_a.reads, {});
-    daemon_a.execute(daemon_a.machine.on_read(reads[0].shard, "", 0, now));
+    daemon_a.execute(daemon_a.machine.on_read(reads[0].shard, "", {}, now));
     const auto writes = std::exchange(daemon_a.writes, {});
     REQUIRE(writes.size() == 1);
     if (took_effect)
@@ -246,7 +246,7 @@
     const instant now = start();
     daemon_a.call(1, "k", now);
     const auto reads = std::exchange(daemon_a.reads, {});
-    daemon_a.execute(daemon_a.machine.on_read(reads[0].shard, "", 0, now));
+    daemon_a.execute(daemon_a.machine.on_read(reads[0].shard, "", {}, now));
     const auto delayed = std::exchange(daemon_a.writes, {});
     daemon_a.execute(daemon_a.machine.on_write(delayed[0].shard,
                                                write_result::unknown, now));
@@ -271,7 +271,7 @@
     const instant now = start();
     daemon_a.call(1, "k", now);
     daemon_a.execute(
-        daemon_a.machine.on_read(daemon_a.reads.at(0).shard, "", 0, now));
+        daemon_a.machine.on_read(daemon_a.reads.at(0).shard, "", {}, now));
     daemon_a.reads.clear();
     const auto lost = std::exchange(daemon_a.writes, {});
     daemon_a.execute(
@@ -300,7 +300,7 @@
     if (reads_fail) {
         daemon_a.execute(daemon_a.machine.on_read_failed(shard, now));
     } else {
-        daemon_a.execute(daemon_a.machine.on_read(shard, "", 0, now));
+        daemon_a.execute(daemon_a.machine.on_read(shard, "", {}, now));
         daemon_a.execute(
             daemon_a.machine.on_write(shard, write_result::not_sent, now));
     }
@@ -336,7 +336,7 @@
     const instant now = start();
     daemon_a.call(1, "k", now);
     daemon_a.execute(
-        daemon_a.machine.on_read(daemon_a.reads.at(0).shard, "", 0, now));
+        daemon_a.machine.on_read(daemon_a.reads.at(0).shard, "", {}, now));
     daemon_a.reads.clear();
     daemon_a.execute(daemon_a.machine.on_abandoned(first_request, now));
     daemon_a.complete_store_calls(store, now);
@@ -393,7 +393,7 @@
     daemon_a.complete_store_calls(store, now);
     REQUIRE(daemon_a.refusals.size() == 1);
     CHECK(daemon_a.refusals[0].refusal.kind == refusal_kind::store_unavailable);
-    CHECK(store.values[shard_of(digest)].index == 7);
+    CHECK(store.values[shard_of(digest)].index.number == 7);
     const instant after = later(now, support::milliseconds(61'000));
     daemon_a.call(2, "k", after);
     daemon_a.complete_store_calls(store, after);
@@ -412,7 +412,7 @@
     daemon_a.complete_store_calls(store, now);
     REQUIRE(daemon_a.refusals.size() == 1);
     CHECK(daemon_a.refusals[0].refusal.kind == refusal_kind::store_unavailable);
-    CHECK(store.values[shard].index == 3);
+    CHECK(store.values[shard].index.number == 3);
 }
 
 TEST_CASE("a response body is recorded up to the size limit")
--- a/unittests/rollout/rollout_test.cpp
+++ b/unittests/rollout/rollout_test.cpp
@@ -83,7 +83,7 @@
     /// Writes \p text to the store and answers the open watches.
     void store_document(const std::string& text)
     {
-        ++store_index_;
+        ++store_index_.number;
         store_text_ = text;
         const auto answered_watches = std::exchange(open_watches_, {});
         for (const auto& [id, watch] : answered_watches) {
@@ -183,7 +183,7 @@
     std::map<std::string, rollout::rollout> daemons_;
     std::map<std::string, std::uint64_t> open_watches_;
     std::string store_text_;
-    std::uint64_t store_index_ = 0;
+    store::change_index store_index_;
     std::size_t store_reads_ = 0;
     std::size_t store_restores_ = 0;
 };
@@ -208,9 +208,9 @@
     const std::string encoded =
         rollout::encode(rollout::make_transfer("", 0, older, 4));
     CHECK(daemon.on_document(older, start).empty());
-    CHECK(
-        actions_of_type<rollout::adopt>(daemon.on_store_answer(older, 9, start))
-            .empty());
+    CHECK(actions_of_type<rollout::adopt>(
+              daemon.on_store_answer(older, {9}, start))
+              .empty());
     CHECK(
         actions_of_type<rollout::adopt>(daemon.on_transfer(encoded, "b", start))
             .empty());
@@ -219,6 +219,41 @@
     CHECK(daemon.counters().reversions_adopted == 0);
 }
 
+TEST_CASE("a change of another era is taken whatever its number", "[rollout]")
+{
+    struct row
+    {
+        const char* name;
+        std::uint64_t version;
+        store::change_index index;
+        std::uint64_t version_in_force;
+    };
+    const row rows[] = {
+        {"the known index", 6, {9, 1}, 5},
+        {"the known number in another era", 6, {9, 2}, 6},
+        {"a lower number in another era", 6, {3, 2}, 6},
+        {"an older document in another era", 4, {9, 2}, 5},
+    };
+    for (const row& test_case : rows) {
+        INFO(test_case.name);
+        rollout::rollout daemon("a", "d", 1);
+        daemon.on_tick(start);
+        const auto opened =
+            actions_of_type<rollout::watch_store>(daemon.on_tick(start + 5s));
+        REQUIRE(opened.size() == 1);
+        const auto next =
+            actions_of_type<rollout::watch_store>(daemon.on_watch_answer(
+                opened.front().watch_number, document_text(5, "five"), {9, 1},
+                start + 5s));
+        REQUIRE(next.size() == 1);
+        daemon.on_watch_answer(next.front().watch_number,
+                               document_text(test_case.version, "next"),
+                               test_case.index, start + 6s);
+        CHECK(daemon.version() == test_case.version_in_force);
+        CHECK(daemon.counters().reversions_adopted == 0);
+    }
+}
+
 TEST_CASE("a conflicting document with the version in force is not adopted",
           "[rollout]")
 {
--- a/unittests/store/resolve_swap_test.cpp
+++ b/unittests/store/resolve_swap_test.cpp
@@ -29,14 +29,14 @@
     MAKE_MOCK6(compare_and_swap,
                void(const std::string&,
                     std::string,
-                    std::uint64_t,
+                    const change_index&,
                     const std::string&,
                     support::duration,
                     callback<swap_outcome>),
                override);
     MAKE_MOCK4(watch,
                void(const std::string&,
-                    std::uint64_t,
+                    const change_index&,
                     support::duration,
                     callback<indexed_value>),
                override);
@@ -148,18 +148,19 @@
     for (const row& test_case : rows) {
         INFO(test_case.name);
         mock_store platform;
-        indexed_value stored{"old", 4, ""};
+        indexed_value stored{"old", {4}, ""};
         std::size_t next_swap = 0;
-        ALLOW_CALL(platform, compare_and_swap("key", _, 4u, "", _, _))
+        ALLOW_CALL(platform,
+                   compare_and_swap("key", _, change_index{4}, "", _, _))
             .LR_SIDE_EFFECT({
                 REQUIRE(next_swap < test_case.swaps.size());
                 const swap_effect effect = test_case.swaps[next_swap++];
                 const bool takes_effect = effect == swap_effect::swapped ||
                                           effect == swap_effect::answer_lost;
                 if (takes_effect)
-                    stored = {_2, 5, ""};
+                    stored = {_2, {5}, ""};
                 if (test_case.overwritten)
-                    stored = {"other", 9, ""};
+                    stored = {"other", {9}, ""};
                 if (effect == swap_effect::swapped)
                     _6(swap_outcome::swapped);
                 else if (effect == swap_effect::mismatch)
@@ -178,7 +179,7 @@
         resolvable_swap request;
         request.key = "key";
         request.value = "new change-17";
-        request.expected_index = 4;
+        request.expected_index = {4};
         request.contains_change = [](std::string_view value) {
             return value.find("change-17") != std::string_view::npos;
         };
