Claim introducer slots anew at once when their lease is gone

What operators would see: after a restore of the store, or a loss of leases, a domain had fewer introducers than it should for over half a minute, and a member that started then found none. Cause: a holder that lost its lease waited for its next listing, up to 45 s away; a claim that the store refused since the lease had lapsed was repeated under the same lease; a slot under the member's own name, left by an earlier lifetime of the process or of the store, counted as taken until it lapsed. Change: a lost lease brings the next listing forward to 3 s, a refused claim gives the lease up, and a slot under the own name is claimed first. Evidence: the new case of unit_membership, 26 s after all leases were lost: 1 of 3 slots claimed anew where the slots were lost too, 0 of 3 where they were not; now 3 of 3 in both. All of unit_membership and unit_store pass.

--- a/include/galenarudder/membership/introducer_directory.hpp
+++ b/include/galenarudder/membership/introducer_directory.hpp
@@ -107,7 +107,10 @@
 
 private:
     std::vector<directory_action>
-    apply_lease_actions(std::vector<store::lease_action> lease_actions);
+    apply_lease_actions(std::vector<store::lease_action> lease_actions,
+                        support::time_point now);
+    /// Lists the slots again soon, earlier than planned.
+    void list_soon(support::time_point now);
     /// Returns the time to the next read; uses up one of the reads at the
     /// shorter interval if it applies.
     support::duration take_list_interval(bool alone);
--- a/include/galenarudder/store/lease_keeper.hpp
+++ b/include/galenarudder/store/lease_keeper.hpp
@@ -57,6 +57,10 @@
                                          const support::result<void>& renewed,
                                          support::time_point now);
 
+    /// The store refused a call under the lease that is held since the lease
+    /// has lapsed.
+    std::vector<lease_action> on_lapsed(support::time_point now);
+
     /// Returns whether the lease may be relied on at \p now. Must be called
     /// right before each action under the lease: a process that was paused
     /// learns here that it has to give up its lease.
--- a/lib/membership/introducer_directory.cpp
+++ b/lib/membership/introducer_directory.cpp
@@ -76,8 +76,14 @@
 {
 }
 
+void introducer_directory::list_soon(support::time_point now)
+{
+    next_list_ = std::min(next_list_,
+                          now + jittered(slot_claim_retry_interval, random_));
+}
+
 std::vector<directory_action> introducer_directory::apply_lease_actions(
-    std::vector<store::lease_action> lease_actions)
+    std::vector<store::lease_action> lease_actions, support::time_point now)
 {
     std::vector<directory_action> actions;
     for (store::lease_action& action : lease_actions) {
@@ -85,8 +91,10 @@
             actions.emplace_back(*grant);
         if (auto* renew = std::get_if<store::renewal_request>(&action))
             actions.emplace_back(std::move(*renew));
-        if (std::holds_alternative<store::lease_lost>(action))
+        if (std::holds_alternative<store::lease_lost>(action)) {
             held_key_.clear();
+            list_soon(now);
+        }
     }
     return actions;
 }
@@ -108,7 +116,7 @@
 {
     std::vector<directory_action> actions;
     if (!held_key_.empty() || pending_slot_claim_)
-        actions = apply_lease_actions(lease_.on_tick(now));
+        actions = apply_lease_actions(lease_.on_tick(now), now);
     if (now < next_list_)
         return actions;
     if (settled_at_ == support::time_point{})
@@ -144,7 +152,9 @@
     held_key_.clear();
 }
 
-/// Claims a random free slot, so that candidates seldom collide.
+/// Claims a random free slot, so that candidates seldom collide. A slot that
+/// names this member under a lease that it does not hold is claimed first: it
+/// is of an earlier lifetime of the process or of the store.
 void introducer_directory::claim_free_slot(
     std::span<const store::listed_value> slots,
     support::time_point now,
@@ -157,10 +167,15 @@
             slots.begin(), slots.end(),
             [&](const store::listed_value& slot) { return slot.key == key; });
         const bool absent = slot_entry == slots.end();
+        claim_slot claim{
+            key, introducer_value(self_),
+            absent ? store::change_index() : slot_entry->item.index, ""};
+        if (!absent && slot_entry->item.value == claim.value) {
+            free_slots.assign(1, std::move(claim));
+            break;
+        }
         if (absent || slot_entry->item.lease.empty())
-            free_slots.push_back(
-                {key, introducer_value(self_),
-                 absent ? store::change_index() : slot_entry->item.index, ""});
+            free_slots.push_back(std::move(claim));
     }
     if (free_slots.empty())
         return;
@@ -209,8 +224,11 @@
         // Another member claimed the slot, or the answer was lost: the next
         // listing shows which.
         slot_claim_unresolved_ = !outcome;
-        next_list_ = std::min(
-            next_list_, now + jittered(slot_claim_retry_interval, random_));
+        list_soon(now);
+        const bool lapsed =
+            !outcome && outcome.error().kind == support::error_kind::not_found;
+        if (lapsed)
+            return apply_lease_actions(lease_.on_lapsed(now), now);
         return {};
     }
     if (lease_.holds(now))
@@ -224,7 +242,7 @@
                                  support::time_point now)
 {
     std::vector<directory_action> actions = apply_lease_actions(
-        lease_.on_granted(request_number, std::move(lease), now));
+        lease_.on_granted(request_number, std::move(lease), now), now);
     if (!pending_slot_claim_ || !lease_.holds(now))
         return actions;
     pending_slot_claim_->lease = lease_.lease_id(now);
@@ -238,7 +256,8 @@
                                  const support::result<void>& renewed,
                                  support::time_point now)
 {
-    return apply_lease_actions(lease_.on_renewed(request_number, renewed, now));
+    return apply_lease_actions(lease_.on_renewed(request_number, renewed, now),
+                               now);
 }
 
 } // namespace galenarudder::membership
--- a/lib/store/lease_keeper.cpp
+++ b/lib/store/lease_keeper.cpp
@@ -114,4 +114,11 @@
     return {};
 }
 
+std::vector<lease_action> lease_keeper::on_lapsed(support::time_point now)
+{
+    if (lease_id_.empty())
+        return {};
+    return give_up(now);
+}
+
 } // namespace galenarudder::store
--- a/unittests/membership/introducer_directory_test.cpp
+++ b/unittests/membership/introducer_directory_test.cpp
@@ -48,6 +48,11 @@
     return {support::error_kind::store_unavailable, "down", "wait"};
 }
 
+support::error lease_lapsed()
+{
+    return {support::error_kind::not_found, "lapsed", "grant"};
+}
+
 struct directory_member
 {
     introducer_directory directory;
@@ -87,6 +92,8 @@
             return directory.on_claimed(
                 claim.key, store::swap_outcome::index_mismatch, now);
         }
+        if (!platform.leases.contains(claim.lease))
+            return directory.on_claimed(claim.key, lease_lapsed(), now);
         current = {claim.value, {++platform.index}, claim.lease};
         if (platform.answers_lost)
             return directory.on_claimed(claim.key, store_down(), now);
@@ -119,11 +126,8 @@
                                         now);
         const auto lease = platform.leases.find(renew.lease);
         if (lease == platform.leases.end()) {
-            return directory.on_renewed(
-                renew.request_number,
-                support::error{support::error_kind::not_found, "lapsed",
-                               "grant"},
-                now);
+            return directory.on_renewed(renew.request_number, lease_lapsed(),
+                                        now);
         }
         lease->second = now + milliseconds(60000);
         return directory.on_renewed(renew.request_number,
@@ -361,6 +365,31 @@
     CHECK(holder.directory.held_key().empty());
 }
 
+TEST_CASE("slots are claimed anew after the store lost leases", "[introducers]")
+{
+    const bool slots_lost = GENERATE(true, false);
+    CAPTURE(slots_lost);
+    domain_fleet fleet(10);
+    fleet.run(std::chrono::seconds(120));
+    REQUIRE(fleet.slots_held() == slots_per_domain);
+    // As after a restore: no lease has the id under which it is known, and a
+    // slot that was in the copy is under a lease of another id.
+    fleet.platform.leases.clear();
+    const time_point lapses_at = fleet.now + std::chrono::seconds(600);
+    for (unsigned slot = 0; slot < slots_per_domain; ++slot) {
+        auto& held = fleet.platform.values[introducer_key("bilbao", slot)];
+        held.lease = "other-" + std::to_string(slot);
+        fleet.platform.leases[held.lease] = lapses_at;
+    }
+    if (slots_lost)
+        fleet.platform.values.clear();
+    fleet.run(std::chrono::seconds(26));
+    std::size_t claimed_anew = 0;
+    for (const auto& [key, slot] : fleet.platform.values)
+        claimed_anew += slot.lease.starts_with("lease-") ? 1 : 0;
+    CHECK(claimed_anew == slots_per_domain);
+}
+
 TEST_CASE("malformed values in a slot are ignored", "[introducers]")
 {
     const std::string value =
