--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -319,21 +319,23 @@
         if expected != upstream.instance:
             return self.answer(421, b"", [("Attempt-Id", attempt),
                                           ("Not-Executed", "1")])
-        upstream.received_calls.append({
-            "id": attempt, "path": self.path, "body": body,
-            "time_left_ms": self.headers.get("Timeout-Ms"),
-            "caller": self.headers.get("Caller-Service"),
-            "received_at_s": time.monotonic()})
+        call = {"id": attempt, "path": self.path, "body": body,
+                "time_left_ms": self.headers.get("Timeout-Ms"),
+                "caller": self.headers.get("Caller-Service"),
+                "received_at_s": time.monotonic(),
+                "instance": upstream.instance, "early": early, "status": None}
+        upstream.received_calls.append(call)
         time.sleep(upstream.delay_s)
         fields = load + [("Attempt-Id", attempt),
                          ("Reply-Seal", "seal-of-" + attempt)]
         if early == 503:
             fields.append(("Not-Executed", "1"))
-        self.answer(early or 200, b"done by " + upstream.instance.encode(),
+        self.answer(early or 200, b"done by " + call["instance"].encode(),
                     fields)
+        self.wfile.flush()
+        call["status"] = early or 200
         if early:
-            self.wfile.flush()
-            self.body()
+            call["body"] = self.body()
 
     do_GET = do_POST = serve
 
