Free the slot of a call whose caller left during a large answer

A caller at another VM left before or during an answer larger than the link carries without credit. The entry canceled the call and gave no more credit; the gate did not end the answer, and an attempt that waited in body_pipe::write was not woken by abort(): a channel of Boost 1.81 does not end waiting sends when it is closed. The attempt kept its slot for as long as the daemon ran, the gate ran fewer calls at once or none, and the daemon did not end on SIGTERM.

The gate ends the response of a canceled call, and abort() ends waiting writes: it cancels the channel before it closes it, and a mutex keeps a write from beginning in between.

test_left_calls.py fails on the code before ('after callers of /once/ left before the answer others are served') and passes now; with the change in gate_links.cpp alone it still failed ('left during the answer'). The soak now also pads answers to 300 kB.

--- a/include/galenarudder/link/body_pipe.hpp
+++ b/include/galenarudder/link/body_pipe.hpp
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -43,7 +44,8 @@
     boost::asio::awaitable<std::optional<body_chunk>> read();
     /// Returns the next chunk if one is in the pipe, or std::nullopt.
     std::optional<body_chunk> try_read();
-    /// Closes the pipe for reader and writer, also before the last chunk.
+    /// Closes the pipe for reader and writer, also before the last chunk. Ends
+    /// reads and writes that wait.
     void abort();
 
     /// Sets the function that is called with the size in bytes of each chunk
@@ -54,6 +56,8 @@
     using channel = boost::asio::experimental::concurrent_channel<void(
         boost::system::error_code, body_chunk)>;
     channel channel_;
+    /// Held while a send begins and while the pipe is aborted.
+    std::mutex abort_mutex_;
     std::function<void(std::size_t)> consumed_handler_;
 };
 
--- a/lib/link/body_pipe.cpp
+++ b/lib/link/body_pipe.cpp
@@ -1,4 +1,6 @@
 // The pipe is a bounded Asio channel. Aborting the pipe closes the channel.
+// Closing (Boost 1.81) does not end a send that waits for room, and canceling
+// must not come after closing, so a send must not begin between the two.
 #include "galenarudder/link/body_pipe.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -21,9 +23,16 @@
 
 asio::awaitable<bool> body_pipe::write(body_chunk chunk)
 {
-    const auto [failure] = co_await channel_.async_send(
-        boost::system::error_code(), std::move(chunk),
-        asio::as_tuple(asio::use_awaitable));
+    auto begin_send = [this](auto handler, body_chunk sent) {
+        const std::lock_guard lock(abort_mutex_);
+        channel_.async_send(boost::system::error_code(), std::move(sent),
+                            std::move(handler));
+    };
+    constexpr auto token = asio::as_tuple(asio::use_awaitable);
+    const auto [failure] =
+        co_await asio::async_initiate<decltype(token),
+                                      void(boost::system::error_code)>(
+            std::move(begin_send), token, std::move(chunk));
     co_return !failure;
 }
 
@@ -58,6 +67,8 @@
 
 void body_pipe::abort()
 {
+    const std::lock_guard lock(abort_mutex_);
+    channel_.cancel();
     channel_.close();
 }
 
--- a/lib/link/gate_links.cpp
+++ b/lib/link/gate_links.cpp
@@ -244,6 +244,11 @@
     if (!found->second.request_complete)
         found->second.attempt->request_body.abort();
     context_->handlers.call_canceled(connection, id);
+    // The entry reads no response any more and gives no credit for it. A
+    // response that waits for credit would keep the upstream's slot.
+    found->second.attempt->response_body.abort();
+    if (found->second.sender)
+        end_call(connection, id);
 }
 
 /// Answers an outcome query. If some of its calls have not ended, waits first,
--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -263,6 +263,8 @@
         # Status of answers that are sent before the request's body is read;
         # None to read the body first.
         self.early_status = None
+        # Size to which the bodies of answers are padded.
+        self.answer_bytes = 0
         self.sequence = 0
         self.is_draining = False
         self.check_ins_enabled = threading.Event()
@@ -330,8 +332,10 @@
                          ("Reply-Seal", "seal-of-" + attempt)]
         if early == 503:
             fields.append(("Not-Executed", "1"))
-        self.answer(early or 200, b"done by " + call["instance"].encode(),
-                    fields)
+        answer = b"done by " + call["instance"].encode()
+        answer = answer.ljust(upstream.answer_bytes)
+        call["answer_bytes"] = len(answer)
+        self.answer(early or 200, answer, fields)
         self.wfile.flush()
         call["status"] = early or 200
         if early:
--- a/test/process/soak.py
+++ b/test/process/soak.py
@@ -170,8 +170,7 @@
         self.rig.store.write_answers_to_lose = 0
         for vm in self.rig.vms:
             self.check_alive(vm)
-            vm.upstream.delay_s = 0
-            vm.upstream.early_status = None
+            calm_upstream(vm.upstream)
         self.put_configuration()
         self.wait_for_calm()
 
@@ -328,14 +327,20 @@
         vm.upstream.instance = instance
 
 
+def calm_upstream(upstream):
+    upstream.delay_s = 0
+    upstream.answer_bytes = 0
+    upstream.early_status = None
+
+
 def disturb_upstream(soak, rng):
     [vm] = some_vms(soak, rng, 1)
-    vm.upstream.early_status = rng.choice((None, 200, 500, 503))
+    vm.upstream.early_status = rng.choice((None, None, 200, 500, 503))
+    vm.upstream.answer_bytes = rng.choice((0, 0, 300_000))
     if vm.upstream.early_status is None:
         vm.upstream.delay_s = rng.uniform(0.05, 1)
     time.sleep(rng.uniform(0.5, 3))
-    vm.upstream.early_status = None
-    vm.upstream.delay_s = 0
+    calm_upstream(vm.upstream)
 
 
 def change_configuration(soak, rng):
--- a/test/process/soak_checks.py
+++ b/test/process/soak_checks.py
@@ -42,7 +42,8 @@
     if call["seal"] is not None or 200 <= status < 300:
         if call["answer_id"] != call["id"] \
                 or call["seal"] != "seal-of-" + call["id"] \
-                or not any(call["body"] == "done by " + run["instance"]
+                or not any(call["answer"] == "done by " + run["instance"]
+                           and call["answer_bytes"] == run["answer_bytes"]
                            and status == (run["early"] or 200)
                            for run in runs):
             yield "MIXED"
--- a/test/process/soak_clients.py
+++ b/test/process/soak_clients.py
@@ -90,7 +90,8 @@
         status, fields, body = answer
         record.update(
             status=status, answer_id=fields.get("attempt-id"),
-            seal=fields.get("reply-seal"), body=body.decode("latin-1"),
+            seal=fields.get("reply-seal"), answer_bytes=len(body),
+            answer=body.rstrip().decode("latin-1"),
             whole=len(body) == int(fields.get("content-length", -1)),
             closes=fields.get("connection", "").lower() == "close")
         return not record["closes"]
