Log the end of calls that are left or cut off

A lost call could not be told from a call that its caller left. Cause: calls that run alone on their connection wrote no line in these two cases. Change: call.refused for a call that its caller left, call.cut_off for a response that has begun, with whether its caller left. Evidence: process_test_platform: on the landed code no line within 5 s, now there is one.

--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -297,7 +297,7 @@
     if (closing_ || call->abandoned)
         drop_call(call);
     else
-        keep_open = co_await finish_call(parser, call, call->started_at);
+        keep_open = co_await finish_call(parser, call);
     if (!keep_open)
         close_after_response();
     concurrent_calls_.pop_front();
@@ -311,7 +311,7 @@
     perform(call, call->flow.on_caller_disconnected(monotonic_clock::now()));
     call->refusal =
         call->disconnected ? caller_disconnected_refusal() : dropped_refusal();
-    log_refusal(*call, call->started_at);
+    log_refusal(*call);
     entry_.metrics().record_refusal(call->head.service, call->head.rank,
                                     *call->refusal);
 }
@@ -406,6 +406,7 @@
     const time_point deadline = accepted.properties.deadline;
     auto call = std::make_shared<open_call>(
         entry_.router(), std::move(accepted), connection_->executor());
+    call->started_at = started_at;
     call->body_complete = initial.complete;
     call->buffered_body = split_body(initial.data, initial.complete);
     if (initial.complete)
@@ -416,7 +417,7 @@
     if (!call->refusal)
         co_await run_attempts(parser, size_counter, call);
     call->timer.cancel();
-    const bool keep_open = co_await finish_call(parser, call, started_at);
+    const bool keep_open = co_await finish_call(parser, call);
     co_await stop_body_stream();
     co_return keep_open;
 }
@@ -461,8 +462,7 @@
     co_return false;
 }
 
-void caller_session::log_refusal(const open_call& call,
-                                 time_point started_at) const
+void caller_session::log_refusal(const open_call& call) const
 {
     const refusal& reason = *call.refusal;
     telemetry::log_event(
@@ -472,18 +472,17 @@
          {"kind", to_string(reason.kind)},
          {"outcome", to_string(reason.outcome)},
          {"detail", reason.detail},
-         {"took_ms", support::to_ms(monotonic_clock::now() - started_at)},
+         {"took_ms", support::to_ms(monotonic_clock::now() - call.started_at)},
          {"attempts", call.attempts.size()},
          {"retry_after_ms", reason.retry_after.count()}});
 }
 
 asio::awaitable<bool> caller_session::finish_call(parser_ptr parser,
-                                                  call_ptr call,
-                                                  time_point started_at)
+                                                  call_ptr call)
 {
     const support::call_head& head = call->head;
     if (call->refusal) {
-        log_refusal(*call, started_at);
+        log_refusal(*call);
         if (call->claim)
             call->claim->on_refusal(*call->refusal);
         entry_.metrics().record_refusal(head.service, head.rank,
@@ -494,8 +493,7 @@
         co_return kept_open;
     }
     if (!call->forwarded_attempt) {
-        entry_.metrics().record_refusal(head.service, head.rank,
-                                        caller_disconnected_refusal());
+        drop_call(call);
         co_return false;
     }
     const open_attempt& chosen_attempt =
@@ -508,11 +506,17 @@
     const bool complete = co_await connection_->write_response(
         call->response.head, chosen_attempt.exchange, call->claim, framing);
     call->flow.on_response_end(complete, monotonic_clock::now());
+    const support::duration elapsed = monotonic_clock::now() - call->started_at;
     if (!complete) {
+        telemetry::log_event(telemetry::log_kind::failure, "call.cut_off",
+                             {{"call", request_id_of(head, entry_.dialect())},
+                              {"service", head.service},
+                              {"status", call->response.head.status},
+                              {"caller_left", call->disconnected},
+                              {"took_ms", support::to_ms(elapsed)}});
         cancel(chosen_attempt);
         co_return false;
     }
-    const support::duration elapsed = monotonic_clock::now() - started_at;
     entry_.metrics().record_response(head.service, head.rank, elapsed);
     telemetry::log_event(telemetry::log_kind::routine, "call.answered",
                          {{"call", request_id_of(head, entry_.dialect())},
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -166,11 +166,8 @@
                                               call_ptr call);
     boost::asio::awaitable<bool>
     claim(parser_ptr parser, call_ptr call, support::time_point deadline);
-    boost::asio::awaitable<bool> finish_call(parser_ptr parser,
-                                             call_ptr call,
-                                             support::time_point started_at);
-    void log_refusal(const open_call& call,
-                     support::time_point started_at) const;
+    boost::asio::awaitable<bool> finish_call(parser_ptr parser, call_ptr call);
+    void log_refusal(const open_call& call) const;
     void handle_event(const call_ptr& call, session_event& event);
     void abandon_call(const call_ptr& call,
                       std::optional<support::refusal> reason);
--- a/test/process/test_platform.py
+++ b/test/process/test_platform.py
@@ -17,7 +17,9 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from platform_rig import Rig, check, configuration, request, wait_for
+from platform_rig import (HOST, Rig, check, configuration, request,
+                          wait_for)
+from raw_http import Connection
 
 ROUTES = {"/a/": ("alpha", "idempotent"), "/b/": ("beta", "non_idempotent")}
 
@@ -166,6 +168,23 @@
              f"{running.name} is back")
 
 
+def call_that_its_caller_leaves_is_logged(rig):
+    vm = rig.vms[0]
+    address, port = vm.outbound.split(":")
+    for other in rig.vms:
+        other.upstream.delay_s = 0.5
+    caller = Connection(address, int(port))
+    caller.send(f"POST /b/left HTTP/1.1\r\nHost: {HOST}\r\n"
+                "Attempt-Id: left-1\r\nTimeout-Ms: 2000\r\n"
+                "Content-Length: 0\r\n\r\n")
+    time.sleep(0.2)
+    caller.close()
+    for other in rig.vms:
+        other.upstream.delay_s = 0
+    wait_for(lambda: '"call.refused","call":"left-1"' in vm.log.read_text(),
+             "the end of a call that its caller leaves is logged", 5)
+
+
 def last_lines_before_an_abort_are_logged(rig):
     vm = rig.vms[3]
     attempt = vm.call("/a/last")[0]
@@ -240,6 +259,7 @@
         draining_upstream_gets_no_calls(rig)
         daemons_restart_without_the_store(rig)
         call_of_a_killed_daemon_is_not_held_to_its_deadline(rig)
+        call_that_its_caller_leaves_is_logged(rig)
         last_lines_before_an_abort_are_logged(rig)
         store_faults(rig)
         daemon_leaves_on_sigterm(rig)
