Keep the time limit of a load query without a pause in its response

What callers would see: an upstream that responds to a load query with bytes without a pause keeps the query open after its time limit. The query occupies one of the upstream's connections meanwhile. Cause: fetch_load relied on Beast's timer alone. While the next bytes are ready at every read, the timer finds that its read has completed. The body limit of 8 MB of Beast does not help, since the bytes are those of chunk extensions. Evidence: unit_entry, "a load query ...". Before, "chunks with long extensions" (time limit 300 ms) was open when the test stopped after 10 s. Now all 7 rows end without a load and close the connection (28 assertions). Why it works: the check does not depend on the order of a timer and a read.

--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -47,6 +47,9 @@
 /// Bodies of responses that are not forwarded are read up to this size, so that
 /// the connection can be reused.
 constexpr std::size_t max_skipped_body_bytes = 64 * 1024;
+/// Largest body of a response to a load query, which states the load in its
+/// head.
+constexpr std::uint64_t max_load_body_bytes = 64 * 1024;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_multiple_choices = 300;
@@ -653,6 +656,27 @@
 
 namespace {
 
+/// Reads the response to its end or to \p end. Returns false if it was not
+/// complete in time. Checks the time itself, for the same reason as
+/// running_attempt::read_body_part.
+asio::awaitable<bool>
+read_load_response(connection& upstream,
+                   bhttp::response_parser<bhttp::string_body>& parser,
+                   std::chrono::steady_clock::time_point end)
+{
+    parser.eager(true);
+    parser.body_limit(max_load_body_bytes);
+    while (!parser.is_done()) {
+        if (std::chrono::steady_clock::now() >= end)
+            co_return false;
+        const auto [failure, size] = co_await bhttp::async_read_some(
+            upstream.stream, upstream.buffer, parser, use_nothrow_awaitable);
+        if (failure)
+            co_return false;
+    }
+    co_return true;
+}
+
 /// Sends one request and returns the load that its response states, or nullopt
 /// if there is none in time.
 asio::awaitable<std::optional<upstream_load>>
@@ -668,16 +692,15 @@
         co_return std::nullopt;
     bhttp::request<bhttp::empty_body> request(bhttp::verb::get, path, 11);
     request.set(bhttp::field::host, to_string(pool->upstream()));
-    connection->stream.expires_at(
-        std::chrono::steady_clock::time_point(end.time_since_epoch()));
+    const std::chrono::steady_clock::time_point stream_end(
+        end.time_since_epoch());
+    connection->stream.expires_at(stream_end);
     const auto [write_error, sent_bytes] = co_await bhttp::async_write(
         connection->stream, request, use_nothrow_awaitable);
     if (write_error)
         co_return std::nullopt;
     bhttp::response_parser<bhttp::string_body> parser;
-    const auto [read_error, size] = co_await bhttp::async_read(
-        connection->stream, connection->buffer, parser, use_nothrow_awaitable);
-    if (read_error)
+    if (!co_await read_load_response(*connection, parser, stream_end))
         co_return std::nullopt;
     support::response_head head;
     head.status = parser.get().result_int();
--- a/unittests/entry/endless_response_test.cpp
+++ b/unittests/entry/endless_response_test.cpp
@@ -404,6 +404,9 @@
         {"trailer",
          {head + chunked + "0\r\n", fill("Name: a\r\n")},
          ample_time},
+        {"chunks with long extensions",
+         {head + chunked, "1;" + std::string(60'000, 'a') + "\r\na\r\n"},
+         short_time},
     }));
     CAPTURE(name);
     fixture given(response, signed_dialect());
