Deliver a refusal as not run before its body is read

What callers would see: a call that an upstream refused as not run, with a body that trickles, got no refusal and was not sent to another upstream until its deadline and 250 ms had passed, although the head had stated all there is. Cause: exchange_messages read the body to reuse the connection and delivered the refusal after that. Change: the refusal is delivered first. The body is then read for at most 1 s; the call ends, and its connection can be reused, after the body as before. A connection whose refusal has a body of more than 1 s is now closed. Evidence: unit_entry. "a shed call is refused as not run and the connection is reused" passes unchanged. Why it works: a refusal needs nothing of the body, and skip_body checks read_end_ before each part.

--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -47,6 +47,9 @@
 /// Bodies of responses that are not forwarded are read up to this size, so that
 /// the connection can be reused.
 constexpr std::size_t max_skipped_body_bytes = 64 * 1024;
+/// Longest time for which the body of a refusal is read after the refusal was
+/// delivered.
+constexpr auto max_refusal_body_time = std::chrono::seconds(1);
 /// Largest body of a response to a load query, which states the load in its
 /// head.
 constexpr std::uint64_t max_load_body_bytes = 64 * 1024;
@@ -237,6 +240,13 @@
         attempt_->deliver(link::refused{std::move(reason), get_load_()});
         return result;
     }
+    upstream_result refuse_not_run(unsigned status)
+    {
+        if (status == status_misdirected)
+            return refuse(not_available("another upstream has the address"),
+                          upstream_result::replaced);
+        return refuse(shed_by_upstream(), upstream_result::shed);
+    }
 
     std::shared_ptr<connection_pool> pool_;
     link::exchange_ptr attempt_;
@@ -362,12 +372,12 @@
     connection_->idle_timeout = idle_timeout_of(*parser_);
     stated_load_ = dialect_.read_load(head);
     if (dialect_.states_not_run(head)) {
+        // The caller need not wait for the body, which may trickle.
+        const upstream_result result = refuse_not_run(head.status);
+        read_end_ = std::min(read_end_, std::chrono::steady_clock::now() +
+                                            max_refusal_body_time);
         co_await skip_body();
-        if (head.status == status_misdirected) {
-            co_return refuse(not_available("another upstream has the address"),
-                             upstream_result::replaced);
-        }
-        co_return refuse(shed_by_upstream(), upstream_result::shed);
+        co_return result;
     }
     std::optional<refusal> reason = refusal_of_response(head);
     if (reason)
--- a/unittests/entry/endless_response_test.cpp
+++ b/unittests/entry/endless_response_test.cpp
@@ -89,6 +89,8 @@
     std::shared_ptr<upstream_call> running_call;
     std::optional<link::exchange_event> event;
     std::optional<upstream_result> result;
+    monotonic_clock::time_point delivered_at{};
+    monotonic_clock::time_point ended_at{};
     bool complete = false;
     bool pipe_closed = false;
 };
@@ -125,6 +127,7 @@
                                                           io.get_executor());
         call->exchange->deliver = [call](link::exchange_event event) {
             call->event = std::move(event);
+            call->delivered_at = monotonic_clock::now();
         };
         asio::co_spawn(io, consume_response(call), asio::detached);
         call->running_call = client.run(
@@ -133,6 +136,7 @@
             [call](upstream_result result, support::duration,
                    const std::optional<upstream_load>&) {
                 call->result = result;
+                call->ended_at = monotonic_clock::now();
             });
         return call;
     }
@@ -315,7 +319,24 @@
          {signed_head + "\r\n", "a", trickle},
          short_time,
          ending::refused_unknown},
-
+        {"body of a refusal",
+         sealed,
+         {"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n" + chunked,
+          fill("1\r\na\r\n")},
+         ample_time,
+         ending::refused_not_run},
+        {"body of a refusal, trickled",
+         sealed,
+         {"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n" + chunked, "1\r\na\r\n",
+          trickle},
+         ample_time,
+         ending::refused_not_run},
+        {"body of a refusal, chunk extension",
+         sealed,
+         {"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n" + chunked + "5;",
+          fill("a")},
+         ample_time,
+         ending::refused_not_run},
         {"bytes after a complete response",
          plain,
          {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", fill("a")},
@@ -342,6 +363,19 @@
     CHECK(given.growth.bytes() < max_growth_bytes);
 }
 
+TEST_CASE("a refusal is held back until its body was read")
+{
+    fixture given({"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n" + chunked,
+                   "1\r\na\r\n", trickle},
+                  signed_dialect());
+    const call_ptr call = given.send("GET", short_time);
+    REQUIRE(given.run_until([&] { return call->event && call->result; }));
+    CHECK(call->end() == ending::refused_not_run);
+    CHECK(call->result == upstream_result::shed);
+    // The body has no end, so the call ends when a time limit passes.
+    CHECK(call->ended_at - call->delivered_at > short_time / 3);
+}
+
 TEST_CASE("an aborted call goes on reading bytes that arrive without end")
 {
     struct row
