Bound the unparsed bytes of requests for documents

What a sender of requests would see: whoever reaches the operator port, the port for check-ins or the one for readiness can make the process keep a chunk's size, a chunk extension or a trailer without end, up to the 120 s that a request may take, and so end it on a small machine. Cause: as with responses, Beast's parser has a limit for heads and one for bodies, but none for what lies between, and the buffer had no maximum. Change: the buffer may have 64 KiB. The time that a request may take is now a default in the interface (unchanged, 120 s), so that tests can shorten it. Why it works: a read that would need more than 64 KiB fails with buffer_overflow and the connection is closed.

--- a/include/galenarudder/http/server.hpp
+++ b/include/galenarudder/http/server.hpp
@@ -5,10 +5,12 @@
 
 #include "galenarudder/config/settings.hpp"
 #include "galenarudder/support/error.hpp"
+#include "galenarudder/support/time.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -63,6 +65,15 @@
 
 /// Default for the largest accepted request body, in bytes.
 inline constexpr std::uint64_t default_max_body_bytes = 4 << 20;
+/// Default for the longest time to wait for a complete request on an open
+/// connection.
+inline constexpr std::chrono::seconds default_request_timeout{120};
+
+/// Times after which a server closes a connection.
+struct server_timeouts
+{
+    support::duration request = default_request_timeout;
+};
 
 /// An HTTP server. It answers the requests of one connection in order.
 class server
@@ -70,7 +81,8 @@
 public:
     server(boost::asio::io_context& io,
            handler handle,
-           std::uint64_t max_body_bytes = default_max_body_bytes);
+           std::uint64_t max_body_bytes = default_max_body_bytes,
+           server_timeouts timeouts = {});
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -20,8 +20,10 @@
 
 namespace {
 
-/// Longest time to wait for a complete request on an open connection.
-constexpr auto request_timeout = std::chrono::seconds(120);
+/// Longest part of a request that is kept until it can be parsed: the line of a
+/// chunk's size with its extension, or a trailer. The head of a request has a
+/// lower limit in the parser.
+constexpr std::size_t max_unparsed_bytes = 64 * 1024;
 
 /// Decodes percent-encoding. A plus sign becomes a space, in paths too.
 std::string percent_decode(std::string_view text)
@@ -92,15 +94,16 @@
 
 asio::awaitable<void> serve(tcp::socket socket,
                             std::shared_ptr<const handler> handle,
-                            std::uint64_t max_body_bytes)
+                            std::uint64_t max_body_bytes,
+                            server_timeouts timeouts)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_unparsed_bytes);
     constexpr auto nothrow_awaitable = asio::as_tuple(asio::use_awaitable);
     for (;;) {
         beast::http::request_parser<beast::http::string_body> parser;
         parser.body_limit(max_body_bytes);
-        stream.expires_after(request_timeout);
+        stream.expires_after(timeouts.request);
         const auto [failure, size] = co_await beast::http::async_read(
             stream, buffer, parser, nothrow_awaitable);
         if (failure)
@@ -143,8 +146,10 @@
 {
     state(asio::io_context& context,
           handler handle_request,
-          std::uint64_t body_limit)
+          std::uint64_t body_limit,
+          server_timeouts connection_timeouts)
         : io(context), acceptor(context), max_body_bytes(body_limit),
+          timeouts(connection_timeouts),
           handle(std::make_shared<const handler>(std::move(handle_request)))
     {
     }
@@ -154,6 +159,7 @@
     asio::io_context& io;
     tcp::acceptor acceptor;
     std::uint64_t max_body_bytes;
+    server_timeouts timeouts;
     std::shared_ptr<const handler> handle;
 };
 
@@ -167,15 +173,18 @@
             co_return;
         if (failure)
             continue;
-        asio::co_spawn(strand, serve(std::move(socket), handle, max_body_bytes),
-                       asio::detached);
+        asio::co_spawn(
+            strand, serve(std::move(socket), handle, max_body_bytes, timeouts),
+            asio::detached);
     }
 }
 
 server::server(asio::io_context& io,
                handler handle,
-               std::uint64_t max_body_bytes)
-    : state_(std::make_shared<state>(io, std::move(handle), max_body_bytes))
+               std::uint64_t max_body_bytes,
+               server_timeouts timeouts)
+    : state_(std::make_shared<state>(
+          io, std::move(handle), max_body_bytes, timeouts))
 {
 }
 
