Bound the time that a client takes for a document

What an operator would see: each client that asks for a document and does not read it holds a connection and the whole document in memory for as long as it keeps the connection open. Cause: http::server let its stream never expire while it wrote a response. Change: a response must be written within 60 s, a default that tests shorten. The time of the handler is not counted. Why it works: the stream's timer closes the connection, and a client that does not read has no write completed before it.

--- a/include/galenarudder/http/server.hpp
+++ b/include/galenarudder/http/server.hpp
@@ -68,11 +68,14 @@
 /// Default for the longest time to wait for a complete request on an open
 /// connection.
 inline constexpr std::chrono::seconds default_request_timeout{120};
+/// Default for the longest time until a client has taken a response.
+inline constexpr std::chrono::seconds default_response_timeout{60};
 
 /// Times after which a server closes a connection.
 struct server_timeouts
 {
     support::duration request = default_request_timeout;
+    support::duration response = default_response_timeout;
 };
 
 /// An HTTP server. It answers the requests of one connection in order.
@@ -90,7 +93,7 @@
     /// Starts to accept connections on \p local.
     support::result<void> listen(const config::endpoint& local);
     /// Stops accepting connections. Open ones are still served until the client
-    /// closes them or sends no request in time.
+    /// closes them, or sends no request or takes no response in time.
     void stop();
 
 private:
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -114,6 +114,7 @@
         if (to_send.close_without_answer)
             co_return;
         auto converted = to_beast_response(to_send, keep_alive);
+        stream.expires_after(timeouts.response);
         const auto [write_failure, written] = co_await beast::http::async_write(
             stream, converted, nothrow_awaitable);
         if (write_failure || !keep_alive)
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -1,4 +1,5 @@
-// http::server with clients that send requests without end.
+// http::server with clients that send requests without end or do not take
+// their responses.
 #include "galenarudder/http/server.hpp"
 
 #include "endless_server.hpp"
@@ -109,7 +110,7 @@
             handled = true;
             co_return response();
         },
-        default_max_body_bytes, server_timeouts{timeout});
+        default_max_body_bytes, server_timeouts{timeout, ample_time});
     REQUIRE(tested.listen(server_endpoint));
     const tests::memory_growth growth;
     const client_socket client;
@@ -137,4 +138,38 @@
     sender.join();
 }
 
+TEST_CASE("a response waits without end for a client that does not read it")
+{
+    constexpr std::size_t more_than_sockets_hold = 32 * 1024 * 1024;
+    asio::io_context io{1};
+    bool handled = false;
+    server tested(
+        io,
+        [&](const http::request&) -> asio::awaitable<response> {
+            handled = true;
+            response large;
+            large.body.resize(more_than_sockets_hold, 'a');
+            co_return large;
+        },
+        default_max_body_bytes, server_timeouts{ample_time, short_time});
+    REQUIRE(tested.listen(server_endpoint));
+    const client_socket client;
+    REQUIRE(client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+    const auto end = monotonic_clock::now() + longest_wait;
+    while (!handled && monotonic_clock::now() < end) {
+        io.restart();
+        io.run_for(std::chrono::milliseconds(5));
+    }
+    REQUIRE(handled);
+    // The connection is then the only work that is left.
+    tested.stop();
+    bool ended = false;
+    while (!ended && monotonic_clock::now() < end) {
+        io.restart();
+        io.run_for(std::chrono::milliseconds(5));
+        ended = io.stopped();
+    }
+    CHECK(ended);
+}
+
 } // namespace galenarudder::http
