Send the rest of a response before its gate's daemon stops

Callers saw: an answer cut in the middle, when the daemon beside its upstream got SIGTERM and the caller at another daemon read slowly.

Cause: the daemon counted as drained once its attempts had ended at the upstream. The body_sender of a response may then still wait for credit, with up to a pipe and a chunk of the body. The daemon left 0.5 s later and closed the link.

Fix: when the gate has no calls left, the daemon asks its links, which answer once no call has a response with a sender. The results of all attempts reach the links' strand before the question does, so none is missed. A sender ends when it has passed on the last chunk, when its call is canceled or when its link closes; nothing else bounds the wait, as for open calls.

--- a/include/galenarudder/link/link_manager.hpp
+++ b/include/galenarudder/link/link_manager.hpp
@@ -79,6 +79,10 @@
     void announce_drain();
     /// Ends the drain: entries that open a link from now on may send calls.
     void announce_ready();
+    /// Calls \p handler, on the manager's strand, once no response of this gate
+    /// waits to be sent on a link. Responses that were delivered before this
+    /// call are included.
+    void when_responses_sent(std::function<void()> handler);
     /// Closes all links.
     void stop();
 
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -109,6 +109,7 @@
     void drain(std::string_view asked_by);
     void drain_callers();
     void start_gate_drain(std::string_view asked_by);
+    void await_sent_responses();
     void leave_if_drained();
     void leave();
     void stop_when_outcomes_stored(unsigned checks_left);
@@ -152,7 +153,7 @@
     asio::signal_set reload_signal_;
     /// The gate is draining or drained: it refuses new calls.
     bool draining_ = false;
-    /// The gate has no calls left.
+    /// The gate has no calls left, and the links have its responses.
     bool gate_drained_ = false;
     /// SIGTERM or SIGINT was received: the daemon stops once the gate and the
     /// callers' connections are drained.
@@ -607,6 +608,19 @@
     execute_all(node_.on_drain(monotonic_clock::now()));
     link_manager_->announce_drain();
     gate_->drain([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->run_on_control(
+            [](impl& runtime_impl) { runtime_impl.await_sent_responses(); });
+    });
+}
+
+/// Called when the gate has no calls left. The links may still hold the ends of
+/// its responses, for callers at other daemons that read slowly.
+void runtime::impl::await_sent_responses()
+{
+    link_manager_->when_responses_sent([weak = weak_from_this()] {
         const auto self = weak.lock();
         if (!self)
             return;
--- a/lib/link/gate_links.cpp
+++ b/lib/link/gate_links.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <utility>
 #include <vector>
 
 namespace galenarudder::link {
@@ -363,6 +364,33 @@
         call->second.sender->stop();
     call->second.attempt->request_body.abort();
     link->second.calls.erase(call);
+    notify_if_responses_sent();
+}
+
+bool gate_links::has_unsent_responses() const
+{
+    for (const auto& [connection, link] : links_) {
+        for (const auto& [id, call] : link.calls) {
+            if (call.sender)
+                return true;
+        }
+    }
+    return false;
+}
+
+void gate_links::when_responses_sent(std::function<void()> handler)
+{
+    on_responses_sent_ = std::move(handler);
+    notify_if_responses_sent();
+}
+
+void gate_links::notify_if_responses_sent()
+{
+    if (!on_responses_sent_ || has_unsent_responses())
+        return;
+    const std::function<void()> handler = std::move(on_responses_sent_);
+    on_responses_sent_ = nullptr;
+    handler();
 }
 
 void gate_links::remove_link(connection_id connection)
@@ -389,6 +417,7 @@
         call.attempt->request_body.abort();
         call.attempt->response_body.abort();
     }
+    notify_if_responses_sent();
 }
 
 void gate_links::on_tick(time_point now)
--- a/lib/link/gate_links.hpp
+++ b/lib/link/gate_links.hpp
@@ -7,6 +7,7 @@
 #include "galenarudder/link/closed_link_registry.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -35,6 +36,9 @@
     void announce_drain();
     /// Ends the drain: entries that open a link from now on may send calls.
     void announce_ready() { draining_ = false; }
+    /// Calls \p handler once no response waits to be sent on a link. A response
+    /// that the gate has ended may still wait for credit from its entry.
+    void when_responses_sent(std::function<void()> handler);
 
 private:
     /// A call that was received and has not ended.
@@ -106,6 +110,8 @@
                               support::attempt_id id,
                               bool complete);
     void end_call(connection_id connection, support::attempt_id id);
+    bool has_unsent_responses() const;
+    void notify_if_responses_sent();
     void remove_link(connection_id connection);
     void close_link(connection_id connection);
 
@@ -113,6 +119,8 @@
     std::map<connection_id, inbound_link> links_;
     closed_link_registry closed_links_;
     bool draining_ = false;
+    /// Handler of when_responses_sent; empty if none waits.
+    std::function<void()> on_responses_sent_;
 };
 
 } // namespace galenarudder::link
--- a/lib/link/link_manager.cpp
+++ b/lib/link/link_manager.cpp
@@ -238,6 +238,13 @@
         [](auto& self) { self.get_gate_links().announce_ready(); });
 }
 
+void link_manager::when_responses_sent(std::function<void()> handler)
+{
+    impl_->on_strand([handler = std::move(handler)](auto& self) mutable {
+        self.get_gate_links().when_responses_sent(std::move(handler));
+    });
+}
+
 void link_manager::stop()
 {
     impl_->endpoint().stop();
--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -399,13 +399,13 @@
     print(f"ok: {description}", flush=True)
 
 
-def configuration(version, routes):
+def configuration(version, routes, timeout_ms=2000):
     """Return a configuration document of the platform.
 
     `routes` maps a path prefix to (service, kind).
     """
-    rows = [[f"r{number}", HOST, prefix, kind, "2000ms", "500ms", 0, None, 2,
-             service]
+    rows = [[f"r{number}", HOST, prefix, kind, f"{timeout_ms}ms", "500ms", 0,
+             None, 2, service]
             for number, (prefix, (service, kind)) in enumerate(routes.items())]
     services = sorted({service for service, _ in routes.values()})
     return {"version": version,
--- a/test/process/test_closing_connections.py
+++ b/test/process/test_closing_connections.py
@@ -26,13 +26,17 @@
 class SlowCaller:
     """A caller that pipelines and reads late, through a small buffer."""
 
-    def __init__(self, rig, vm):
+    def __init__(self, rig, vm, segment_bytes=None, path="/a/1"):
         address, port = vm.outbound.split(":")
+        self.path = path
         self.rig = rig
         self.connection = Connection.__new__(Connection)
         self.connection.socket = socket.socket()
         self.connection.socket.setsockopt(socket.SOL_SOCKET,
                                           socket.SO_RCVBUF, 4096)
+        if segment_bytes:
+            self.connection.socket.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
         self.connection.socket.settimeout(20)
         self.connection.socket.connect((address, int(port)))
         self.connection.read_ahead = b""
@@ -40,7 +44,7 @@
     def send(self):
         attempt = f"call-{next(self.rig.attempt_numbers)}"
         self.connection.send(
-            f"GET /a/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
+            f"GET {self.path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
             "Timeout-Ms: 10000\r\n\r\n")
         return attempt
 
