Answer calls before the deployment kills a stopping daemon

Callers saw: no answer to calls whose time ended later than the platform's grace (6 s after SIGTERM).

Cause: nothing told the daemon how long it may take to stop.

Fix: the settings may state stop_timeout; the platform's template takes it from bounds.grace. Without it nothing changes. From SIGTERM on, deadlines are bounded to 0.9 s before its end (stop_margin: 0.05 s for the gate's own refusal, 0.5 s for the update that the daemon has left, 0.2 s to close the links, the rest for answers), which is in the last sixth of a grace of 6 s. The entry bounds calls that it classifies from then on; the sessions bound the flows of their open calls and arm their timers anew. A hedge planned behind the bound is dropped, as it would delay the timer. The answer is the one of any deadline.

Evidence: in test_stopping.py an upstream works for 9 s; a GET and a POST with 8 s are open at SIGTERM, two more are sent 1.5 s after it.

Not bounded: an upload whose body is still being read, a response that is being written, and attempts of other daemons at this gate; a daemon with such calls may still be killed at the end of the grace.

--- a/include/galenarudder/config/settings.hpp
+++ b/include/galenarudder/config/settings.hpp
@@ -77,6 +77,9 @@
     /// Time for which callers may still be sent to this daemon after it stopped
     /// reporting ready. The daemon does not stop before this time is over.
     support::milliseconds leave_notice{0};
+    /// Time from SIGTERM to the end of the process that the deployment allows;
+    /// 0 if it sets no bound.
+    support::milliseconds stop_timeout{0};
     /// Time that a starting member waits before it tries to claim a slot in the
     /// store's introducer directory. It should be long enough that the members
     /// of a large fleet that start together do not all try to claim a slot at
--- a/include/galenarudder/proxy/call_flow.hpp
+++ b/include/galenarudder/proxy/call_flow.hpp
@@ -110,6 +110,9 @@
     /// harmless.
     std::vector<call_action> on_timer(support::time_point now,
                                       support::random_engine& random);
+    /// Moves the deadline to \p latest if that is earlier. on_timer must be
+    /// called next.
+    void bound_deadline(support::time_point latest);
     /// The caller closed its connection.
     std::vector<call_action> on_caller_disconnected(support::time_point now);
     /// The content of the forwarded response ended; \p complete is false if it
--- a/include/galenarudder/proxy/caller_server.hpp
+++ b/include/galenarudder/proxy/caller_server.hpp
@@ -27,8 +27,8 @@
     support::result<void> listen(const config::endpoint& listen_endpoint);
 
     /// Closes each connection after its next response; new connections are
-    /// still accepted.
-    void begin_drain();
+    /// still accepted. Open and new calls end by \p latest_deadline.
+    void begin_drain(support::time_point latest_deadline);
 
     /// Stops accepting connections and closes each one after its current
     /// response. \p on_drained is called once no connection is left.
--- a/include/galenarudder/proxy/entry.hpp
+++ b/include/galenarudder/proxy/entry.hpp
@@ -80,6 +80,13 @@
     boost::asio::awaitable<claim_result>
     claim(const support::call_head& head, support::time_point deadline) const;
 
+    /// Makes every call that is classified from now on end by \p deadline.
+    void set_latest_deadline(support::time_point deadline)
+    {
+        latest_deadline_ = deadline;
+    }
+    support::time_point latest_deadline() const { return latest_deadline_; }
+
     support::attempt_id next_attempt_id();
     std::shared_ptr<link::gate_interface>
     gate(const routing::choice& target) const
@@ -113,6 +120,8 @@
     std::shared_ptr<keyed_calls> keyed_calls_;
     support::rcu_cell<std::string> upstream_address_;
     std::atomic<std::uint64_t> last_attempt_id_{0};
+    std::atomic<support::time_point> latest_deadline_{
+        support::time_point::max()};
 };
 
 } // namespace galenarudder::proxy
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -39,6 +39,7 @@
     "service": {"type": "string", "maxLength": 64},
     "heartbeat": {"type": "string"},
     "leave_notice": {"type": "string"},
+    "stop_timeout": {"type": "string"},
     "join_settling": {"type": "string"},
     "store_watchers": {"type": "integer", "minimum": 1, "maximum": 100000},
     "saved_extra_attempts": {"type": "number", "minimum": 0},
@@ -140,6 +141,7 @@
 constexpr duration_field duration_fields[] = {
     {"heartbeat", &daemon_settings::heartbeat},
     {"leave_notice", &daemon_settings::leave_notice},
+    {"stop_timeout", &daemon_settings::stop_timeout},
     {"join_settling", &daemon_settings::join_settling},
 };
 
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -55,6 +55,9 @@
 /// The stop is postponed by up to this many further delays while outcomes of
 /// calls with an idempotency key are still being written to the store.
 constexpr unsigned max_stop_checks = 4;
+/// Time before the end of stop_timeout by which calls must end: enough for
+/// their answers, stop_delay and the closing of the links.
+constexpr auto stop_margin = std::chrono::milliseconds(900);
 
 std::uint64_t wall_clock_ms()
 {
@@ -107,6 +110,7 @@
     // drains of the gate and of the callers' connections in parallel, leave(),
     // and the end of the I/O context once outcomes are stored.
     void drain(std::string_view asked_by);
+    support::time_point latest_deadline() const;
     void drain_callers();
     void start_gate_drain(std::string_view asked_by);
     void await_sent_responses();
@@ -550,6 +554,7 @@
         new_settings.gossip == settings_.gossip &&
         new_settings.operators == settings_.operators;
     settings_.leave_notice = new_settings.leave_notice;
+    settings_.stop_timeout = new_settings.stop_timeout;
     settings_.upstream = new_settings.upstream;
     settings_.service = new_settings.service;
     telemetry::log_event(log_kind::state_change, "settings.reloaded",
@@ -573,7 +578,7 @@
     telemetry::log_event(
         log_kind::state_change, "daemon.stopping",
         {{"asked_by", asked_by}, {"open_calls", caller_server_.open_calls()}});
-    caller_server_.begin_drain();
+    caller_server_.begin_drain(latest_deadline());
     leave_timer_.expires_after(settings_.leave_notice);
     leave_timer_.async_wait(
         [weak = weak_from_this()](boost::system::error_code canceled) {
@@ -586,6 +591,15 @@
         });
 }
 
+/// Returns when calls must end so that the daemon, which stops from now on,
+/// ends within the time that the deployment allows.
+support::time_point runtime::impl::latest_deadline() const
+{
+    if (settings_.stop_timeout == support::milliseconds(0))
+        return support::time_point::max();
+    return monotonic_clock::now() + settings_.stop_timeout - stop_margin;
+}
+
 void runtime::impl::drain_callers()
 {
     caller_server_.drain([weak = weak_from_this()] {
--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -206,6 +206,13 @@
     return actions;
 }
 
+void call_flow::bound_deadline(support::time_point latest)
+{
+    properties_.deadline = std::min(properties_.deadline, latest);
+    if (hedge_at_ && *hedge_at_ >= properties_.deadline)
+        hedge_at_.reset();
+}
+
 std::vector<call_action>
 call_flow::on_caller_disconnected(support::time_point now)
 {
--- a/lib/proxy/caller_server.cpp
+++ b/lib/proxy/caller_server.cpp
@@ -34,6 +34,8 @@
     void serve(tcp::socket socket);
     void session_ended(const caller_session* session);
     void drain(std::function<void()> handler);
+    void bound_deadlines(support::time_point latest);
+    std::vector<std::shared_ptr<caller_session>> open_sessions();
 
     asio::io_context& io;
     tcp::acceptor acceptor;
@@ -92,6 +94,26 @@
         notify();
 }
 
+std::vector<std::shared_ptr<caller_session>>
+caller_server_state::open_sessions()
+{
+    std::vector<std::shared_ptr<caller_session>> open;
+    const std::lock_guard lock(sessions_mutex);
+    for (const auto& [address, session] : sessions) {
+        if (auto open_session = session.lock())
+            open.push_back(std::move(open_session));
+    }
+    return open;
+}
+
+/// Calls that are classified meanwhile get the bound from the entry.
+void caller_server_state::bound_deadlines(support::time_point latest)
+{
+    shared_entry->set_latest_deadline(latest);
+    for (const std::shared_ptr<caller_session>& session : open_sessions())
+        session->bound_deadlines(latest);
+}
+
 void caller_server_state::drain(std::function<void()> handler)
 {
     draining = true;
@@ -150,9 +172,10 @@
     return boost::outcome_v2::success();
 }
 
-void caller_server::begin_drain()
+void caller_server::begin_drain(support::time_point latest_deadline)
 {
     state_->draining = true;
+    state_->bound_deadlines(latest_deadline);
 }
 
 void caller_server::drain(std::function<void()> on_drained)
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -184,6 +184,24 @@
                [connection = connection_] { connection->drain(); });
 }
 
+void caller_session::bound_deadlines(time_point latest)
+{
+    asio::post(connection_->executor(), [self = shared_from_this(), latest] {
+        for (const call_ptr& call : self->concurrent_calls_)
+            self->bound_deadline(call, latest);
+        if (const call_ptr exclusive = self->exclusive_call_.lock())
+            self->bound_deadline(exclusive, latest);
+    });
+}
+
+void caller_session::bound_deadline(const call_ptr& call, time_point latest)
+{
+    call->deadline = std::min(call->deadline, latest);
+    call->flow.bound_deadline(latest);
+    // Arms the timer anew.
+    call->post(timer_fired{});
+}
+
 bool caller_session::may_keep_alive(const request_parser& parser) const
 {
     const bool more_responses_follow = concurrent_calls_.size() > 1;
@@ -403,11 +421,15 @@
         co_return false;
     }
     accepted.properties.replayable = initial.complete;
-    const time_point deadline = accepted.properties.deadline;
+    // The bound may have been set while the body was read.
+    const time_point deadline =
+        std::min(accepted.properties.deadline, entry_.latest_deadline());
+    accepted.properties.deadline = deadline;
     auto call = std::make_shared<open_call>(
         entry_.router(), std::move(accepted), connection_->executor());
     call->body_complete = initial.complete;
     call->buffered_body = split_body(initial.data, initial.complete);
+    exclusive_call_ = call;
     if (initial.complete)
         watch_caller(call);
     const bool call_continues = co_await claim(parser, call, deadline);
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -70,6 +70,8 @@
     /// Closes the connection after the current call. May be called from any
     /// thread.
     void drain();
+    /// Makes the open calls end by \p latest. May be called from any thread.
+    void bound_deadlines(support::time_point latest);
 
 private:
     using event_channel = boost::asio::experimental::concurrent_channel<void(
@@ -150,6 +152,7 @@
     boost::asio::awaitable<void> wait_for_concurrent_calls();
     void abandon_concurrent_calls();
     void close_after_response();
+    void bound_deadline(const call_ptr& call, support::time_point latest);
     boost::asio::awaitable<bool> serve_exclusive(parser_ptr parser,
                                                  classified_call accepted);
     boost::asio::awaitable<initial_body>
@@ -199,6 +202,8 @@
     bool unread_body_ = false;
     /// Calls that run concurrently, the earliest first.
     std::deque<call_ptr> concurrent_calls_;
+    /// The last call that did not run concurrently; expired once it has ended.
+    std::weak_ptr<open_call> exclusive_call_;
     /// Never expires; it is canceled to wake waiters when a call of
     /// concurrent_calls_ has ended.
     boost::asio::steady_timer call_ended_;
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -281,7 +281,10 @@
     if (requested_ms)
         head.remaining_time =
             std::min(head.remaining_time, support::milliseconds(*requested_ms));
-    properties.deadline = now + head.remaining_time;
+    properties.deadline =
+        std::min(now + head.remaining_time, latest_deadline());
+    head.remaining_time = std::chrono::floor<support::milliseconds>(
+        std::max(properties.deadline - now, support::duration(0)));
     head.service = properties.service;
     head.rank = in_force->ranks[properties.rank].name;
     head.repeatable = properties.repeatable;
--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -442,7 +442,7 @@
                            "control": f"{self.ip}:8306"},
                 "portRange": [7620, 7635], "heartbeat": "300ms",
                 "localApp": f"{self.ip}:8301", "service": self.service,
-                "bounds": {"budgetSlack": 56},
+                "bounds": {"budgetSlack": 56, "grace": "6s"},
                 "infra": {"address": self.rig.store_address}}
 
     def start(self):
--- a/test/process/test_stopping.py
+++ b/test/process/test_stopping.py
@@ -2,12 +2,14 @@
 """The end of a daemon after SIGTERM, over real processes.
 
 No answer of an upstream may be lost because the daemon beside it stops while a
-caller at another daemon still reads.
+caller at another daemon still reads, and a daemon answers its calls before the
+platform's grace is over and it is killed.
 """
 
 import pathlib
 import signal
 import sys
+import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
@@ -29,6 +31,10 @@
 # Later than a gate stops that has no calls: the leave notice (2.2 s) and the
 # time for the update that it has left (0.5 s).
 STOP_OF_IDLE_GATE_S = 3.5
+# The platform's grace; it kills a daemon that still runs then.
+GRACE_S = 6
+# Longer than the rest of the grace.
+SLOW_UPSTREAM_S = 9
 
 
 def gate_has_ended(vm, attempt):
@@ -73,6 +79,52 @@
           "the gate exits with 0 once its answers are sent")
 
 
+class Call(threading.Thread):
+    """A call that runs beside the test; `status` is None without an answer."""
+
+    def __init__(self, vm, method="GET"):
+        super().__init__()
+        self.vm = vm
+        self.method = method
+        self.status = None
+        self.start()
+
+    def run(self):
+        try:
+            body = b"a body" if self.method == "POST" else b""
+            self.status = self.vm.call("/b/1", self.method, body,
+                                       time_left_ms=ROUTE_TIMEOUT_MS)[1]
+        except OSError:
+            pass
+
+
+def calls_are_answered_before_the_grace_is_over(rig, entry, upstream):
+    upstream.delay_s = SLOW_UPSTREAM_S
+    before = len(upstream.received_calls)
+    calls = [Call(entry), Call(entry, "POST")]
+    wait_for(lambda: len(upstream.received_calls) == before + 2,
+             "two calls run at SIGTERM")
+    entry.process.send_signal(signal.SIGTERM)
+    end = time.monotonic() + GRACE_S
+    time.sleep(1.5)
+    calls += [Call(entry), Call(entry, "POST")]
+    wait_for(lambda: len(upstream.received_calls) == before + 4,
+             "two calls run after SIGTERM")
+    # The platform kills what still runs at the end of the grace.
+    while entry.process.poll() is None and time.monotonic() < end:
+        time.sleep(0.02)
+    code = entry.process.poll()
+    if code is None:
+        entry.process.kill()
+    for call in calls:
+        call.join()
+    statuses = [call.status for call in calls]
+    check(statuses == [504] * 4,
+          "calls that last longer than the grace are answered before its end, "
+          f"as unknown: {statuses}")
+    check(code == 0, f"the daemon exits with 0 within the grace: {code}")
+
+
 def main():
     with Rig(sys.argv[1], ["alpha", "beta"], network="127.10") as rig:
         entry, gate = rig.vms
@@ -85,6 +137,10 @@
         wait_for(entry.is_ready, f"{entry.name} is ready")
         wait_for(lambda: entry.call("/b/1")[1] == 200, "it reaches the gate")
         stop_of_the_gate_does_not_cut_answers(rig, entry, gate)
+        gate.upstream.answer_bytes = 0
+        gate.start()
+        wait_for(lambda: entry.call("/b/1")[1] == 200, "the gate is back")
+        calls_are_answered_before_the_grace_is_over(rig, entry, gate.upstream)
     return 0
 
 
