Read documents and loads with one loop that checks the time

What operators would see: a peer, a store or a caller of the daemon's ports that sends chunks with long extensions without a pause kept a call open past its time limit. Cause: with an eager parser one async_read_some of Beast reads until the parser needs no more, so that the check of the time between two of them was not reached; timers are lost while bytes are always ready. Change: http::read_message reads the socket once, parses, and checks the time before each read. It replaces three loops of the client, the server and the load query.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -1,6 +1,7 @@
 // HTTP client on Boost.Beast; each request uses a connection of its own.
 #include "galenarudder/http/client.hpp"
 
+#include "galenarudder/http/read_message.hpp"
 #include "galenarudder/support/socket_keepalive.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -91,29 +92,6 @@
 
 using response_parser = beast::http::response_parser<beast::http::string_body>;
 
-/// Reads the response to its end or to \p deadline. Checks the time itself: a
-/// server that sends without a pause has the next bytes ready before a timer
-/// can end a read.
-asio::awaitable<boost::system::error_code>
-read_response(beast::tcp_stream& stream,
-              response_parser& parser,
-              std::chrono::steady_clock::time_point deadline)
-{
-    constexpr auto nothrow_awaitable = asio::as_tuple(asio::use_awaitable);
-    beast::flat_buffer buffer(max_unparsed_bytes);
-    parser.eager(true);
-    parser.body_limit(max_body_bytes);
-    while (!parser.is_done()) {
-        if (std::chrono::steady_clock::now() >= deadline)
-            co_return beast::error::timeout;
-        const auto [failure, size] = co_await beast::http::async_read_some(
-            stream, buffer, parser, nothrow_awaitable);
-        if (failure)
-            co_return failure;
-    }
-    co_return boost::system::error_code();
-}
-
 } // namespace
 
 asio::awaitable<support::result<response>> fetch(config::endpoint server,
@@ -138,9 +116,11 @@
         co_await beast::http::async_write(stream, converted, nothrow_awaitable);
     if (write_failure)
         co_return no_answer_error(server, write_failure);
+    beast::flat_buffer buffer(max_unparsed_bytes);
     response_parser parser;
+    parser.body_limit(max_body_bytes);
     const boost::system::error_code read_failure =
-        co_await read_response(stream, parser, deadline);
+        co_await read_message(stream, buffer, parser, deadline);
     if (read_failure)
         co_return no_answer_error(server, read_failure);
     co_return to_response(parser.get());
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -2,6 +2,8 @@
 // and writes complete bodies and keeps connections open between requests.
 #include "galenarudder/http/server.hpp"
 
+#include "galenarudder/http/read_message.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -94,29 +96,6 @@
 
 using request_parser = beast::http::request_parser<beast::http::string_body>;
 
-/// Reads a request to its end or to \p deadline. Returns false if it is not
-/// complete then. Checks the time itself: a client that sends without a pause
-/// has the next bytes ready before a timer can end a read.
-asio::awaitable<bool>
-read_request(beast::tcp_stream& stream,
-             beast::flat_buffer& buffer,
-             request_parser& parser,
-             std::chrono::steady_clock::time_point deadline)
-{
-    constexpr auto nothrow_awaitable = asio::as_tuple(asio::use_awaitable);
-    parser.eager(true);
-    stream.expires_at(deadline);
-    while (!parser.is_done()) {
-        if (std::chrono::steady_clock::now() >= deadline)
-            co_return false;
-        const auto [failure, size] = co_await beast::http::async_read_some(
-            stream, buffer, parser, nothrow_awaitable);
-        if (failure)
-            co_return false;
-    }
-    co_return true;
-}
-
 asio::awaitable<void> serve(tcp::socket socket,
                             std::shared_ptr<const handler> handle,
                             std::uint64_t max_body_bytes,
@@ -130,7 +109,9 @@
         parser.body_limit(max_body_bytes);
         const auto deadline =
             std::chrono::steady_clock::now() + timeouts.request;
-        if (!co_await read_request(stream, buffer, parser, deadline))
+        const boost::system::error_code read_failure =
+            co_await read_message(stream, buffer, parser, deadline);
+        if (read_failure)
             co_return;
         stream.expires_never();
         const bool keep_alive = parser.get().keep_alive();
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -4,6 +4,7 @@
 
 #include "connection_pool.hpp"
 
+#include "galenarudder/http/read_message.hpp"
 #include "galenarudder/link/message.hpp"
 #include "galenarudder/proxy/http_fields.hpp"
 #include "galenarudder/support/child_task.hpp"
@@ -553,7 +554,9 @@
 std::chrono::steady_clock::time_point running_attempt::end_of_next_part() const
 {
     const auto end = std::chrono::steady_clock::now() + body_read_timeout;
-    return dialect_.signature.empty() ? end : std::min(end, end_of_response());
+    return dialect_.signature.empty()
+               ? end
+               : std::min(end, end_of_response());
 }
 
 /// Reads response heads up to the first that is not an interim one (1xx).
@@ -666,27 +669,6 @@
 
 namespace {
 
-/// Reads the response to its end or to \p end. Returns false if it was not
-/// complete in time. Checks the time itself, for the same reason as
-/// running_attempt::read_body_part.
-asio::awaitable<bool>
-read_load_response(connection& upstream,
-                   bhttp::response_parser<bhttp::string_body>& parser,
-                   std::chrono::steady_clock::time_point end)
-{
-    parser.eager(true);
-    parser.body_limit(max_load_body_bytes);
-    while (!parser.is_done()) {
-        if (std::chrono::steady_clock::now() >= end)
-            co_return false;
-        const auto [failure, size] = co_await bhttp::async_read_some(
-            upstream.stream, upstream.buffer, parser, use_nothrow_awaitable);
-        if (failure)
-            co_return false;
-    }
-    co_return true;
-}
-
 /// Sends one request and returns the load that its response states, or nullopt
 /// if there is none in time.
 asio::awaitable<std::optional<upstream_load>>
@@ -710,7 +692,10 @@
     if (write_error)
         co_return std::nullopt;
     bhttp::response_parser<bhttp::string_body> parser;
-    if (!co_await read_load_response(*connection, parser, stream_end))
+    parser.body_limit(max_load_body_bytes);
+    const boost::system::error_code read_error = co_await http::read_message(
+        connection->stream, connection->buffer, parser, stream_end);
+    if (read_error)
         co_return std::nullopt;
     support::response_head head;
     head.status = parser.get().result_int();
