Do not count the caller's time against the deadline of a response

What callers saw: a caller that reads late got a large response cut off 250 ms after its deadline, and the calls pipelined behind it, which had run, ended without an answer. Cause: the bound on an upstream that sends without end also counted the time in which the gate waits for the caller. Change: the bound grows by that time. What remains: a caller that reads nothing holds its slot up to 60 s, as before.

--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -36,7 +36,8 @@
 /// stops work at the deadline, and the response may still be in flight.
 constexpr auto response_grace = std::chrono::milliseconds(250);
 /// Longest time between two parts of a response body. In dialects with
-/// signatures the deadline also bounds the whole body.
+/// signatures the deadline also bounds the time that the upstream takes for the
+/// whole body.
 constexpr auto body_read_timeout = std::chrono::seconds(60);
 /// Response bodies up to this size are read completely before any part is
 /// forwarded, so that the entry can still replace one that is cut off.
@@ -264,6 +265,8 @@
     /// skipped response.
     std::optional<response_parser> parser_;
     boost::system::error_code read_failure_;
+    /// Time spent waiting for the caller to read the response.
+    std::chrono::steady_clock::duration caller_time_{0};
     /// When the read in progress must have ended.
     std::chrono::steady_clock::time_point read_end_{};
     bool aborted_ = false;
@@ -556,7 +559,7 @@
     const auto end = std::chrono::steady_clock::now() + body_read_timeout;
     return dialect_.signature.empty()
                ? end
-               : std::min(end, end_of_response());
+               : std::min(end, end_of_response() + caller_time_);
 }
 
 /// Reads response heads up to the first that is not an interim one (1xx).
@@ -615,8 +618,10 @@
         if (part.empty())
             continue;
         link::body_chunk chunk = link::make_chunk(std::move(part), false);
+        const auto write_start = std::chrono::steady_clock::now();
         if (!co_await attempt_->response_body.write(std::move(chunk)))
             co_return false;
+        caller_time_ += std::chrono::steady_clock::now() - write_start;
         part = std::string();
     }
     link::body_chunk end = link::make_chunk(std::string(), true);
