Count a session as drained before its connection lingers

What operators saw: a daemon ran 6.57 s after SIGTERM, past the grace of 6 s, when a caller kept its side of the connection open after the last response. Cause: the drain waited for the linger. Change: a session counts as ended once no further call is served on it; the linger goes on until the process ends. The response that is still being written as a call is sent behind it is now checked as well, and the answers are 6 MB.

--- a/lib/proxy/caller_server.cpp
+++ b/lib/proxy/caller_server.cpp
@@ -75,7 +75,13 @@
         session->drain();
     asio::co_spawn(
         executor,
-        [session]() -> asio::awaitable<void> { co_await session->run(); },
+        [session, self = shared_from_this()]() -> asio::awaitable<void> {
+            co_await session->run();
+            // A caller that keeps its side of the connection open must not
+            // delay a drain.
+            self->session_ended(session.get());
+            co_await session->close();
+        },
         [session, self = shared_from_this()](const std::exception_ptr&) {
             self->session_ended(session.get());
         });
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -174,6 +174,11 @@
     if (connection_->closed_by_caller())
         abandon_concurrent_calls();
     co_await wait_for_concurrent_calls();
+}
+
+asio::awaitable<void> caller_session::close()
+{
+    const auto self = shared_from_this();
     const bool more_may_follow = unread_body_ || last_response_framed_;
     co_await connection_->close(more_may_follow);
 }
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -65,9 +65,12 @@
     caller_session(boost::asio::ip::tcp::socket socket,
                    session_context context);
 
-    /// Serves until the connection ends.
+    /// Serves until no further call is served on the connection.
     boost::asio::awaitable<void> run();
-    /// Closes the connection after the current call. May be called from any
+    /// Closes the connection so that the caller can still read what was
+    /// written.
+    boost::asio::awaitable<void> close();
+    /// Ends run() after the current call. May be called from any
     /// thread.
     void drain();
     /// Makes the open calls end by \p latest. May be called from any thread.
--- a/test/process/test_closing_connections.py
+++ b/test/process/test_closing_connections.py
@@ -16,9 +16,11 @@
 from platform_rig import HOST, Rig, check, configuration, wait_for
 from raw_http import Connection
 
+GRACE_S = 6
+ROUTE_TIMEOUT_S = 2
 ROUTES = {"/a/": ("alpha", "idempotent")}
 # More than the buffers between upstream and caller hold.
-LARGE_ANSWER_BYTES = 4_000_000
+LARGE_ANSWER_BYTES = 6_000_000
 # Less than the daemon's send buffer takes at once.
 BUFFERED_ANSWER_BYTES = 200_000
 
@@ -44,8 +46,8 @@
     def send(self):
         attempt = f"call-{next(self.rig.attempt_numbers)}"
         self.connection.send(
-            f"GET {self.path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
-            "Timeout-Ms: 10000\r\n\r\n")
+            f"GET {self.path} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"Attempt-Id: {attempt}\r\nTimeout-Ms: 10000\r\n\r\n")
         return attempt
 
     def read(self):
@@ -57,6 +59,11 @@
         return answer and (answer[1].get("attempt-id"), len(answer[2]))
 
 
+def send_sigterm(vm):
+    vm.stopping_at = time.monotonic()
+    vm.process.send_signal(signal.SIGTERM)
+
+
 def runs(rig, attempt):
     return sum(call["id"] == attempt for vm in rig.vms
                for call in vm.upstream.received_calls)
@@ -66,13 +73,15 @@
     for other in rig.vms:
         other.upstream.answer_bytes = LARGE_ANSWER_BYTES
     caller = SlowCaller(rig, vm)
-    vm.process.send_signal(signal.SIGTERM)
+    send_sigterm(vm)
     time.sleep(0.2)
     first = caller.send()
     wait_for(lambda: runs(rig, first) == 1, "the first call runs")
     time.sleep(0.5)
     second = caller.send()
     time.sleep(0.3)
+    check(f'"call.answered","call":"{first}"' not in vm.log.read_text(),
+          "the last response is still being written")
     check(caller.read() == (first, LARGE_ANSWER_BYTES),
           "the response that closes the connection is complete")
     answered = caller.read() is not None
@@ -84,7 +93,7 @@
     for other in rig.vms:
         other.upstream.answer_bytes = BUFFERED_ANSWER_BYTES
     caller = SlowCaller(rig, vm)
-    vm.process.send_signal(signal.SIGTERM)
+    send_sigterm(vm)
     time.sleep(0.2)
     first = caller.send()
     wait_for(lambda: runs(rig, first) == 1, "the first call runs")
@@ -99,6 +108,40 @@
           "a response is complete although the caller sent more behind it")
 
 
+def slow_caller_gets_its_responses_after_the_deadline(rig, vm):
+    for other in rig.vms:
+        other.upstream.answer_bytes = LARGE_ANSWER_BYTES
+    caller = SlowCaller(rig, vm)
+    first = caller.send()
+    wait_for(lambda: runs(rig, first) == 1, "the first call runs")
+    for other in rig.vms:
+        other.upstream.answer_bytes = 0
+    behind = [caller.send() for _ in range(4)]
+    time.sleep(ROUTE_TIMEOUT_S + 1)
+    check(caller.read() == (first, LARGE_ANSWER_BYTES),
+          "a caller that reads late gets its response whole")
+    check([answer and answer[0] for answer in
+           [caller.read() for _ in behind]] == behind,
+          "the calls behind it are answered")
+    send_sigterm(vm)
+
+
+def caller_that_stays_does_not_delay_the_stop(rig, vm):
+    for other in rig.vms:
+        other.upstream.delay_s = 1.8
+    caller = SlowCaller(rig, vm)
+    send_sigterm(vm)
+    time.sleep(3)
+    attempt = caller.send()
+    answer = caller.read()
+    # Keeps the connection open until the daemon is gone.
+    rig.caller_that_stays = caller
+    check(answer is not None and answer[0] == attempt,
+          "a call sent after SIGTERM is answered")
+    for other in rig.vms:
+        other.upstream.delay_s = 0
+
+
 def main():
     with Rig(sys.argv[1], ["alpha", "alpha"], network="127.8") as rig:
         for vm in rig.vms:
@@ -107,14 +150,18 @@
         for vm in rig.vms:
             vm.upstream.check_ins_enabled.set()
         for case in (call_behind_the_last_response_is_not_passed_on,
-                     response_is_not_lost_when_more_was_sent):
+                     response_is_not_lost_when_more_was_sent,
+                     slow_caller_gets_its_responses_after_the_deadline,
+                     caller_that_stays_does_not_delay_the_stop):
             for other in rig.vms:
                 other.upstream.answer_bytes = 0
             vm = rig.vms[0]
             wait_for(vm.is_ready, f"{vm.name} is ready")
             wait_for(lambda: vm.call("/a/1")[1] == 200, "it serves")
             case(rig, vm)
-            check(vm.process.wait(timeout=6) == 0, "it exits with 0 in 6 s")
+            grace_left_s = vm.stopping_at + GRACE_S - time.monotonic()
+            check(vm.process.wait(timeout=grace_left_s) == 0,
+                  "it exits with 0 within the grace")
             vm.start()
     return 0
 
