--- a/include/galenarudder/admission/rank_queue.hpp
+++ b/include/galenarudder/admission/rank_queue.hpp
@@ -65,9 +65,8 @@
     /// Charges \p rank_name for a started call that is expected to occupy one
     /// slot for \p cost_ms. \p limit is the number of calls that may run at
     /// once; it bounds the credit of each rank.
-    void charge(const std::string& rank_name,
-                double cost_ms,
-                std::uint32_t limit);
+    void
+    charge(const std::string& rank_name, double cost_ms, std::uint32_t limit);
     /// Accounts for the end of a started call of \p rank_name. It was
     /// charged \p charged_ms and took \p took_ms; the difference is charged or
     /// refunded.
