--- a/lib/membership/introducer_directory.cpp
+++ b/lib/membership/introducer_directory.cpp
@@ -171,7 +171,8 @@
             key, introducer_value(self_),
             absent ? store::change_index() : slot_entry->item.index, ""};
         if (!absent && slot_entry->item.value == claim.value) {
-            free_slots.assign(1, std::move(claim));
+            free_slots.clear();
+            free_slots.push_back(std::move(claim));
             break;
         }
         if (absent || slot_entry->item.lease.empty())
