--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -6,6 +6,7 @@
 
 #include "galenarudder/link/message.hpp"
 #include "galenarudder/proxy/http_fields.hpp"
+#include "galenarudder/support/child_task.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -33,13 +34,16 @@
 /// Time after the deadline within which a response must begin: the upstream
 /// stops work at the deadline, and the response may still be in flight.
 constexpr auto response_grace = std::chrono::milliseconds(250);
-/// Longest time between two parts of a response body.
+/// Longest time between two parts of a response body. In dialects with
+/// signatures the deadline also bounds the whole body.
 constexpr auto body_read_timeout = std::chrono::seconds(60);
 /// Response bodies up to this size are read completely before any part is
 /// forwarded, so that the entry can still replace one that is cut off.
 constexpr std::size_t max_buffered_response_bytes = 64 * 1024;
 /// Responses to other calls that are skipped on one connection.
 constexpr unsigned max_unrelated_responses = 4;
+/// Interim responses (1xx) that are skipped before one final response.
+constexpr unsigned max_interim_responses = 32;
 /// Bodies of responses that are not forwarded are read up to this size, so that
 /// the connection can be reused.
 constexpr std::size_t max_skipped_body_bytes = 64 * 1024;
@@ -59,6 +63,9 @@
 constexpr double usable_share_of_idle_timeout = 0.8;
 
 using response_parser = bhttp::response_parser<bhttp::buffer_body>;
+/// How a read of a part of a body ended, and how many bytes it took with the
+/// framing.
+using part_read = std::pair<boost::system::error_code, std::size_t>;
 
 bool has_body(const support::call_head& head)
 {
@@ -185,7 +192,7 @@
         : pool_(std::move(pool)), attempt_(std::move(attempt)),
           deadline_(deadline), get_load_(std::move(get_load)),
           on_finished_(std::move(on_finished)), instance_(std::move(instance)),
-          dialect_(dialect)
+          dialect_(dialect), request_task_(pool_->executor())
     {
     }
 
@@ -206,13 +213,17 @@
     bool is_matching(const support::response_head& head) const;
     std::optional<refusal>
     refusal_of_response(const support::response_head& head) const;
+    asio::awaitable<part_read> read_body_part(char* data, std::size_t capacity);
     asio::awaitable<bool> buffer_body(std::string& body);
     asio::awaitable<upstream_result>
     forward_response(support::response_head head);
     bool may_reuse() const;
+    std::chrono::steady_clock::time_point end_of_response() const;
+    std::chrono::steady_clock::time_point end_of_next_part() const;
     asio::awaitable<void> skip_body();
     refusal no_response(const boost::system::error_code& failure) const;
     asio::awaitable<void> send_request();
+    asio::awaitable<void> stop_request();
     asio::awaitable<bool> forward_body();
     void deliver_head(support::response_head head)
     {
@@ -233,10 +244,14 @@
     const http_dialect& dialect_;
     std::optional<upstream_load> stated_load_;
     connection_ptr connection_;
+    /// Runs send_request.
+    support::child_task request_task_;
     /// Parser of the response being read; replaced after each interim (1xx) or
     /// skipped response.
     std::optional<response_parser> parser_;
     boost::system::error_code read_failure_;
+    /// When the read in progress must have ended.
+    std::chrono::steady_clock::time_point read_end_{};
     bool aborted_ = false;
     /// Whether the whole request was written.
     bool request_sent_ = false;
@@ -265,6 +280,7 @@
                                                 : upstream_result::unreachable);
     } else {
         result = co_await exchange_messages();
+        co_await stop_request();
         if (reusable_ && request_sent_ && !aborted_)
             pool_->give_back(connection_);
     }
@@ -290,15 +306,13 @@
 
 asio::awaitable<void> running_attempt::send_request()
 {
-    const auto self = shared_from_this();
-    const connection_ptr connection = connection_;
     auto request = build_request(attempt_->head, to_string(pool_->upstream()),
                                  deadline_ - support::monotonic_clock::now(),
                                  instance_, dialect_);
     bhttp::request_serializer<bhttp::buffer_body> serializer{request};
     sending_started_ = true;
     const auto [head_failure, head_size] = co_await bhttp::async_write_header(
-        connection->stream, serializer, use_nothrow_awaitable);
+        connection_->stream, serializer, use_nothrow_awaitable);
     if (head_failure)
         co_return;
     bool more = request.body().more;
@@ -307,7 +321,7 @@
             co_await attempt_->request_body.read();
         if (!chunk) {
             // The caller's body was cut off: the request cannot be completed.
-            connection->stream.cancel();
+            connection_->stream.cancel();
             co_return;
         }
         more = !chunk->last;
@@ -316,21 +330,29 @@
         request.body().size = chunk->data.size();
         request.body().more = more;
         const auto [failure, size] = co_await bhttp::async_write(
-            connection->stream, serializer, use_nothrow_awaitable);
+            connection_->stream, serializer, use_nothrow_awaitable);
         if (failure && failure != bhttp::error::need_buffer)
             co_return;
     }
     request_sent_ = true;
 }
 
+/// Ends a request that was not sent to its end, and closes its connection.
+asio::awaitable<void> running_attempt::stop_request()
+{
+    if (!request_task_.running())
+        co_return;
+    reusable_ = false;
+    attempt_->request_body.abort();
+    connection_->stream.close();
+    co_await request_task_.join();
+}
+
 asio::awaitable<upstream_result> running_attempt::exchange_messages()
 {
-    asio::co_spawn(
-        pool_->executor(),
-        [self = shared_from_this()]() -> asio::awaitable<void> {
-            co_await self->send_request();
-        },
-        asio::detached);
+    request_task_.start([self = shared_from_this()]() -> asio::awaitable<void> {
+        co_await self->send_request();
+    });
     support::response_head head;
     if (!co_await read_matching_head(head))
         co_return refuse(no_response(read_failure_), upstream_result::failed);
@@ -411,6 +433,28 @@
     return std::nullopt;
 }
 
+/// Reads the next part of the body to \p data; the parser's body states how
+/// much of the capacity is left. Checks the time and the abort itself: an
+/// upstream that sends without a pause has the next bytes ready before a timer
+/// can end a read, and an operation that has completed cannot be canceled.
+asio::awaitable<part_read> running_attempt::read_body_part(char* data,
+                                                           std::size_t capacity)
+{
+    if (aborted_)
+        co_return part_read(asio::error::operation_aborted, 0);
+    if (std::chrono::steady_clock::now() >= read_end_)
+        co_return part_read(beast::error::timeout, 0);
+    connection_->stream.expires_at(read_end_);
+    parser_->get().body().data = data;
+    parser_->get().body().size = capacity;
+    const auto [failure, size] = co_await bhttp::async_read_some(
+        connection_->stream, connection_->buffer, *parser_,
+        use_nothrow_awaitable);
+    if (failure == bhttp::error::need_buffer)
+        co_return part_read(boost::system::error_code(), size);
+    co_return part_read(failure, size);
+}
+
 /// Reads the body into \p body, up to the size of buffered responses. Returns
 /// false if the body was cut off.
 asio::awaitable<bool> running_attempt::buffer_body(std::string& body)
@@ -418,13 +462,10 @@
     while (!parser_->is_done() && body.size() < max_buffered_response_bytes) {
         const std::size_t old_size = body.size();
         body.resize(old_size + link::max_body_part_bytes);
-        parser_->get().body().data = body.data() + old_size;
-        parser_->get().body().size = link::max_body_part_bytes;
-        const auto [failure, size] = co_await bhttp::async_read_some(
-            connection_->stream, connection_->buffer, *parser_,
-            use_nothrow_awaitable);
+        const auto [failure, size] = co_await read_body_part(
+            body.data() + old_size, link::max_body_part_bytes);
         body.resize(body.size() - parser_->get().body().size);
-        if (failure && failure != bhttp::error::need_buffer) {
+        if (failure) {
             read_failure_ = failure;
             co_return false;
         }
@@ -486,25 +527,43 @@
                                 failure.message());
 }
 
+/// Returns when a response must have begun, and must have ended if the dialect
+/// has signatures.
+std::chrono::steady_clock::time_point running_attempt::end_of_response() const
+{
+    return std::chrono::steady_clock::time_point(deadline_.time_since_epoch()) +
+           response_grace;
+}
+
+/// Returns when the next part of a body that is being forwarded must have
+/// arrived.
+std::chrono::steady_clock::time_point running_attempt::end_of_next_part() const
+{
+    const auto end = std::chrono::steady_clock::now() + body_read_timeout;
+    return dialect_.signature.empty() ? end : std::min(end, end_of_response());
+}
+
 /// Reads response heads up to the first that is not an interim one (1xx).
 asio::awaitable<bool> running_attempt::read_final_head()
 {
-    do {
+    for (unsigned interim = 0; interim <= max_interim_responses; ++interim) {
         parser_.emplace();
         parser_->body_limit(boost::none);
         if (attempt_->head.method == "HEAD")
             parser_->skip(true);
-        connection_->stream.expires_at(std::chrono::steady_clock::time_point(
-                                           deadline_.time_since_epoch()) +
-                                       response_grace);
+        read_end_ = end_of_response();
+        connection_->stream.expires_at(read_end_);
         const auto [failure, size] = co_await bhttp::async_read_header(
             connection_->stream, connection_->buffer, *parser_,
             use_nothrow_awaitable);
-        read_failure_ = failure;
-        if (failure)
+        read_failure_ = aborted_ ? asio::error::operation_aborted : failure;
+        if (read_failure_)
             co_return false;
-    } while (parser_->get().result_int() < status_ok);
-    co_return true;
+        if (parser_->get().result_int() >= status_ok)
+            co_return true;
+    }
+    read_failure_ = bhttp::error::bad_status;
+    co_return false;
 }
 
 /// Reads a small body of a response that is not forwarded, so that the
@@ -514,12 +573,9 @@
     std::array<char, 4096> scratch{};
     std::size_t skipped = 0;
     while (!parser_->is_done() && skipped < max_skipped_body_bytes) {
-        parser_->get().body().data = scratch.data();
-        parser_->get().body().size = scratch.size();
-        const auto [failure, size] = co_await bhttp::async_read_some(
-            connection_->stream, connection_->buffer, *parser_,
-            use_nothrow_awaitable);
-        if (failure && failure != bhttp::error::need_buffer)
+        const auto [failure, size] =
+            co_await read_body_part(scratch.data(), scratch.size());
+        if (failure)
             co_return;
         skipped += size;
     }
@@ -532,13 +588,10 @@
     std::string part;
     while (!parser_->is_done()) {
         part.resize(link::max_body_part_bytes);
-        parser_->get().body().data = part.data();
-        parser_->get().body().size = part.size();
-        connection_->stream.expires_after(body_read_timeout);
-        const auto [failure, size] = co_await bhttp::async_read_some(
-            connection_->stream, connection_->buffer, *parser_,
-            use_nothrow_awaitable);
-        if (failure && failure != bhttp::error::need_buffer) {
+        read_end_ = end_of_next_part();
+        const auto [failure, size] =
+            co_await read_body_part(part.data(), part.size());
+        if (failure) {
             attempt_->response_body.abort();
             co_return false;
         }
--- a/test/process/test_platform.py
+++ b/test/process/test_platform.py
@@ -8,6 +8,7 @@
 twice.
 """
 
+import concurrent.futures
 import json
 import pathlib
 import signal
@@ -16,7 +17,9 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from platform_rig import Rig, check, configuration, request, wait_for
+from platform_rig import (HOST, Rig, check, configuration, request,
+                          wait_for)
+from raw_http import Connection
 
 ROUTES = {"/a/": ("alpha", "idempotent"), "/b/": ("beta", "non_idempotent")}
 
@@ -142,6 +145,56 @@
                  f"{vm.name} follows the store after its return", 10)
 
 
+def call_of_a_killed_daemon_is_not_held_to_its_deadline(rig):
+    caller, upstreams = rig.vms[0], [rig.vms[1], rig.vms[3]]
+    for vm in upstreams:
+        vm.upstream.delay_s = 1.5
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        call = pool.submit(caller.call, "/b/held", "POST", b"one")
+        wait_for(lambda: any(call["path"] == "/b/held" for vm in upstreams
+                             for call in vm.upstream.received_calls),
+                 "a call runs")
+        running = next(vm for vm in upstreams
+                       for call in vm.upstream.received_calls
+                       if call["path"] == "/b/held")
+        running.stop(signal.SIGKILL)
+        _, code, _, body = call.result()
+    for vm in upstreams:
+        vm.upstream.delay_s = 0
+    check(code == 502 and json.loads(body)["kind"] == "link-broken",
+          "a call whose upstream's daemon is killed ends with its link")
+    running.start()
+    wait_for(lambda: running.is_ready() and serves(running),
+             f"{running.name} is back")
+
+
+def call_that_its_caller_leaves_is_logged(rig):
+    vm = rig.vms[0]
+    address, port = vm.outbound.split(":")
+    for other in rig.vms:
+        other.upstream.delay_s = 0.5
+    caller = Connection(address, int(port))
+    caller.send(f"POST /b/left HTTP/1.1\r\nHost: {HOST}\r\n"
+                "Attempt-Id: left-1\r\nTimeout-Ms: 2000\r\n"
+                "Content-Length: 0\r\n\r\n")
+    time.sleep(0.2)
+    caller.close()
+    for other in rig.vms:
+        other.upstream.delay_s = 0
+    wait_for(lambda: '"call.refused","call":"left-1"' in vm.log.read_text(),
+             "the end of a call that its caller leaves is logged", 5)
+
+
+def last_lines_before_an_abort_are_logged(rig):
+    vm = rig.vms[3]
+    attempt = vm.call("/a/last")[0]
+    vm.stop(signal.SIGABRT)
+    check(f'"{attempt}"' in vm.log.read_text(),
+          "an abort writes the lines that were buffered")
+    vm.start()
+    wait_for(lambda: vm.is_ready() and serves(vm), f"{vm.name} is back")
+
+
 def store_faults(rig):
     rig.store.write_answers_to_lose = 3
     rig.store.compact_history()
@@ -205,6 +258,9 @@
         malformed_input_changes_nothing(rig)
         draining_upstream_gets_no_calls(rig)
         daemons_restart_without_the_store(rig)
+        call_of_a_killed_daemon_is_not_held_to_its_deadline(rig)
+        call_that_its_caller_leaves_is_logged(rig)
+        last_lines_before_an_abort_are_logged(rig)
         store_faults(rig)
         daemon_leaves_on_sigterm(rig)
         log_lines_are_json_objects(rig)
