--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -55,6 +55,9 @@
 /// The stop is postponed by up to this many further delays while outcomes of
 /// calls with an idempotency key are still being written to the store.
 constexpr unsigned max_stop_checks = 4;
+/// Time before the end of stop_timeout by which calls must end: enough for
+/// their answers, stop_delay and the closing of the links.
+constexpr auto stop_margin = std::chrono::milliseconds(900);
 
 std::uint64_t wall_clock_ms()
 {
@@ -107,8 +110,10 @@
     // drains of the gate and of the callers' connections in parallel, leave(),
     // and the end of the I/O context once outcomes are stored.
     void drain(std::string_view asked_by);
+    support::time_point latest_deadline() const;
     void drain_callers();
     void start_gate_drain(std::string_view asked_by);
+    void await_sent_responses();
     void leave_if_drained();
     void leave();
     void stop_when_outcomes_stored(unsigned checks_left);
@@ -152,7 +157,7 @@
     asio::signal_set reload_signal_;
     /// The gate is draining or drained: it refuses new calls.
     bool draining_ = false;
-    /// The gate has no calls left.
+    /// The gate has no calls left, and the links have its responses.
     bool gate_drained_ = false;
     /// SIGTERM or SIGINT was received: the daemon stops once the gate and the
     /// callers' connections are drained.
@@ -549,6 +554,7 @@
         new_settings.gossip == settings_.gossip &&
         new_settings.operators == settings_.operators;
     settings_.leave_notice = new_settings.leave_notice;
+    settings_.stop_timeout = new_settings.stop_timeout;
     settings_.upstream = new_settings.upstream;
     settings_.service = new_settings.service;
     telemetry::log_event(log_kind::state_change, "settings.reloaded",
@@ -572,7 +578,7 @@
     telemetry::log_event(
         log_kind::state_change, "daemon.stopping",
         {{"asked_by", asked_by}, {"open_calls", caller_server_.open_calls()}});
-    caller_server_.begin_drain();
+    caller_server_.begin_drain(latest_deadline());
     leave_timer_.expires_after(settings_.leave_notice);
     leave_timer_.async_wait(
         [weak = weak_from_this()](boost::system::error_code canceled) {
@@ -585,6 +591,15 @@
         });
 }
 
+/// Returns when calls must end so that the daemon, which stops from now on,
+/// ends within the time that the deployment allows.
+support::time_point runtime::impl::latest_deadline() const
+{
+    if (settings_.stop_timeout == support::milliseconds(0))
+        return support::time_point::max();
+    return monotonic_clock::now() + settings_.stop_timeout - stop_margin;
+}
+
 void runtime::impl::drain_callers()
 {
     caller_server_.drain([weak = weak_from_this()] {
@@ -607,6 +622,19 @@
     execute_all(node_.on_drain(monotonic_clock::now()));
     link_manager_->announce_drain();
     gate_->drain([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->run_on_control(
+            [](impl& runtime_impl) { runtime_impl.await_sent_responses(); });
+    });
+}
+
+/// Called when the gate has no calls left. The links may still hold the ends of
+/// its responses, for callers at other daemons that read slowly.
+void runtime::impl::await_sent_responses()
+{
+    link_manager_->when_responses_sent([weak = weak_from_this()] {
         const auto self = weak.lock();
         if (!self)
             return;
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -2,6 +2,8 @@
 // and writes complete bodies and keeps connections open between requests.
 #include "galenarudder/http/server.hpp"
 
+#include "galenarudder/http/read_message.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,8 +22,10 @@
 
 namespace {
 
-/// Longest time to wait for a complete request on an open connection.
-constexpr auto request_timeout = std::chrono::seconds(120);
+/// Longest part of a request that is kept until it can be parsed: the line of a
+/// chunk's size with its extension, or a trailer. The head of a request has a
+/// lower limit in the parser.
+constexpr std::size_t max_unparsed_bytes = 64 * 1024;
 
 /// Decodes percent-encoding. A plus sign becomes a space, in paths too.
 std::string percent_decode(std::string_view text)
@@ -90,20 +94,24 @@
     return converted;
 }
 
+using request_parser = beast::http::request_parser<beast::http::string_body>;
+
 asio::awaitable<void> serve(tcp::socket socket,
                             std::shared_ptr<const handler> handle,
-                            std::uint64_t max_body_bytes)
+                            std::uint64_t max_body_bytes,
+                            server_timeouts timeouts)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_unparsed_bytes);
     constexpr auto nothrow_awaitable = asio::as_tuple(asio::use_awaitable);
     for (;;) {
-        beast::http::request_parser<beast::http::string_body> parser;
+        request_parser parser;
         parser.body_limit(max_body_bytes);
-        stream.expires_after(request_timeout);
-        const auto [failure, size] = co_await beast::http::async_read(
-            stream, buffer, parser, nothrow_awaitable);
-        if (failure)
+        const auto deadline =
+            std::chrono::steady_clock::now() + timeouts.request;
+        const boost::system::error_code read_failure =
+            co_await read_message(stream, buffer, parser, deadline);
+        if (read_failure)
             co_return;
         stream.expires_never();
         const bool keep_alive = parser.get().keep_alive();
@@ -111,6 +119,7 @@
         if (to_send.close_without_answer)
             co_return;
         auto converted = to_beast_response(to_send, keep_alive);
+        stream.expires_after(timeouts.response);
         const auto [write_failure, written] = co_await beast::http::async_write(
             stream, converted, nothrow_awaitable);
         if (write_failure || !keep_alive)
@@ -143,8 +152,10 @@
 {
     state(asio::io_context& context,
           handler handle_request,
-          std::uint64_t body_limit)
+          std::uint64_t body_limit,
+          server_timeouts connection_timeouts)
         : io(context), acceptor(context), max_body_bytes(body_limit),
+          timeouts(connection_timeouts),
           handle(std::make_shared<const handler>(std::move(handle_request)))
     {
     }
@@ -154,6 +165,7 @@
     asio::io_context& io;
     tcp::acceptor acceptor;
     std::uint64_t max_body_bytes;
+    server_timeouts timeouts;
     std::shared_ptr<const handler> handle;
 };
 
@@ -167,15 +179,18 @@
             co_return;
         if (failure)
             continue;
-        asio::co_spawn(strand, serve(std::move(socket), handle, max_body_bytes),
-                       asio::detached);
+        asio::co_spawn(
+            strand, serve(std::move(socket), handle, max_body_bytes, timeouts),
+            asio::detached);
     }
 }
 
 server::server(asio::io_context& io,
                handler handle,
-               std::uint64_t max_body_bytes)
-    : state_(std::make_shared<state>(io, std::move(handle), max_body_bytes))
+               std::uint64_t max_body_bytes,
+               server_timeouts timeouts)
+    : state_(std::make_shared<state>(
+          io, std::move(handle), max_body_bytes, timeouts))
 {
 }
 
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -4,6 +4,7 @@
 
 #include "connection_pool.hpp"
 
+#include "galenarudder/http/read_message.hpp"
 #include "galenarudder/link/message.hpp"
 #include "galenarudder/proxy/http_fields.hpp"
 #include "galenarudder/support/child_task.hpp"
@@ -35,7 +36,8 @@
 /// stops work at the deadline, and the response may still be in flight.
 constexpr auto response_grace = std::chrono::milliseconds(250);
 /// Longest time between two parts of a response body. In dialects with
-/// signatures the deadline also bounds the whole body.
+/// signatures the deadline also bounds the time that the upstream takes for the
+/// whole body.
 constexpr auto body_read_timeout = std::chrono::seconds(60);
 /// Response bodies up to this size are read completely before any part is
 /// forwarded, so that the entry can still replace one that is cut off.
@@ -47,6 +49,12 @@
 /// Bodies of responses that are not forwarded are read up to this size, so that
 /// the connection can be reused.
 constexpr std::size_t max_skipped_body_bytes = 64 * 1024;
+/// Longest time for which the body of a refusal is read after the refusal was
+/// delivered.
+constexpr auto max_refusal_body_time = std::chrono::seconds(1);
+/// Largest body of a response to a load query, which states the load in its
+/// head.
+constexpr std::uint64_t max_load_body_bytes = 64 * 1024;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_multiple_choices = 300;
@@ -234,6 +242,13 @@
         attempt_->deliver(link::refused{std::move(reason), get_load_()});
         return result;
     }
+    upstream_result refuse_not_run(unsigned status)
+    {
+        if (status == status_misdirected)
+            return refuse(not_available("another upstream has the address"),
+                          upstream_result::replaced);
+        return refuse(shed_by_upstream(), upstream_result::shed);
+    }
 
     std::shared_ptr<connection_pool> pool_;
     link::exchange_ptr attempt_;
@@ -250,6 +265,8 @@
     /// skipped response.
     std::optional<response_parser> parser_;
     boost::system::error_code read_failure_;
+    /// Time spent waiting for the caller to read the response.
+    std::chrono::steady_clock::duration caller_time_{0};
     /// When the read in progress must have ended.
     std::chrono::steady_clock::time_point read_end_{};
     bool aborted_ = false;
@@ -359,12 +376,12 @@
     connection_->idle_timeout = idle_timeout_of(*parser_);
     stated_load_ = dialect_.read_load(head);
     if (dialect_.states_not_run(head)) {
+        // The caller need not wait for the body, which may trickle.
+        const upstream_result result = refuse_not_run(head.status);
+        read_end_ = std::min(read_end_, std::chrono::steady_clock::now() +
+                                            max_refusal_body_time);
         co_await skip_body();
-        if (head.status == status_misdirected) {
-            co_return refuse(not_available("another upstream has the address"),
-                             upstream_result::replaced);
-        }
-        co_return refuse(shed_by_upstream(), upstream_result::shed);
+        co_return result;
     }
     std::optional<refusal> reason = refusal_of_response(head);
     if (reason)
@@ -540,7 +557,9 @@
 std::chrono::steady_clock::time_point running_attempt::end_of_next_part() const
 {
     const auto end = std::chrono::steady_clock::now() + body_read_timeout;
-    return dialect_.signature.empty() ? end : std::min(end, end_of_response());
+    return dialect_.signature.empty()
+               ? end
+               : std::min(end, end_of_response() + caller_time_);
 }
 
 /// Reads response heads up to the first that is not an interim one (1xx).
@@ -599,8 +618,10 @@
         if (part.empty())
             continue;
         link::body_chunk chunk = link::make_chunk(std::move(part), false);
+        const auto write_start = std::chrono::steady_clock::now();
         if (!co_await attempt_->response_body.write(std::move(chunk)))
             co_return false;
+        caller_time_ += std::chrono::steady_clock::now() - write_start;
         part = std::string();
     }
     link::body_chunk end = link::make_chunk(std::string(), true);
@@ -668,15 +689,17 @@
         co_return std::nullopt;
     bhttp::request<bhttp::empty_body> request(bhttp::verb::get, path, 11);
     request.set(bhttp::field::host, to_string(pool->upstream()));
-    connection->stream.expires_at(
-        std::chrono::steady_clock::time_point(end.time_since_epoch()));
+    const std::chrono::steady_clock::time_point stream_end(
+        end.time_since_epoch());
+    connection->stream.expires_at(stream_end);
     const auto [write_error, sent_bytes] = co_await bhttp::async_write(
         connection->stream, request, use_nothrow_awaitable);
     if (write_error)
         co_return std::nullopt;
     bhttp::response_parser<bhttp::string_body> parser;
-    const auto [read_error, size] = co_await bhttp::async_read(
-        connection->stream, connection->buffer, parser, use_nothrow_awaitable);
+    parser.body_limit(max_load_body_bytes);
+    const boost::system::error_code read_error = co_await http::read_message(
+        connection->stream, connection->buffer, parser, stream_end);
     if (read_error)
         co_return std::nullopt;
     support::response_head head;
