Show what keeps the event loop

Callers saw work go on after they had left, and requests held past their route's timeout. Whether one turn of the loop, the links or the lack of processor time kept a daemon from seeing closes and deadlines could not be told: 73 of 79 daemons logged nothing for over 1 s, and no metric covers it.

Named turns of the control strand are measured, and the delay of its timer of 100 ms, which covers all other turns.

--- a/include/galenarudder/daemon/rollout_runtime.hpp
+++ b/include/galenarudder/daemon/rollout_runtime.hpp
@@ -5,6 +5,7 @@
 
 #include "galenarudder/daemon/node.hpp"
 #include "galenarudder/store/platform_store.hpp"
+#include "galenarudder/telemetry/turn_monitor.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -26,6 +27,7 @@
                     store::platform_store& store,
                     node& daemon_node,
                     const config::daemon_settings& settings,
+                    telemetry::turn_monitor& turns,
                     action_executor execute_actions);
     ~rollout_runtime();
     rollout_runtime(const rollout_runtime&) = delete;
--- a/include/galenarudder/telemetry/metrics.hpp
+++ b/include/galenarudder/telemetry/metrics.hpp
@@ -42,9 +42,11 @@
     void add_to_counter(const std::string& name,
                         const std::string& help,
                         double amount = 1);
-    /// Sets a gauge without labels, which is created at its first use.
-    void
-    set_gauge(const std::string& name, const std::string& help, double value);
+    /// Sets a gauge, which is created at its first use.
+    void set_gauge(const std::string& name,
+                   const std::string& help,
+                   double value,
+                   const std::vector<metric_label>& labels = {});
     /// Sets a counter to \p total, which another part of the daemon counts.
     void set_counter(const std::string& name,
                      const std::string& help,
--- a/lib/daemon/rollout_runtime.cpp
+++ b/lib/daemon/rollout_runtime.cpp
@@ -63,9 +63,11 @@
          store::platform_store& store,
          node& daemon_node,
          const config::daemon_settings& settings,
+         telemetry::turn_monitor& turns,
          action_executor execute_actions)
         : executor_(std::move(executor)), store_(store), node_(daemon_node),
-          settings_(settings), execute_actions_(std::move(execute_actions))
+          settings_(settings), turns_(turns),
+          execute_actions_(std::move(execute_actions))
     {
     }
 
@@ -80,6 +82,7 @@
     template <typename Event, typename... Arguments>
     void report(Event event, Arguments&&... arguments)
     {
+        const telemetry::turn_monitor::turn measured(turns_, "configuration");
         execute_actions_(
             node_.on_rollout_event(event, monotonic_clock::now(),
                                    std::forward<Arguments>(arguments)...));
@@ -96,6 +99,7 @@
     store::platform_store& store_;
     node& node_;
     const config::daemon_settings& settings_;
+    telemetry::turn_monitor& turns_;
     action_executor execute_actions_;
 };
 
@@ -217,11 +221,13 @@
                                  store::platform_store& store,
                                  node& daemon_node,
                                  const config::daemon_settings& settings,
+                                 telemetry::turn_monitor& turns,
                                  action_executor execute_actions)
     : impl_(std::make_shared<impl>(std::move(executor),
                                    store,
                                    daemon_node,
                                    settings,
+                                   turns,
                                    std::move(execute_actions)))
 {
 }
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -16,6 +16,7 @@
 #include "galenarudder/proxy/gate_runtime.hpp"
 #include "galenarudder/telemetry/log.hpp"
 #include "galenarudder/telemetry/metrics.hpp"
+#include "galenarudder/telemetry/turn_monitor.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -39,6 +40,7 @@
 using asio::ip::udp;
 using support::monotonic_clock;
 using telemetry::log_kind;
+using turn = telemetry::turn_monitor::turn;
 
 namespace {
 
@@ -138,6 +140,7 @@
     asio::strand<asio::io_context::executor_type> control_;
     node node_;
     telemetry::metrics metrics_;
+    telemetry::turn_monitor turns_;
     std::shared_ptr<proxy::gate_runtime> gate_;
     proxy::entry entry_;
     std::unique_ptr<link::link_manager> link_manager_;
@@ -182,7 +185,7 @@
       presence_(max_missed_heartbeats * settings_.heartbeat),
       store_(deployment_.open_store(control_, settings_)),
       rollout_runtime_(
-          control_, *store_, node_, settings_, make_action_executor()),
+          control_, *store_, node_, settings_, turns_, make_action_executor()),
       introducer_runtime_(control_,
                           *store_,
                           node_,
@@ -356,6 +359,7 @@
     operator_handlers handlers;
     handlers.executor = control_;
     handlers.metrics = [this] {
+        const turn measured(turns_, "metrics");
         set_metrics(metrics_, node_.member());
         set_metrics(metrics_, store_->counters());
         collect_metrics();
@@ -366,6 +370,7 @@
     handlers.drain = [this] { drain("operator"); };
     handlers.transfer = [this](const std::string& encoded,
                                const std::string& sender) {
+        const turn measured(turns_, "transfer");
         execute_all(node_.on_rollout_event(&rollout::rollout::on_transfer,
                                            monotonic_clock::now(), encoded,
                                            sender));
@@ -473,6 +478,7 @@
             co_return;
         if (failure)
             continue;
+        const turn measured(turns_, "datagram");
         const config::endpoint sender{sender_address.address().to_string(),
                                       sender_address.port()};
         execute_all(node_.on_datagram(sender,
@@ -483,6 +489,7 @@
 
 void runtime::impl::tick()
 {
+    const turn measured(turns_, "tick");
     execute_all(node_.on_tick(monotonic_clock::now()));
     on_presence_change(presence_.on_tick(monotonic_clock::now()),
                        "no announcement was received in time");
@@ -491,8 +498,12 @@
     timer_.async_wait(
         [weak = weak_from_this()](boost::system::error_code canceled) {
             const auto self = weak.lock();
-            if (self && !canceled)
-                self->tick();
+            if (!self || canceled)
+                return;
+            self->turns_.on_timer(
+                support::time_point(self->timer_.expiry().time_since_epoch()),
+                monotonic_clock::now());
+            self->tick();
         });
 }
 
@@ -677,6 +688,7 @@
 {
     collect(node_, metrics_);
     collect(link_manager_->counters(), metrics_);
+    turns_.collect(metrics_);
     metrics_.set_gauge("galenarudder_open_calls",
                        "Calls read and not yet answered",
                        static_cast<double>(caller_server_.open_calls()));
--- a/lib/telemetry/metrics.cpp
+++ b/lib/telemetry/metrics.cpp
@@ -129,13 +129,17 @@
 
 void metrics::set_gauge(const std::string& name,
                         const std::string& help,
-                        double value)
+                        double value,
+                        const std::vector<metric_label>& labels)
 {
+    prometheus::Labels series;
+    for (const metric_label& label : labels)
+        series[label.name] = label.value;
     prometheus::BuildGauge()
         .Name(name)
         .Help(help)
         .Register(state_->registry)
-        .Add({})
+        .Add(series)
         .Set(value);
 }
 
