--- a/benchmarks/bench_rollout_core.cpp
+++ b/benchmarks/bench_rollout_core.cpp
@@ -86,7 +86,7 @@
     void apply_document(const std::string& text)
     {
         now_ += 1s;
-        perform(0, machines_[0].on_document(text, now_));
+        perform(0, built(0, machines_[0].on_document(text, now_)));
         deliver();
         announce_versions();
         now_ += 1s;
@@ -115,6 +115,22 @@
                 machine.on_member(record, now_);
         }
     }
+    /// Performs the builds among \p actions and returns all that follow.
+    std::vector<rollout::action> built(std::size_t machine,
+                                       std::vector<rollout::action> actions)
+    {
+        for (std::size_t index = 0; index < actions.size(); ++index) {
+            const auto* request =
+                std::get_if<rollout::build_document>(&actions[index]);
+            if (request == nullptr)
+                continue;
+            const rollout::build_document asked = *request;
+            for (rollout::action& next : machines_[machine].on_built(
+                     asked.build_number, rollout::build(*asked.input), now_))
+                actions.push_back(std::move(next));
+        }
+        return actions;
+    }
     static std::size_t index_of(const support::member_id& member)
     {
         return std::stoul(member.substr(std::string("member-").size()));
@@ -139,8 +155,8 @@
         const std::string encoded =
             machines_[index_of(pull.peer)].transfer_for(pull.current_id);
         bytes_ += encoded.size() + http_overhead_bytes;
-        perform(requester,
-                machines_[requester].on_pull_answer(pull.peer, encoded, now_));
+        perform(requester, built(requester, machines_[requester].on_pull_answer(
+                                                pull.peer, encoded, now_)));
     }
     void deliver()
     {
@@ -148,8 +164,9 @@
             const delivery next = std::move(in_flight_.front());
             in_flight_.pop_front();
             const auto started = support::monotonic_clock::now();
-            const auto actions = machines_[next.to].on_transfer(
-                next.encoded, record_of(next.from, 0).id, now_);
+            const auto actions = built(
+                next.to, machines_[next.to].on_transfer(
+                             next.encoded, record_of(next.from, 0).id, now_));
             processing_time_ += support::monotonic_clock::now() - started;
             perform(next.to, actions);
         }
--- a/include/galenarudder/admission/gate.hpp
+++ b/include/galenarudder/admission/gate.hpp
@@ -76,7 +76,12 @@
 class gate
 {
 public:
-    explicit gate(const config::configuration& in_force);
+    explicit gate(std::shared_ptr<const config::configuration> in_force);
+    /// The same for a configuration that is not shared.
+    explicit gate(const config::configuration& in_force)
+        : gate(std::make_shared<const config::configuration>(in_force))
+    {
+    }
     ~gate();
     gate(const gate&) = delete;
     gate& operator=(const gate&) = delete;
@@ -85,8 +90,15 @@
     /// are recorded.
     void set_decision_log(telemetry::decision_log& log);
 
-    void on_configuration(const config::configuration& in_force,
+    void on_configuration(std::shared_ptr<const config::configuration> in_force,
                           support::time_point now);
+    /// The same for a configuration that is not shared.
+    void on_configuration(const config::configuration& in_force,
+                          support::time_point now)
+    {
+        on_configuration(
+            std::make_shared<const config::configuration>(in_force), now);
+    }
     /// The upstream announced \p slots. The age in load reports counts from the
     /// first announcement, so that entries apply slow start to the upstream.
     std::vector<action> on_upstream_announced(std::uint32_t slots,
--- a/include/galenarudder/config/document.hpp
+++ b/include/galenarudder/config/document.hpp
@@ -56,9 +56,19 @@
 /// Parses the stored form and validates the full document by validate().
 support::result<document> parse_document(std::string_view text);
 
+/// Like parse_document, for a stored form that was parsed.
+support::result<document> read_document(nlohmann::json stored);
+
 /// Returns the stored form.
 std::string serialize(const document& full_document);
 
+/// Returns the stored form before it is serialized.
+nlohmann::json to_json(const document& full_document);
+
+/// Returns the stored form without the base document, which is by far its
+/// largest part.
+nlohmann::json to_json_without_base(const document& full_document);
+
 /// Validates the base document and every overlay against their schemas, then
 /// the rules of check_cross_document_rules. The error describes the first
 /// violation only: the path of the invalid value, the violated bound and the
--- a/include/galenarudder/daemon/integration.hpp
+++ b/include/galenarudder/daemon/integration.hpp
@@ -6,6 +6,7 @@
 #include "galenarudder/admission/upstream_presence.hpp"
 #include "galenarudder/config/settings.hpp"
 #include "galenarudder/proxy/http_dialect.hpp"
+#include "galenarudder/rollout/build.hpp"
 #include "galenarudder/store/platform_store.hpp"
 #include "galenarudder/support/error.hpp"
 
@@ -62,10 +63,14 @@
 {
     /// HTTP conventions of callers and upstreams.
     const proxy::http_dialect* dialect = nullptr;
+    /// Large answers of the store are parsed on \c background.
     std::function<std::unique_ptr<store::platform_store>(
         boost::asio::any_io_executor executor,
+        boost::asio::any_io_executor background,
         const config::daemon_settings& settings)>
         open_store;
+    /// Reads the operators' configuration as the store holds it.
+    rollout::document_reader read_configuration = config::parse_document;
     std::function<std::unique_ptr<announcement_listener>(
         boost::asio::io_context& io,
         const config::daemon_settings& settings,
--- a/include/galenarudder/daemon/node.hpp
+++ b/include/galenarudder/daemon/node.hpp
@@ -15,6 +15,7 @@
 #include "galenarudder/telemetry/decision_log.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
@@ -27,9 +28,12 @@
 /// Apply the configuration in force, which has changed, to the gate.
 struct configure_gate
 {
+    std::shared_ptr<const config::configuration> in_force;
 };
 
 using node_action = std::variant<membership::send_datagram,
+                                 rollout::build_document,
+                                 rollout::release_document,
                                  rollout::read_store,
                                  rollout::watch_store,
                                  rollout::restore_store,
@@ -43,15 +47,18 @@
 class node
 {
 public:
+    /// \p read_stored reads the documents of the store.
     node(const config::daemon_settings& settings,
          std::uint64_t incarnation,
-         std::uint64_t seed);
+         std::uint64_t seed,
+         rollout::document_reader read_stored = config::parse_document);
 
     std::vector<node_action> on_tick(support::time_point now);
     std::vector<node_action> on_datagram(const config::endpoint& from,
                                          std::string_view payload,
                                          support::time_point now);
-    /// A configuration document arrived from the store, a peer or an operator.
+    /// Takes a configuration document and builds it at once; see
+    /// rollout::rollout::on_document.
     std::vector<node_action> on_document(std::string_view text,
                                          support::time_point now);
     std::vector<node_action> on_store_unavailable(support::time_point now);
@@ -108,7 +115,6 @@
     update_own_record(const membership::member_record& self,
                       support::time_point now);
 
-    std::string domain_;
     telemetry::decision_log decisions_;
     routing::router router_;
     support::rcu_cell<config::configuration> configuration_;
--- a/include/galenarudder/daemon/node_report.hpp
+++ b/include/galenarudder/daemon/node_report.hpp
@@ -5,9 +5,10 @@
 
 #include "galenarudder/daemon/node.hpp"
 
-#include <nlohmann/json_fwd.hpp>
+#include <nlohmann/json.hpp>
 
 #include <string>
+#include <vector>
 
 namespace galenarudder::daemon {
 
@@ -24,11 +25,24 @@
 /// Returns the accepted configuration changes as JSON, newest first.
 std::string render_history(const node& daemon_node);
 
-/// Returns a snapshot as JSON lines: a trace header with the configuration in
-/// force at \p site, then one line with the members, their load and the full
-/// document.
-std::string render_snapshot(const node& daemon_node,
+/// The state of a daemon at one time. Taking it does not depend on the size of
+/// the document; rendering it does.
+struct node_snapshot
+{
+    std::string site;
+    /// The members, their loads and the state of the daemon itself.
+    nlohmann::json state;
+    std::vector<membership::member_record> members;
+    rollout::built_document_ptr configuration;
+};
+
+node_snapshot take_snapshot(const node& daemon_node,
                             const std::string& site,
                             support::time_point now);
 
+/// Returns a snapshot as JSON lines: a trace header with the configuration in
+/// force at its site, then one line with the members, their load and the full
+/// document. Safe from any thread.
+std::string render(const node_snapshot& taken);
+
 } // namespace galenarudder::daemon
--- a/include/galenarudder/daemon/operator_port.hpp
+++ b/include/galenarudder/daemon/operator_port.hpp
@@ -17,10 +17,12 @@
 
 class node;
 
-/// What the port reads and the handlers that it calls, all on \c executor.
+/// What the port reads and the handlers that it calls, all on \c executor. Work
+/// that grows with the configuration runs on \c background.
 struct operator_handlers
 {
     boost::asio::any_io_executor executor;
+    boost::asio::any_io_executor background;
     /// Returns the daemon's metrics in the Prometheus text format.
     std::function<std::string()> metrics;
     const daemon::node* node = nullptr;
--- a/include/galenarudder/daemon/rollout_runtime.hpp
+++ b/include/galenarudder/daemon/rollout_runtime.hpp
@@ -1,6 +1,7 @@
 /// \file
 /// Executes the actions of the rollout state machine: reads, watches and writes
-/// of the store, and pushes to and pulls from the operator ports of peers.
+/// of the store, pushes to and pulls from the operator ports of peers, and
+/// builds of documents.
 #pragma once
 
 #include "galenarudder/daemon/node.hpp"
@@ -23,7 +24,9 @@
     using action_executor =
         std::function<void(const std::vector<node_action>&)>;
 
+    /// Work that grows with the size of a document runs on \p background.
     rollout_runtime(boost::asio::any_io_executor executor,
+                    boost::asio::any_io_executor background,
                     store::platform_store& store,
                     node& daemon_node,
                     const config::daemon_settings& settings,
@@ -33,6 +36,8 @@
     rollout_runtime(const rollout_runtime&) = delete;
     rollout_runtime& operator=(const rollout_runtime&) = delete;
 
+    void execute(const rollout::build_document& action);
+    void execute(const rollout::release_document& action);
     void execute(const rollout::read_store&);
     void execute(const rollout::watch_store& action);
     void execute(const rollout::restore_store& action);
--- a/include/galenarudder/proxy/gate_runtime.hpp
+++ b/include/galenarudder/proxy/gate_runtime.hpp
@@ -47,7 +47,7 @@
 {
 public:
     gate_runtime(boost::asio::io_context& io,
-                 const config::configuration& in_force,
+                 std::shared_ptr<const config::configuration> in_force,
                  const http_dialect& dialect = product_dialect());
     ~gate_runtime() override;
 
@@ -60,7 +60,7 @@
     void cancel_from(std::uint64_t link, support::attempt_id id);
     void link_closed(std::uint64_t link);
 
-    void configure(const config::configuration& in_force);
+    void configure(std::shared_ptr<const config::configuration> in_force);
     /// The upstream announced itself; called for each announcement.
     void set_upstream(upstream_properties upstream);
     /// Sets the handler of changes; it is called on the gate's strand.
--- a/include/galenarudder/rollout/rollout.hpp
+++ b/include/galenarudder/rollout/rollout.hpp
@@ -1,12 +1,16 @@
 /// \file
 /// Distribution of the configuration as a state machine without I/O. Its inputs
 /// are answers of the store and messages from peers; its outputs are reads and
-/// watches of the store, pushes and pulls between peers, and adoptions. A lower
-/// version than the one in force is never adopted.
+/// watches of the store, pushes and pulls between peers, builds of documents
+/// and adoptions. A lower version than the one in force is never adopted.
+///
+/// The work of an event does not grow with the size of a document: all that
+/// does is in rollout::build, which runs elsewhere. One document is built at a
+/// time; of those that arrive meanwhile only the newest is kept.
 #pragma once
 
-#include "galenarudder/config/document.hpp"
 #include "galenarudder/membership/record.hpp"
+#include "galenarudder/rollout/build.hpp"
 #include "galenarudder/rollout/transfer.hpp"
 #include "galenarudder/store/change_index.hpp"
 #include "galenarudder/support/random.hpp"
@@ -21,10 +25,24 @@
 
 namespace galenarudder::rollout {
 
-/// Put \p configuration in force.
+/// Call build() with \p input on another thread, then on_built with its result.
+struct build_document
+{
+    std::uint64_t build_number = 0;
+    std::shared_ptr<const build_input> input;
+};
+
+/// Put \p adopted in force.
 struct adopt
 {
-    config::document configuration;
+    built_document_ptr adopted;
+};
+
+/// Give up \p document, which is no longer needed, on another thread, since
+/// freeing it takes long.
+struct release_document
+{
+    std::shared_ptr<const void> document;
 };
 
 /// Read the configuration key of the store once.
@@ -65,7 +83,9 @@
     document_id current_id;
 };
 
-using action = std::variant<adopt,
+using action = std::variant<build_document,
+                            adopt,
+                            release_document,
                             read_store,
                             watch_store,
                             restore_store,
@@ -84,12 +104,17 @@
     std::uint64_t conflicts = 0;
     std::uint64_t invalid = 0;
     std::uint64_t pushes = 0;
+    /// Pushes that only offered the document.
+    std::uint64_t offers = 0;
     std::uint64_t pulls = 0;
     std::uint64_t pulls_failed = 0;
     /// Transfers received as a full document.
     std::uint64_t whole_documents = 0;
     /// Transfers received as a patch.
     std::uint64_t patches = 0;
+    /// Documents that were dropped unread, since the same was built or a newer
+    /// one had arrived.
+    std::uint64_t superseded = 0;
     std::uint64_t store_reads = 0;
     std::uint64_t store_watches = 0;
     std::uint64_t store_restores = 0;
@@ -99,16 +124,18 @@
 {
 public:
     /// \p watchers members of each failure domain watch the store; the others
-    /// receive changes from peers.
+    /// receive changes from peers. \p read_stored reads the store's documents.
     rollout(std::string member,
             std::string domain,
             std::uint64_t seed,
-            std::size_t watchers = watchers_per_domain);
+            std::size_t watchers = watchers_per_domain,
+            document_reader read_stored = config::parse_document);
     ~rollout();
     rollout(const rollout&) = delete;
     rollout& operator=(const rollout&) = delete;
 
-    /// Takes a complete document from an operator or the replay of a trace.
+    /// Takes a complete document from an operator or the replay of a trace, and
+    /// builds it at once, on the calling thread.
     std::vector<action> on_document(std::string_view text,
                                     support::time_point now);
     /// The store answered a read; \p index is the default if it has no
@@ -124,6 +151,12 @@
                                         support::time_point now);
     std::vector<action> on_watch_failed(std::uint64_t watch_number,
                                         support::time_point now);
+    /// The build with that number ended. Builds may be abandoned by never
+    /// calling this only when the daemon ends.
+    std::vector<action>
+    on_built(std::uint64_t build_number,
+             const support::result<built_document_ptr>& built,
+             support::time_point now);
 
     /// Takes an authenticated transfer from a peer or an operator. \p sender is
     /// empty when it is not a peer.
@@ -152,6 +185,9 @@
     std::string transfer_for(const document_id& peer_id) const;
 
     /// Returns the document in force; null before the first adoption.
+    const built_document_ptr& built() const;
+    /// Returns the content of the document in force; null before the first
+    /// adoption.
     const config::document* current() const;
     /// Returns the version in force; 0 before the first adoption.
     std::uint64_t version() const;
@@ -166,6 +202,9 @@
     static constexpr std::size_t watchers_per_domain = 2;
     /// Number of peers that are sent a push at each adoption.
     static constexpr std::size_t push_fan_out = 4;
+    /// Larger changes are only offered, so that a peer that has the document
+    /// from elsewhere does not receive it again.
+    static constexpr std::size_t max_pushed_bytes = 16 * 1024;
 
 private:
     struct state;
--- a/include/galenarudder/rollout/transfer.hpp
+++ b/include/galenarudder/rollout/transfer.hpp
@@ -1,16 +1,19 @@
 /// \file
 /// Transfer of a configuration document between daemons: a JSON patch of a
-/// document that the receiver has, or the full document. Authenticated with the
-/// shared keys of the fleet.
+/// document that the receiver has, the full document, or only the offer of it.
+/// Authenticated with the shared keys of the fleet.
 #pragma once
 
 #include "galenarudder/config/settings.hpp"
 #include "galenarudder/support/error.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace galenarudder::rollout {
 
@@ -34,13 +37,25 @@
     document_id from;
     document_id to;
     /// The JSON patch; the full serialized document if \c from has version 0.
+    /// Empty for an offer: the receiver may fetch the document from the sender.
     std::string body;
+
+    bool is_patch() const { return from.version != 0; }
+    bool is_offer() const { return body.empty(); }
 };
 
-/// Encodes a transfer as JSON.
+/// Encodes a transfer as one line of JSON with both ids, then the body, so that
+/// a receiver that has the document need not parse the body.
 std::string encode(const transfer& outgoing);
 support::result<transfer> decode_transfer(std::string_view text);
 
+/// Returns the JSON patch (RFC 6902) that turns \p from into \p to, with paths
+/// below \p path. An element that is added to an array or removed from it does
+/// not change the operations for the elements behind it.
+nlohmann::json make_patch(const nlohmann::json& from,
+                          const nlohmann::json& to,
+                          const nlohmann::json::json_pointer& path);
+
 /// Builds the transfer that turns \p from into \p to: a patch if that is
 /// smaller than \p to, otherwise the full document. \p from may be empty.
 transfer make_transfer(std::string_view from,
@@ -48,12 +63,19 @@
                        std::string_view to,
                        std::uint64_t to_version);
 
-/// Returns the serialized document that results from \p received applied to
-/// \p current.
+/// Applies \p received, a patch, to \p current in its stored form, whose id is
+/// \p current_id, and returns the result with its serialized form.
 /// Errors: conflict if the patch is based on another document,
 /// malformed_message.
-support::result<std::string> apply_transfer(std::string_view current,
-                                            const transfer& received);
+support::result<std::pair<nlohmann::json, std::string>>
+apply_patch(nlohmann::json current,
+            const document_id& current_id,
+            const transfer& received);
+
+/// Returns an error unless \p serialized has the hash that \p received states
+/// for its result.
+support::result<void> check_hash(std::string_view serialized,
+                                 const transfer& received);
 
 /// HTTP fields with the key id and the signature.
 inline constexpr const char* key_id_field = "Galenarudder-Key-Id";
--- a/include/galenarudder/routing/router.hpp
+++ b/include/galenarudder/routing/router.hpp
@@ -85,7 +85,14 @@
     void on_record(const membership::member_record& record,
                    support::time_point now);
     /// A new configuration is in force. Control thread only.
-    void on_configuration(const config::configuration& in_force);
+    void
+    on_configuration(std::shared_ptr<const config::configuration> in_force);
+    /// The same for a configuration that is not shared.
+    void on_configuration(const config::configuration& in_force)
+    {
+        on_configuration(
+            std::make_shared<const config::configuration>(in_force));
+    }
 
     /// Sets where ejections and reroutes are recorded. Must be called before
     /// other threads use the router.
--- a/include/galenarudder/store/consul_store.hpp
+++ b/include/galenarudder/store/consul_store.hpp
@@ -27,8 +27,9 @@
 class consul_store final : public platform_store
 {
 public:
-    /// Callbacks run on \p executor.
+    /// Callbacks run on \p executor. Large answers are parsed on \p background.
     consul_store(boost::asio::any_io_executor executor,
+                 boost::asio::any_io_executor background,
                  config::endpoint server,
                  const store_limits& limits = {});
     ~consul_store() override;
--- a/include/galenarudder/support/rcu_cell.hpp
+++ b/include/galenarudder/support/rcu_cell.hpp
@@ -49,31 +49,31 @@
         const T* value_;
     };
 
-    explicit rcu_cell(std::unique_ptr<const T> initial)
-        : value_(initial.release())
+    explicit rcu_cell(std::shared_ptr<const T> initial)
+        : owner_(std::move(initial)), value_(owner_.get())
     {
     }
-    ~rcu_cell() { delete value_.load(); }
+    ~rcu_cell() = default;
     rcu_cell(const rcu_cell&) = delete;
     rcu_cell& operator=(const rcu_cell&) = delete;
 
     /// Returns a guard that gives access to the current value.
     read_guard read() const { return read_guard(*this); }
 
-    /// Publishes \p next, waits until nobody reads the previous value and frees
-    /// it.
-    void replace(std::unique_ptr<const T> next)
+    /// Publishes \p next, waits until nobody reads the previous value and gives
+    /// up its share of that value.
+    void replace(std::shared_ptr<const T> next)
     {
-        const T* previous = nullptr;
         {
             std::lock_guard lock(replace_mutex_);
-            previous = value_.exchange(next.release());
+            owner_.swap(next);
+            value_ = owner_.get();
         }
         rcu::synchronize();
-        delete previous;
     }
 
 private:
+    std::shared_ptr<const T> owner_;
     std::atomic<const T*> value_;
     std::mutex replace_mutex_;
 };
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -67,7 +67,7 @@
 
 struct gate::state
 {
-    config::configuration in_force;
+    std::shared_ptr<const config::configuration> in_force;
     telemetry::decision_log* decisions = nullptr;
     rank_queue queue;
     concurrency_limit concurrency;
@@ -85,7 +85,7 @@
     bool draining = false;
     support::time_point serving_since;
 
-    void configure(const config::configuration& new_configuration);
+    void configure(std::shared_ptr<const config::configuration> next);
     bool may_start(std::size_t rank) const;
     support::duration expected_service_time(const attempt& call) const;
     support::duration expected_wait(std::size_t rank) const;
@@ -110,17 +110,17 @@
                       support::time_point now);
 };
 
-void gate::state::configure(const config::configuration& new_configuration)
+void gate::state::configure(std::shared_ptr<const config::configuration> next)
 {
-    in_force = new_configuration;
+    in_force = std::move(next);
     queue.configure(
-        in_force.ranks,
-        static_cast<std::size_t>(in_force.value(limit::queue_length)),
-        support::from_ms(in_force.value(limit::share_window_ms)));
+        in_force->ranks,
+        static_cast<std::size_t>(in_force->value(limit::queue_length)),
+        support::from_ms(in_force->value(limit::share_window_ms)));
     concurrency.configure(
-        static_cast<std::uint32_t>(in_force.value(limit::concurrency_min)),
-        in_force.mode(automation::adapt_limit));
-    probes.set_share(in_force.value(limit::probe_share));
+        static_cast<std::uint32_t>(in_force->value(limit::concurrency_min)),
+        in_force->mode(automation::adapt_limit));
+    probes.set_share(in_force->value(limit::probe_share));
 }
 
 /// Returns whether a call of \p rank may start. Slots held for more urgent
@@ -133,7 +133,7 @@
     std::size_t held_slots = 0;
     std::size_t running_less_urgent = queue.running();
     for (std::size_t more_urgent = 0; more_urgent < rank; ++more_urgent) {
-        held_slots += in_force.ranks[more_urgent].held_slots;
+        held_slots += in_force->ranks[more_urgent].held_slots;
         running_less_urgent -= queue.running(more_urgent);
         const std::size_t available =
             current_limit > held_slots ? current_limit - held_slots : 1;
@@ -176,7 +176,7 @@
 bool gate::state::try_shed(support::time_point now)
 {
     const decision_effect effect =
-        telemetry::effect_of(in_force.mode(automation::shed), true);
+        telemetry::effect_of(in_force->mode(automation::shed), true);
     const bool acts = effect == decision_effect::acted;
     shed_tally& tally = acts ? sheds_acted : sheds_observed;
     if (tally.count == 0)
@@ -297,10 +297,10 @@
     tally = {};
 }
 
-gate::gate(const config::configuration& in_force)
+gate::gate(std::shared_ptr<const config::configuration> in_force)
     : state_(std::make_unique<state>())
 {
-    state_->configure(in_force);
+    state_->configure(std::move(in_force));
 }
 
 gate::~gate() = default;
@@ -310,10 +310,10 @@
     state_->decisions = &log;
 }
 
-void gate::on_configuration(const config::configuration& in_force,
-                            support::time_point)
+void gate::on_configuration(
+    std::shared_ptr<const config::configuration> in_force, support::time_point)
 {
-    state_->configure(in_force);
+    state_->configure(std::move(in_force));
 }
 
 std::vector<action> gate::on_upstream_announced(std::uint32_t slots,
@@ -541,7 +541,7 @@
     report.limit = state_->concurrency.current();
     report.service_ms =
         state_->service_times.mean_ms() * state_->idle_estimate.slowdown(now);
-    for (std::size_t rank = 0; rank < state_->in_force.ranks.size(); ++rank) {
+    for (std::size_t rank = 0; rank < state_->in_force->ranks.size(); ++rank) {
         report.waiting_by_rank.push_back(
             static_cast<std::uint32_t>(state_->queue.waiting(rank)));
     }
--- a/lib/config/check.cpp
+++ b/lib/config/check.cpp
@@ -4,6 +4,7 @@
 
 #include "document_schemas.hpp"
 #include "galenarudder/config/schema.hpp"
+#include "galenarudder/support/pause_point.hpp"
 
 #include <algorithm>
 #include <array>
@@ -29,6 +30,14 @@
     return json(number).dump();
 }
 
+/// Returns the table \p name, or an empty one if \p parent has none.
+const json& table_of(const json& parent, const char* name)
+{
+    static const json empty = json::array();
+    const auto found = parent.find(name);
+    return found == parent.end() ? empty : *found;
+}
+
 /// Returns KIND "NAME".
 std::string quote_name(std::string_view kind, std::string_view name)
 {
@@ -137,6 +146,7 @@
     std::set<std::string> seen_names;
     std::size_t index = 0;
     for (const json& service : full_document_.base.at("services")) {
+        support::pause_point();
         const std::string pointer = "/services/" + std::to_string(index++);
         const std::string name = service.at("name");
         if (!seen_names.insert(name).second) {
@@ -168,7 +178,7 @@
                "the service has no routes and the base document has no hosts",
                "add routes to the service, or hosts that route to it");
     }
-    for (const json& route : service.value("routes", json::array())) {
+    for (const json& route : table_of(service, "routes")) {
         std::string route_pointer = pointer + "/routes/";
         route_pointer += std::to_string(index++);
         const std::string rank = route.at("rank");
@@ -194,8 +204,8 @@
         services.insert(service.at("name").get<std::string>());
     std::set<std::pair<std::string, std::string>> seen_routes;
     std::size_t index = 0;
-    for (const json& route :
-         full_document_.base.value("hosts", json::array())) {
+    for (const json& route : table_of(full_document_.base, "hosts")) {
+        support::pause_point();
         const std::string route_pointer = "/hosts/" + std::to_string(index++);
         const std::string rank = route.at("rank");
         if (!ranks_.contains(rank)) {
--- a/lib/config/document.cpp
+++ b/lib/config/document.cpp
@@ -4,7 +4,9 @@
 
 #include "document_schemas.hpp"
 #include "galenarudder/config/check.hpp"
+#include "galenarudder/config/json_text.hpp"
 #include "galenarudder/config/schema.hpp"
+#include "galenarudder/support/pause_point.hpp"
 
 #include <boost/algorithm/string/case_conv.hpp>
 
@@ -114,8 +116,10 @@
 {
     if (!base.contains("hosts"))
         return;
-    for (const json& route_json : base.at("hosts"))
+    for (const json& route_json : base.at("hosts")) {
+        support::pause_point();
         merged.host_routes.push_back(read_host_route(route_json));
+    }
     std::sort(merged.host_routes.begin(), merged.host_routes.end(),
               [](const host_route& left, const host_route& right) {
                   if (left.host != right.host)
@@ -275,31 +279,112 @@
             origin_of(full_document, merged.site, "automation", name)};
 }
 
-} // namespace
+/// Returns whether the base document with only a part of its table \p name
+/// conforms to the schema, for each part.
+bool conforms_in_parts(const json& base, const json& rest, const char* name)
+{
+    constexpr std::size_t part_size = 64;
+    const auto table = base.find(name);
+    if (table == base.end() || !table->is_array())
+        return false;
+    json part = rest;
+    for (std::size_t begin = 0; begin < table->size(); begin += part_size) {
+        support::pause_point();
+        const std::size_t end = std::min(begin + part_size, table->size());
+        part[name] =
+            json(json::array_t(table->begin() + begin, table->begin() + end));
+        if (!check_schema(part, "base", base_schema))
+            return false;
+    }
+    return true;
+}
 
-support::result<document> parse_document(std::string_view text)
+/// Checks a base document against its schema. Large tables are checked in parts
+/// first, since a check does not pause; the error needs the whole document.
+support::result<void> check_base(const json& base)
+{
+    constexpr std::size_t large_table = 128;
+    const auto is_large = [&](const char* name) {
+        return base.is_object() && base.contains(name) &&
+               base.at(name).size() > large_table;
+    };
+    json rest = base.is_object() ? json::object() : base;
+    std::vector<const char*> large_tables;
+    for (const char* name : {"hosts", "services"}) {
+        if (is_large(name))
+            large_tables.push_back(name);
+    }
+    if (large_tables.empty())
+        return check_schema(base, "base", base_schema);
+    for (const auto& [name, value] : base.items()) {
+        const bool large = std::find(large_tables.begin(), large_tables.end(),
+                                     name) != large_tables.end();
+        rest[name] = large ? json::array() : value;
+    }
+    bool conforms = check_schema(rest, "base", base_schema).has_value();
+    for (const char* name : large_tables)
+        conforms = conforms && conforms_in_parts(base, rest, name);
+    return conforms ? support::result<void>(boost::outcome_v2::success())
+                    : check_schema(base, "base", base_schema);
+}
+
+constexpr std::string_view stored_name = "stored configuration";
+
+/// Reads a stored form that conforms to its schema, and validates the parts.
+support::result<document> read_checked(json stored)
 {
-    auto parsed = parse_and_check(text, "stored configuration", stored_schema);
-    if (!parsed)
-        return std::move(parsed).error();
-    const json& stored = parsed.value();
     document full_document;
     full_document.version = stored.at("version");
     full_document.change_id = stored.at("change_id");
     full_document.author = stored.at("author");
     full_document.note = stored.at("note");
-    full_document.base = stored.at("base");
+    full_document.base = std::move(stored.at("base"));
     full_document.time = stored.value("time", "");
     for (const auto& [site, body] : stored.at("overlays").items())
         full_document.overlays.push_back({site, body});
     read_history(stored, full_document);
-    auto validation = validate(full_document);
-    if (!validation)
-        return std::move(validation).error();
+    BOOST_OUTCOME_TRYV(validate(full_document));
     return full_document;
 }
 
+} // namespace
+
+support::result<document> parse_document(std::string_view text)
+{
+    auto parsed = parse_and_check(text, stored_name, stored_schema);
+    if (!parsed)
+        return std::move(parsed).error();
+    return read_checked(std::move(parsed).value());
+}
+
+support::result<document> read_document(json stored)
+{
+    BOOST_OUTCOME_TRYV(check_schema(stored, stored_name, stored_schema));
+    return read_checked(std::move(stored));
+}
+
 std::string serialize(const document& full_document)
+{
+    std::string text;
+    json stored = to_json_without_base(full_document);
+    stored["base"] = nullptr;
+    // The base document is not copied into the stored form, since it is large.
+    for (const auto& [key, value] : stored.items()) {
+        text.append(text.empty() ? "{" : ",");
+        text.append(json(key).dump()).append(":");
+        append_json(key == "base" ? full_document.base : value, text);
+    }
+    return text + "}";
+}
+
+json to_json(const document& full_document)
+{
+    json stored = to_json_without_base(full_document);
+    stored["base"] = full_document.base;
+    return stored;
+}
+
+json to_json_without_base(const document& full_document)
 {
     json overlays = json::object();
     for (const overlay_document& overlay : full_document.overlays)
@@ -309,20 +394,18 @@
     json history = json::object();
     for (const change_record& change : full_document.history)
         history[std::to_string(change.version)] = encode(change);
-    return json{{"version", full_document.version},
-                {"change_id", full_document.change_id},
-                {"author", full_document.author},
-                {"note", full_document.note},
-                {"time", full_document.time},
-                {"base", full_document.base},
-                {"overlays", overlays},
-                {"history", history}}
-        .dump();
+    return {{"version", full_document.version},
+            {"change_id", full_document.change_id},
+            {"author", full_document.author},
+            {"note", full_document.note},
+            {"time", full_document.time},
+            {"overlays", std::move(overlays)},
+            {"history", std::move(history)}};
 }
 
 support::result<void> validate(const document& full_document)
 {
-    BOOST_OUTCOME_TRYV(check_schema(full_document.base, "base", base_schema));
+    BOOST_OUTCOME_TRYV(check_base(full_document.base));
     for (const overlay_document& overlay : full_document.overlays) {
         BOOST_OUTCOME_TRYV(check_schema(overlay.body, "overlay " + overlay.site,
                                         overlay_schema));
--- a/lib/config/schema.cpp
+++ b/lib/config/schema.cpp
@@ -2,6 +2,7 @@
 #include "galenarudder/config/schema.hpp"
 
 #include "galenarudder/config/check.hpp"
+#include "galenarudder/config/json_text.hpp"
 
 #include <nlohmann/json.hpp>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
@@ -11,6 +12,8 @@
 #include <valijson/validator.hpp>
 
 #include <algorithm>
+#include <map>
+#include <memory>
 
 namespace galenarudder::config {
 
@@ -68,6 +71,23 @@
     }
 }
 
+/// Returns the compiled form of \p schema, a text in static storage. Each
+/// thread compiles a schema once.
+const valijson::Schema& compiled_schema(const char* schema)
+{
+    thread_local std::map<const char*, std::unique_ptr<valijson::Schema>>
+        schemas;
+    std::unique_ptr<valijson::Schema>& compiled = schemas[schema];
+    if (compiled)
+        return *compiled;
+    const nlohmann::json schema_document = nlohmann::json::parse(schema);
+    auto parsed = std::make_unique<valijson::Schema>();
+    valijson::SchemaParser().populateSchema(
+        valijson::adapters::NlohmannJsonAdapter(schema_document), *parsed);
+    compiled = std::move(parsed);
+    return *compiled;
+}
+
 /// Validates \p document. The error names the line only if \p text, the source
 /// of the document, is not empty.
 support::result<void> validate_document(const nlohmann::json& document,
@@ -75,17 +95,14 @@
                                         std::string_view file,
                                         const char* schema)
 {
-    const nlohmann::json schema_document = nlohmann::json::parse(schema);
-    valijson::Schema compiled_schema;
-    valijson::SchemaParser parser;
-    parser.populateSchema(
-        valijson::adapters::NlohmannJsonAdapter(schema_document),
-        compiled_schema);
+    const valijson::Schema& compiled = compiled_schema(schema);
     valijson::Validator validator;
-    valijson::ValidationResults results;
     const valijson::adapters::NlohmannJsonAdapter adapted_document(document);
-    if (validator.validate(compiled_schema, adapted_document, &results))
+    // Collecting results takes most of the time, and valid documents have none.
+    if (validator.validate(compiled, adapted_document, nullptr))
         return boost::outcome_v2::success();
+    valijson::ValidationResults results;
+    validator.validate(compiled, adapted_document, &results);
     const auto deepest = deepest_error(results);
     const std::string pointer = to_json_pointer(deepest.context);
     std::string location(file);
@@ -108,7 +125,7 @@
 {
     nlohmann::json document;
     try {
-        document = nlohmann::json::parse(text);
+        document = parse_json(text);
     } catch (const nlohmann::json::parse_error& failure) {
         return error{error_kind::invalid_document,
                      std::string(file) + ": line " +
--- a/lib/daemon/integration.cpp
+++ b/lib/daemon/integration.cpp
@@ -11,9 +11,10 @@
     integration product;
     product.dialect = &proxy::product_dialect();
     product.open_store = [](boost::asio::any_io_executor executor,
+                            boost::asio::any_io_executor background,
                             const config::daemon_settings& settings) {
-        return std::make_unique<store::consul_store>(std::move(executor),
-                                                     settings.store);
+        return std::make_unique<store::consul_store>(
+            std::move(executor), std::move(background), settings.store);
     };
     product.open_announcement_listener = [](boost::asio::io_context& io,
                                             const config::daemon_settings&,
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -29,7 +29,7 @@
         [](auto& rollout_action) -> node_action {
             using action_type = std::decay_t<decltype(rollout_action)>;
             if constexpr (std::is_same_v<action_type, rollout::adopt>)
-                return configure_gate{};
+                return configure_gate{rollout_action.adopted->effective};
             else
                 return std::move(rollout_action);
         },
@@ -57,15 +57,20 @@
 
 node::node(const config::daemon_settings& settings,
            std::uint64_t incarnation,
-           std::uint64_t seed)
-    : domain_(settings.domain), router_(settings.domain, settings.member),
-      configuration_(std::make_unique<config::configuration>(
+           std::uint64_t seed,
+           rollout::document_reader read_stored)
+    : router_(settings.domain, settings.member),
+      configuration_(std::make_shared<const config::configuration>(
           config::default_configuration())),
       member_(own_record(settings, incarnation),
               settings.introducers,
               settings.keys,
               seed),
-      rollout_(settings.member, settings.domain, seed, settings.store_watchers)
+      rollout_(settings.member,
+               settings.domain,
+               seed,
+               settings.store_watchers,
+               read_stored)
 {
     router_.set_decision_log(decisions_);
     router_.set_fleet_saved_extra_attempts(settings.saved_extra_attempts);
@@ -97,21 +102,17 @@
 {
     std::vector<node_action> node_actions;
     for (rollout::action& action : actions) {
-        const auto* adopted = std::get_if<rollout::adopt>(&action);
-        if (adopted == nullptr) {
+        const auto* adoption = std::get_if<rollout::adopt>(&action);
+        if (adoption == nullptr) {
             node_actions.push_back(to_node_action(std::move(action)));
             continue;
         }
-        auto effective =
-            config::effective_configuration(adopted->configuration, domain_);
-        if (!effective)
-            continue;
-        router_.on_configuration(effective.value());
-        configuration_.replace(std::make_unique<config::configuration>(
-            std::move(effective).value()));
-        node_actions.emplace_back(configure_gate{});
+        const rollout::built_document& adopted = *adoption->adopted;
+        router_.on_configuration(adopted.effective);
+        configuration_.replace(adopted.effective);
         membership::member_record self = member_.self();
-        self.configuration_version = adopted->configuration.version;
+        self.configuration_version = adopted.id.version;
+        node_actions.push_back(to_node_action(std::move(action)));
         append_all(node_actions, update_own_record(self, now));
     }
     return node_actions;
--- a/lib/daemon/node_report.cpp
+++ b/lib/daemon/node_report.cpp
@@ -41,6 +41,11 @@
      "Configurations that could not be read", &rollout_counters::invalid},
     {"galenarudder_configuration_pushes_total", "Transfers handed to peers",
      &rollout_counters::pushes},
+    {"galenarudder_configuration_offers_total",
+     "Pushes that only offered a document", &rollout_counters::offers},
+    {"galenarudder_configuration_superseded_total",
+     "Documents dropped unread: the same or a newer one was there",
+     &rollout_counters::superseded},
     {"galenarudder_configuration_pulls_total", "Transfers asked of peers",
      &rollout_counters::pulls},
     {"galenarudder_configuration_pulls_failed_total",
@@ -158,11 +163,11 @@
             {"slots", record.slots}};
 }
 
-json trace_header(const node& daemon_node, const std::string& site)
+json trace_header(const node_snapshot& taken)
 {
     json domains = json::object();
     json upstreams = json::array();
-    for (const auto& record : daemon_node.member().records()) {
+    for (const auto& record : taken.members) {
         domains[record.domain] = json::object();
         if (!record.service.empty())
             upstreams.push_back(encode_upstream(record));
@@ -172,9 +177,9 @@
                    {"entries", 1},
                    {"domains", domains},
                    {"upstreams", upstreams}};
-    const config::document* full_document = daemon_node.rollout().current();
-    if (full_document != nullptr)
-        header["config"] = effective_base(*full_document, site);
+    if (taken.configuration)
+        header["config"] =
+            effective_base(taken.configuration->content, taken.site);
     return header;
 }
 
@@ -229,26 +234,35 @@
     return changes.dump(2) + "\n";
 }
 
-std::string render_snapshot(const node& daemon_node,
+node_snapshot take_snapshot(const node& daemon_node,
                             const std::string& site,
                             support::time_point now)
 {
+    node_snapshot taken;
+    taken.site = site;
+    taken.members = daemon_node.member().records();
+    taken.configuration = daemon_node.rollout().built();
     json loads = json::array();
     for (const routing::upstream_load& load : daemon_node.router().loads(now))
         loads.push_back(encode(load));
+    taken.state = {{"taken_by", daemon_node.member().self().id},
+                   {"site", site},
+                   {"load", std::move(loads)},
+                   {"watches_store", daemon_node.rollout().is_watcher()}};
+    return taken;
+}
+
+std::string render(const node_snapshot& taken)
+{
+    json state = taken.state;
     json members = json::array();
-    for (const auto& record : daemon_node.member().records())
+    for (const auto& record : taken.members)
         members.push_back(encode_member(record));
-    json state = {{"taken_by", daemon_node.member().self().id},
-                  {"site", site},
-                  {"members", members},
-                  {"load", loads},
-                  {"watches_store", daemon_node.rollout().is_watcher()}};
-    const config::document* full_document = daemon_node.rollout().current();
-    if (full_document != nullptr)
-        state["configuration"] = json::parse(config::serialize(*full_document));
-    const json line = {{"t_ms", 0}, {"snapshot", state}};
-    return trace_header(daemon_node, site).dump() + "\n" + line.dump() + "\n";
+    state["members"] = std::move(members);
+    if (taken.configuration)
+        state["configuration"] = config::to_json(taken.configuration->content);
+    const json line = {{"t_ms", 0}, {"snapshot", std::move(state)}};
+    return trace_header(taken).dump() + "\n" + line.dump() + "\n";
 }
 
 } // namespace galenarudder::daemon
--- a/lib/daemon/operator_port.cpp
+++ b/lib/daemon/operator_port.cpp
@@ -1,3 +1,4 @@
+http::response metrics(const http::request&);
 // Serves each path with the handler that the route table names.
 #include "galenarudder/daemon/operator_port.hpp"
 
@@ -33,6 +34,31 @@
     return {status_not_found, "application/problem+json", body.dump(), {}};
 }
 
+http::response no_newer_document()
+{
+    return {status_no_content, "", "", {}};
+}
+
+http::response signed_transfer(std::string encoded,
+                               const config::shared_key& key)
+{
+    std::vector<http::field> fields = {
+        {rollout::key_id_field, key.id},
+        {rollout::signature_field, rollout::sign_transfer(key, encoded)}};
+    return {status_ok, json_type, std::move(encoded), std::move(fields)};
+}
+
+http::response accepted_transfer(std::uint64_t version)
+{
+    const json body = {{"version", version}};
+    return {status_accepted, json_type, body.dump(), {}};
+}
+
+http::response snapshot_response(const node_snapshot& taken)
+{
+    return {status_ok, "application/jsonl", render(taken), {}};
+}
+
 } // namespace
 
 class operator_port::impl
@@ -52,7 +78,7 @@
     }
 
 private:
-    using handler = http::response (impl::*)(const http::request&);
+    using handler = asio::awaitable<http::response> (impl::*)(http::request);
     struct route
     {
         std::string_view method;
@@ -62,32 +88,36 @@
     static const route routes[];
 
     asio::awaitable<http::response> handle_request(http::request http_request);
-    http::response metrics(const http::request&);
+    asio::awaitable<void> enter(asio::any_io_executor executor);
+    /// Calls \p Respond on the executor of the handlers.
+    template <http::response (impl::*Respond)(const http::request&)>
+    asio::awaitable<http::response> on_executor(http::request http_request);
+    asio::awaitable<http::response> configuration(http::request http_request);
+    asio::awaitable<http::response> accept_transfer(http::request http_request);
+    asio::awaitable<http::response> snapshot(http::request http_request);
     http::response health(const http::request&);
     http::response status(const http::request&);
     http::response members(const http::request&);
-    http::response configuration(const http::request&);
-    http::response send_transfer(const http::request& http_request);
-    http::response accept_transfer(const http::request& http_request);
+    http::response full_configuration();
+    std::string transfer_to(const http::request& http_request) const;
     http::response drain(const http::request&);
     http::response decisions(const http::request&);
     http::response history(const http::request&);
-    http::response snapshot(const http::request&);
 
     operator_handlers handlers_;
     http::server service_;
 };
 
 const operator_port::impl::route operator_port::impl::routes[] = {
-    {"GET", "/metrics", &impl::metrics},
-    {"GET", "/v1/health", &impl::health},
-    {"GET", "/v1/status", &impl::status},
-    {"GET", "/v1/members", &impl::members},
+    {"GET", "/metrics", &impl::on_executor<&impl::metrics>},
+    {"GET", "/v1/health", &impl::on_executor<&impl::health>},
+    {"GET", "/v1/status", &impl::on_executor<&impl::status>},
+    {"GET", "/v1/members", &impl::on_executor<&impl::members>},
     {"GET", "/v1/configuration", &impl::configuration},
     {"PUT", "/v1/configuration", &impl::accept_transfer},
-    {"POST", "/v1/drain", &impl::drain},
-    {"GET", "/v1/decisions", &impl::decisions},
-    {"GET", "/v1/history", &impl::history},
+    {"POST", "/v1/drain", &impl::on_executor<&impl::drain>},
+    {"GET", "/v1/decisions", &impl::on_executor<&impl::decisions>},
+    {"GET", "/v1/history", &impl::on_executor<&impl::history>},
     {"GET", "/v1/snapshot", &impl::snapshot},
 };
 
@@ -98,13 +128,25 @@
         if (candidate.method != http_request.method ||
             candidate.path != http_request.path)
             continue;
-        co_await asio::dispatch(
-            asio::bind_executor(handlers_.executor, asio::use_awaitable));
-        co_return (this->*candidate.handle)(http_request);
+        co_return co_await (this->*candidate.handle)(std::move(http_request));
     }
     co_return unknown_path();
 }
 
+/// Continues the calling coroutine on \p executor.
+asio::awaitable<void> operator_port::impl::enter(asio::any_io_executor executor)
+{
+    co_await asio::dispatch(asio::bind_executor(executor, asio::use_awaitable));
+}
+
+template <http::response (operator_port::impl::*Respond)(const http::request&)>
+asio::awaitable<http::response>
+operator_port::impl::on_executor(http::request http_request)
+{
+    co_await enter(handlers_.executor);
+    co_return (this->*Respond)(http_request);
+}
+
 http::response operator_port::impl::metrics(const http::request&)
 {
     return {status_ok,
@@ -135,51 +177,58 @@
     return {status_ok, json_type, members_json.dump(), {}};
 }
 
-http::response
-operator_port::impl::configuration(const http::request& http_request)
+http::response operator_port::impl::full_configuration()
 {
-    if (http_request.query_parameter("from") != nullptr)
-        return send_transfer(http_request);
-    const config::document* current = handlers_.node->rollout().current();
-    if (current == nullptr)
+    const rollout::built_document_ptr& current =
+        handlers_.node->rollout().built();
+    if (!current)
         return {status_not_found, json_type, "{}", {}};
-    return {status_ok, json_type, config::serialize(*current), {}};
+    return {status_ok, json_type, current->text, {}};
 }
 
-/// Responds to a peer that holds an older version with a signed transfer.
-http::response
-operator_port::impl::send_transfer(const http::request& http_request)
+std::string
+operator_port::impl::transfer_to(const http::request& http_request) const
 {
     const std::string* hash = http_request.query_parameter("hash");
     const rollout::document_id peer_document{
         std::strtoull(http_request.query_parameter("from")->c_str(), nullptr,
                       10),
         hash == nullptr ? std::string() : *hash};
-    std::string encoded = handlers_.node->rollout().transfer_for(peer_document);
+    return handlers_.node->rollout().transfer_for(peer_document);
+}
+
+/// Responds with the full document, or to a peer that holds an older version
+/// with a signed transfer.
+asio::awaitable<http::response>
+operator_port::impl::configuration(http::request http_request)
+{
+    co_await enter(handlers_.executor);
+    if (http_request.query_parameter("from") == nullptr)
+        co_return full_configuration();
+    std::string encoded = transfer_to(http_request);
     if (encoded.empty())
-        return {status_no_content, "", "", {}};
-    const config::shared_key& key = handlers_.settings->keys.front();
-    std::vector<http::field> fields = {
-        {rollout::key_id_field, key.id},
-        {rollout::signature_field, rollout::sign_transfer(key, encoded)}};
-    return {status_ok, json_type, std::move(encoded), std::move(fields)};
+        co_return no_newer_document();
+    co_await enter(handlers_.background);
+    co_return signed_transfer(std::move(encoded),
+                              handlers_.settings->keys.front());
 }
 
-http::response
-operator_port::impl::accept_transfer(const http::request& http_request)
+asio::awaitable<http::response>
+operator_port::impl::accept_transfer(http::request http_request)
 {
+    co_await enter(handlers_.background);
     const auto verified = rollout::verify_transfer(
         handlers_.settings->keys,
         http::field_or_empty(http_request.fields, rollout::key_id_field),
         http::field_or_empty(http_request.fields, rollout::signature_field),
         http_request.body);
     if (!verified)
-        return http::problem_response(status_forbidden, verified.error());
+        co_return http::problem_response(status_forbidden, verified.error());
+    co_await enter(handlers_.executor);
     const std::string* sender = http_request.query_parameter("sender");
     handlers_.transfer(http_request.body,
                        sender == nullptr ? std::string() : *sender);
-    const json body = {{"version", handlers_.node->rollout().version()}};
-    return {status_accepted, json_type, body.dump(), {}};
+    co_return accepted_transfer(handlers_.node->rollout().version());
 }
 
 http::response operator_port::impl::drain(const http::request&)
@@ -199,14 +248,14 @@
     return {status_ok, json_type, render_history(*handlers_.node), {}};
 }
 
-http::response operator_port::impl::snapshot(const http::request&)
+asio::awaitable<http::response> operator_port::impl::snapshot(http::request)
 {
-    const std::string& site = handlers_.settings->domain;
-    const auto now = support::monotonic_clock::now();
-    return {status_ok,
-            "application/jsonl",
-            render_snapshot(*handlers_.node, site, now),
-            {}};
+    co_await enter(handlers_.executor);
+    const node_snapshot taken =
+        take_snapshot(*handlers_.node, handlers_.settings->domain,
+                      support::monotonic_clock::now());
+    co_await enter(handlers_.background);
+    co_return snapshot_response(taken);
 }
 
 operator_port::operator_port(asio::io_context& io, operator_handlers handlers)
--- a/lib/daemon/rollout_runtime.cpp
+++ b/lib/daemon/rollout_runtime.cpp
@@ -1,12 +1,15 @@
-// Calls the store and the operator ports of peers, and reports each result to
-// the node as an event.
+// Calls the store and the operator ports of peers, builds documents, and
+// reports each result to the node as an event.
 #include "galenarudder/daemon/rollout_runtime.hpp"
 
 #include "galenarudder/http/client.hpp"
+#include "galenarudder/support/background.hpp"
+#include "galenarudder/support/pause_point.hpp"
 #include "galenarudder/telemetry/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 namespace galenarudder::daemon {
 
@@ -54,23 +57,36 @@
     return request;
 }
 
+bool is_authentic(const http::response& http_response,
+                  std::span<const config::shared_key> keys)
+{
+    const auto verified = rollout::verify_transfer(
+        keys, http::field_or_empty(http_response.fields, rollout::key_id_field),
+        http::field_or_empty(http_response.fields, rollout::signature_field),
+        http_response.body);
+    return verified.has_value();
+}
+
 } // namespace
 
 class rollout_runtime::impl : public std::enable_shared_from_this<impl>
 {
 public:
     impl(asio::any_io_executor executor,
+         asio::any_io_executor background,
          store::platform_store& store,
          node& daemon_node,
          const config::daemon_settings& settings,
          telemetry::turn_monitor& turns,
          action_executor execute_actions)
-        : executor_(std::move(executor)), store_(store), node_(daemon_node),
-          settings_(settings), turns_(turns),
+        : executor_(std::move(executor)), background_(std::move(background)),
+          store_(store), node_(daemon_node), settings_(settings), turns_(turns),
           execute_actions_(std::move(execute_actions))
     {
     }
 
+    void build(const rollout::build_document& action);
+    void release(const rollout::release_document& action);
     void read();
     void watch(std::uint64_t watch_number,
                const store::change_index& known_index);
@@ -87,15 +103,15 @@
             node_.on_rollout_event(event, monotonic_clock::now(),
                                    std::forward<Arguments>(arguments)...));
     }
-    template <typename Handler>
-    void fetch(config::endpoint peer_address,
-               http::client_request request,
-               Handler handler);
+    void on_built(std::uint64_t build_number,
+                  const support::result<rollout::built_document_ptr>& built);
+    asio::awaitable<void> fetch_transfer(rollout::pull_from_peer action);
     void on_pull_response(const support::member_id& peer,
-                          const http_result& fetch_result);
-    bool is_authentic(const http::response& http_response) const;
+                          const http_result& fetch_result,
+                          bool authentic);
 
     asio::any_io_executor executor_;
+    asio::any_io_executor background_;
     store::platform_store& store_;
     node& node_;
     const config::daemon_settings& settings_;
@@ -103,6 +119,38 @@
     action_executor execute_actions_;
 };
 
+void rollout_runtime::impl::build(const rollout::build_document& action)
+{
+    asio::post(background_, [weak = weak_from_this(), executor = executor_,
+                             build_number = action.build_number,
+                             input = action.input]() mutable {
+        const support::background_scope scope;
+        auto built = rollout::build(*input);
+        // The input may hold the last share of the previous document.
+        input.reset();
+        asio::post(executor, [weak = std::move(weak), build_number,
+                              built = std::move(built)] {
+            if (const auto self = weak.lock())
+                self->on_built(build_number, built);
+        });
+    });
+}
+
+void rollout_runtime::impl::on_built(
+    std::uint64_t build_number,
+    const support::result<rollout::built_document_ptr>& built)
+{
+    if (!built && built.error().kind == support::error_kind::invalid_document)
+        telemetry::log_error("configuration.refused", built.error());
+    report(&state_machine::on_built, build_number, built);
+}
+
+void rollout_runtime::impl::release(const rollout::release_document& action)
+{
+    asio::post(background_,
+               [document = action.document]() mutable { document.reset(); });
+}
+
 void rollout_runtime::impl::read()
 {
     store_.get(store::configuration_key, store_timeout,
@@ -151,79 +199,74 @@
                             [](const support::result<store::swap_outcome>&) {});
 }
 
-template <typename Handler>
-void rollout_runtime::impl::fetch(config::endpoint peer_address,
-                                  http::client_request request,
-                                  Handler handler)
+void rollout_runtime::impl::push(const rollout::push_to_peer& action)
 {
     asio::co_spawn(
         executor_,
-        [peer_address = std::move(peer_address), request = std::move(request),
-         handler = std::move(handler)]() -> asio::awaitable<void> {
-            handler(co_await http::fetch(peer_address, request, peer_timeout));
+        [weak = weak_from_this(), peer = action.peer,
+         destination = action.destination,
+         request = push_request(action, settings_)]() -> asio::awaitable<void> {
+            const http_result pushed =
+                co_await http::fetch(destination, request, peer_timeout);
+            const auto self = weak.lock();
+            const bool accepted =
+                pushed && pushed.value().status == status_accepted;
+            if (self && !accepted)
+                self->report(&state_machine::on_push_failed, peer);
         },
         asio::detached);
 }
 
-void rollout_runtime::impl::push(const rollout::push_to_peer& action)
+void rollout_runtime::impl::pull(const rollout::pull_from_peer& action)
 {
-    fetch(action.destination, push_request(action, settings_),
-          [weak = weak_from_this(),
-           peer = action.peer](const http_result& fetch_result) {
-              const auto self = weak.lock();
-              const bool accepted =
-                  fetch_result &&
-                  fetch_result.value().status == status_accepted;
-              if (self && !accepted)
-                  self->report(&state_machine::on_push_failed, peer);
-          });
+    asio::co_spawn(
+        executor_,
+        [self = shared_from_this(), action]() -> asio::awaitable<void> {
+            co_await self->fetch_transfer(action);
+        },
+        asio::detached);
 }
 
-void rollout_runtime::impl::pull(const rollout::pull_from_peer& action)
+asio::awaitable<void>
+rollout_runtime::impl::fetch_transfer(rollout::pull_from_peer action)
 {
-    fetch(action.source, pull_request(action.current_id),
-          [weak = weak_from_this(),
-           peer = action.peer](const http_result& fetch_result) {
-              const auto self = weak.lock();
-              if (self)
-                  self->on_pull_response(peer, fetch_result);
-          });
+    const http_result fetched = co_await http::fetch(
+        action.source, pull_request(action.current_id), peer_timeout);
+    bool authentic = false;
+    if (fetched && fetched.value().status == status_ok) {
+        authentic = co_await support::run_by_size(
+            fetched.value().body.size(), background_, executor_,
+            [this, &fetched] {
+                return is_authentic(fetched.value(), settings_.keys);
+            });
+    }
+    on_pull_response(action.peer, fetched, authentic);
 }
 
 void rollout_runtime::impl::on_pull_response(const support::member_id& peer,
-                                             const http_result& fetch_result)
+                                             const http_result& fetch_result,
+                                             bool authentic)
 {
     if (fetch_result && fetch_result.value().status == status_no_content) {
         report(&state_machine::on_pull_answer, peer, std::string_view());
         return;
     }
-    if (!fetch_result || !is_authentic(fetch_result.value())) {
+    if (!authentic) {
         report(&state_machine::on_pull_failed, peer);
         return;
     }
     report(&state_machine::on_pull_answer, peer, fetch_result.value().body);
 }
 
-bool rollout_runtime::impl::is_authentic(
-    const http::response& http_response) const
-{
-    if (http_response.status != status_ok)
-        return false;
-    const auto verified = rollout::verify_transfer(
-        settings_.keys,
-        http::field_or_empty(http_response.fields, rollout::key_id_field),
-        http::field_or_empty(http_response.fields, rollout::signature_field),
-        http_response.body);
-    return verified.has_value();
-}
-
 rollout_runtime::rollout_runtime(asio::any_io_executor executor,
+                                 asio::any_io_executor background,
                                  store::platform_store& store,
                                  node& daemon_node,
                                  const config::daemon_settings& settings,
                                  telemetry::turn_monitor& turns,
                                  action_executor execute_actions)
     : impl_(std::make_shared<impl>(std::move(executor),
+                                   std::move(background),
                                    store,
                                    daemon_node,
                                    settings,
@@ -234,6 +277,16 @@
 
 rollout_runtime::~rollout_runtime() = default;
 
+void rollout_runtime::execute(const rollout::build_document& action)
+{
+    impl_->build(action);
+}
+
+void rollout_runtime::execute(const rollout::release_document& action)
+{
+    impl_->release(action);
+}
+
 void rollout_runtime::execute(const rollout::read_store&)
 {
     impl_->read();
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -26,6 +26,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <array>
@@ -99,7 +100,7 @@
     {
         rollout_runtime_.execute(action);
     }
-    void execute(const configure_gate&);
+    void execute(const configure_gate& action);
     void on_announcement(const upstream_announcement& received);
     void on_presence_change(admission::presence_change change,
                             const std::string& cause);
@@ -137,6 +138,8 @@
     config::daemon_settings settings_;
     integration deployment_;
     asio::io_context io_;
+    /// Runs what would keep the event loop too long.
+    asio::thread_pool background_{1};
     asio::strand<asio::io_context::executor_type> control_;
     node node_;
     telemetry::metrics metrics_;
@@ -171,10 +174,15 @@
 runtime::impl::impl(config::daemon_settings settings, integration deployment)
     : settings_(std::move(settings)), deployment_(std::move(deployment)),
       io_(static_cast<int>(settings_.threads)),
-      control_(asio::make_strand(io_)),
-      node_(settings_, wall_clock_ms(), std::random_device{}()),
+      control_(asio::make_strand(io_)), node_(settings_,
+                                              wall_clock_ms(),
+                                              std::random_device{}(),
+                                              deployment_.read_configuration),
       gate_(std::make_shared<proxy::gate_runtime>(
-          io_, *node_.configuration().read(), *deployment_.dialect)),
+          io_,
+          std::make_shared<const config::configuration>(
+              config::default_configuration()),
+          *deployment_.dialect)),
       entry_(
           node_.router(),
           node_.configuration(),
@@ -183,9 +191,15 @@
           *deployment_.dialect),
       caller_server_(io_, entry_),
       presence_(max_missed_heartbeats * settings_.heartbeat),
-      store_(deployment_.open_store(control_, settings_)),
-      rollout_runtime_(
-          control_, *store_, node_, settings_, turns_, make_action_executor()),
+      store_(deployment_.open_store(
+          control_, background_.get_executor(), settings_)),
+      rollout_runtime_(control_,
+                       background_.get_executor(),
+                       *store_,
+                       node_,
+                       settings_,
+                       turns_,
+                       make_action_executor()),
       introducer_runtime_(control_,
                           *store_,
                           node_,
@@ -358,6 +372,7 @@
 {
     operator_handlers handlers;
     handlers.executor = control_;
+    handlers.background = background_.get_executor();
     handlers.metrics = [this] {
         const turn measured(turns_, "metrics");
         set_metrics(metrics_, node_.member());
@@ -522,14 +537,14 @@
     gossip_.send_to(asio::buffer(datagram.payload), destination, 0, ignored);
 }
 
-void runtime::impl::execute(const configure_gate&)
+void runtime::impl::execute(const configure_gate& action)
 {
-    const auto in_force = node_.configuration().read();
+    const auto& in_force = action.in_force;
     telemetry::log_event(log_kind::state_change, "configuration.in_force",
                          {{"version", in_force->version},
                           {"services", in_force->services.size()},
                           {"host_routes", in_force->host_routes.size()}});
-    gate_->configure(*in_force);
+    gate_->configure(in_force);
     keyed_calls_->set_retention(
         support::from_ms(in_force->value(config::limit::claim_retention_ms)));
 }
@@ -702,6 +717,8 @@
     io_.run();
     for (std::thread& worker : workers)
         worker.join();
+    background_.stop();
+    background_.join();
 }
 
 runtime::runtime(config::daemon_settings settings, integration deployment)
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -46,10 +46,10 @@
 {
 public:
     impl(asio::io_context& io,
-         const config::configuration& in_force,
+         std::shared_ptr<const config::configuration> in_force,
          const http_dialect& dialect)
         : strand_(asio::make_strand(io)), timer_(strand_), gate_(in_force),
-          dialect_(dialect), in_force_(in_force)
+          dialect_(dialect), in_force_(std::move(in_force))
     {
     }
 
@@ -64,7 +64,7 @@
     void tick();
     void submit(std::uint64_t link, link::exchange_ptr attempt);
     void perform(const std::vector<admission::action>& actions);
-    void configure(const config::configuration& in_force);
+    void configure(std::shared_ptr<const config::configuration> in_force);
     void set_upstream(upstream_properties upstream);
     void confirm_serving();
     void upstream_leaving();
@@ -116,7 +116,7 @@
     asio::steady_timer timer_;
     admission::gate gate_;
     const http_dialect& dialect_;
-    config::configuration in_force_;
+    std::shared_ptr<const config::configuration> in_force_;
     upstream_properties upstream_;
     /// Counts the instances of the upstream; replies to requests that were made
     /// under an earlier count are ignored.
@@ -414,17 +414,18 @@
                            elapsed, monotonic_clock::now()));
 }
 
-void gate_runtime::impl::configure(const config::configuration& in_force)
+void gate_runtime::impl::configure(
+    std::shared_ptr<const config::configuration> in_force)
 {
-    in_force_ = in_force;
-    gate_.on_configuration(in_force, monotonic_clock::now());
+    in_force_ = std::move(in_force);
+    gate_.on_configuration(in_force_, monotonic_clock::now());
 }
 
 /// Returns the probe path of the configuration, else that of the announcement.
 std::string gate_runtime::impl::probe_path() const
 {
     const config::service_policy* service =
-        in_force_.find_service(upstream_.service);
+        in_force_->find_service(upstream_.service);
     return service != nullptr && !service->probe_path.empty()
                ? service->probe_path
                : upstream_.probe_path;
@@ -501,7 +502,7 @@
     const bool newly_serving = !serving_;
     serving_ = true;
     const config::service_policy* service =
-        in_force_.find_service(upstream_.service);
+        in_force_->find_service(upstream_.service);
     const bool has_configured_limit =
         service != nullptr && service->connections != 0;
     const std::uint32_t max_connections =
@@ -565,10 +566,11 @@
     on_drained();
 }
 
-gate_runtime::gate_runtime(asio::io_context& io,
-                           const config::configuration& in_force,
-                           const http_dialect& dialect)
-    : impl_(std::make_shared<impl>(io, in_force, dialect))
+gate_runtime::gate_runtime(
+    asio::io_context& io,
+    std::shared_ptr<const config::configuration> in_force,
+    const http_dialect& dialect)
+    : impl_(std::make_shared<impl>(io, std::move(in_force), dialect))
 {
     impl_->on_strand([](impl& self) { self.tick(); });
 }
@@ -607,9 +609,12 @@
     });
 }
 
-void gate_runtime::configure(const config::configuration& in_force)
+void gate_runtime::configure(
+    std::shared_ptr<const config::configuration> in_force)
 {
-    impl_->on_strand([in_force](impl& self) { self.configure(in_force); });
+    impl_->on_strand([in_force = std::move(in_force)](impl& self) mutable {
+        self.configure(std::move(in_force));
+    });
 }
 
 void gate_runtime::set_upstream(upstream_properties upstream)
--- a/lib/rollout/rollout.cpp
+++ b/lib/rollout/rollout.cpp
@@ -26,13 +26,16 @@
 /// Maximum random delay of a pull after membership reports a newer version,
 /// since a push is probably already in flight.
 constexpr milliseconds pull_jitter{150};
+/// Time for which a daemon with an open watch waits for the store's answer
+/// before it pulls a version that it heard of: the store sends the same.
+constexpr milliseconds watch_head_start{700};
 /// Contact is a message from a peer or an answer of the store. After this time
 /// without contact the store is read.
 constexpr milliseconds contact_timeout{5000};
 constexpr milliseconds first_backoff{250};
 constexpr milliseconds max_backoff{2000};
-/// Documents that are kept as bases for patches.
-constexpr std::size_t max_recent_documents = 8;
+/// Adoptions whose patches are kept for peers that are behind.
+constexpr std::size_t max_recent_changes = 8;
 /// Pushes of one document that are repeated with another peer.
 constexpr unsigned max_push_retries = 4;
 
@@ -44,10 +47,21 @@
     bool accepts_transfers = false;
 };
 
-struct serialized_document
+/// An adopted document and the patch that led to it.
+struct change
 {
-    std::uint64_t version = 0;
-    std::string text;
+    document_id from;
+    document_id to;
+    /// Empty if there is none.
+    std::string patch;
+};
+
+/// A document that waits to be built.
+struct pending_document
+{
+    transfer received;
+    /// Index in the store; empty if it did not come from there.
+    std::optional<store::change_index> index;
 };
 
 /// Hash of a member's id; the members with the lowest hashes of each
@@ -71,10 +85,20 @@
     std::size_t watchers = watchers_per_domain;
     support::random_engine random;
     rollout_counters counters;
-    std::optional<config::document> current;
+    document_reader read_stored = config::parse_document;
+    built_document_ptr current;
     document_id current_id;
-    /// Adopted documents, the newest last.
-    std::deque<serialized_document> recent_documents;
+    /// The newest adoptions, the last one last.
+    std::deque<change> recent_changes;
+
+    std::uint64_t build_number = 0;
+    /// The document that is being built; its body is left out.
+    std::optional<pending_document> building;
+    std::optional<pending_document> next_from_store;
+    std::optional<pending_document> next_from_peer;
+    /// Hash and version of the store's last document; version 0 until it is
+    /// built.
+    document_id stored_id;
     std::map<support::member_id, known_peer> peers;
 
     bool started = false;
@@ -95,21 +119,30 @@
     time_point next_pull{};
     /// The newest version reported by membership or a transfer.
     std::uint64_t highest_seen_version = 0;
-    std::string push_payload;
     unsigned push_retries = 0;
 
     milliseconds jitter(milliseconds max_wait);
     milliseconds back_off(milliseconds& backoff);
-    const std::string& current_text() const
-    {
-        return recent_documents.back().text;
-    }
     bool should_watch() const;
+    bool watches(const known_peer& peer, const support::member_id& id) const;
+    std::size_t watchers_before(std::string_view id,
+                                std::string_view of_domain) const;
     std::vector<support::member_id> peers_with_older_version() const;
     std::optional<support::member_id> random_newer_peer();
-    std::vector<action> adopt_if_newer(std::string_view serialized,
-                                       time_point now);
-    void adopt_document(config::document adopted, std::string serialized);
+    void hear_of(std::uint64_t version, time_point now);
+    void start_next_build(std::vector<action>& actions, time_point now);
+    bool may_build(const pending_document& pending) const;
+    void start_build(pending_document next, std::vector<action>& actions);
+    void finish_build(const pending_document& done,
+                      const support::result<built_document_ptr>& built,
+                      std::vector<action>& actions,
+                      time_point now);
+    void adopt_if_newer(const built_document_ptr& built,
+                        std::vector<action>& actions);
+    void adopt_document(const built_document_ptr& adopted,
+                        std::vector<action>& actions);
+    std::string patch_from(const document_id& peer_id) const;
+    std::string push_payload_for(const support::member_id& to);
     void push(std::vector<action>& actions);
     void push_to(const support::member_id& to, std::vector<action>& actions);
     void take_transfer(std::string_view encoded,
@@ -142,17 +175,35 @@
     return wait;
 }
 
-bool rollout::state::should_watch() const
+/// Returns the number of members of \p of_domain that are asked to watch the
+/// store before \p id is.
+std::size_t rollout::state::watchers_before(std::string_view id,
+                                            std::string_view of_domain) const
 {
-    const auto own = std::pair(watcher_hash(member), std::string_view(member));
+    const auto own = std::pair(watcher_hash(id), id);
     std::size_t lower_hash_count = 0;
-    for (const auto& [id, peer] : peers) {
-        if (peer.domain != domain || !peer.accepts_transfers)
-            continue;
-        const auto other = std::pair(watcher_hash(id), std::string_view(id));
+    const auto count = [&](std::string_view other_id) {
+        const auto other = std::pair(watcher_hash(other_id), other_id);
         lower_hash_count += other < own ? 1 : 0;
+    };
+    for (const auto& [other_id, peer] : peers) {
+        if (peer.domain == of_domain && peer.accepts_transfers)
+            count(other_id);
     }
-    return lower_hash_count < watchers;
+    if (domain == of_domain)
+        count(member);
+    return lower_hash_count;
+}
+
+bool rollout::state::should_watch() const
+{
+    return watchers_before(member, domain) < watchers;
+}
+
+bool rollout::state::watches(const known_peer& peer,
+                             const support::member_id& id) const
+{
+    return watchers_before(id, peer.domain) < watchers;
 }
 
 std::vector<support::member_id> rollout::state::peers_with_older_version() const
@@ -179,57 +230,160 @@
     return newer_peers[support::uniform_below(random, newer_peers.size())];
 }
 
-/// Adopts \p serialized if it is newer than the document in force; drops it
-/// otherwise, and counts it if it is older, conflicting or invalid.
-std::vector<action> rollout::state::adopt_if_newer(std::string_view serialized,
-                                                   time_point)
+/// Records that a peer has \p version. It is pulled later: a push, or the
+/// store's answer to an open watch, is probably in flight.
+void rollout::state::hear_of(std::uint64_t version, time_point now)
 {
-    support::result<config::document> parsed =
-        config::parse_document(serialized);
-    if (!parsed) {
-        ++counters.invalid;
-        return {};
+    if (version <= highest_seen_version)
+        return;
+    highest_seen_version = version;
+    const milliseconds head_start =
+        watch_open ? watch_head_start : milliseconds(0);
+    next_pull = std::max(next_pull, now + head_start + jitter(pull_jitter));
+}
+
+bool rollout::state::may_build(const pending_document& pending) const
+{
+    const transfer& received = pending.received;
+    const bool is_stored = received.to.version == 0;
+    return is_stored || (received.to.version > current_id.version &&
+                         (!received.is_patch() || received.from == current_id));
+}
+
+/// Starts to build a document that waits, unless another is being built.
+void rollout::state::start_next_build(std::vector<action>& actions,
+                                      time_point now)
+{
+    if (building)
+        return;
+    for (auto* const next : {&next_from_peer, &next_from_store}) {
+        std::optional<pending_document> pending = std::exchange(*next, {});
+        if (!pending)
+            continue;
+        if (may_build(*pending))
+            return start_build(std::move(*pending), actions);
+        ++counters.superseded;
+    }
+    pull_tick(actions, now);
+}
+
+void rollout::state::start_build(pending_document next,
+                                 std::vector<action>& actions)
+{
+    auto input = std::make_shared<build_input>();
+    input->received = std::move(next.received);
+    input->current = current;
+    input->site = domain;
+    input->read_stored = read_stored;
+    building = pending_document{{input->received.from, input->received.to, {}},
+                                next.index};
+    actions.emplace_back(build_document{++build_number, std::move(input)});
+}
+
+void rollout::state::finish_build(
+    const pending_document& done,
+    const support::result<built_document_ptr>& built,
+    std::vector<action>& actions,
+    time_point now)
+{
+    if (!built) {
+        const bool invalid =
+            built.error().kind == support::error_kind::invalid_document;
+        counters.invalid += invalid ? 1 : 0;
+        if (!invalid)
+            next_pull = now;
+        return;
+    }
+    if (done.received.to.version != 0) {
+        ++(done.received.is_patch() ? counters.patches
+                                    : counters.whole_documents);
     }
-    config::document& received = parsed.value();
-    if (current && received.version < current->version) {
+    adopt_if_newer(built.value(), actions);
+    if (!done.index)
+        return;
+    stored_id.version = built.value()->id.version;
+    if (stored_id.version < current_id.version)
+        restore(*done.index, actions);
+}
+
+/// Adopts \p built if it is newer than the document in force; drops it
+/// otherwise, and counts it if it is older or conflicting.
+void rollout::state::adopt_if_newer(const built_document_ptr& built,
+                                    std::vector<action>& actions)
+{
+    const config::document& received = built->content;
+    if (current && received.version < current_id.version) {
         ++counters.reversions_refused;
-        return {};
+        return;
     }
-    if (current && received.version == current->version) {
-        const bool conflicting = received.change_id != current->change_id;
+    if (current && received.version == current_id.version) {
+        const bool conflicting =
+            received.change_id != current->content.change_id;
         counters.conflicts += conflicting ? 1 : 0;
-        return {};
+        return;
     }
-    std::string canonical = config::serialize(received);
-    adopt_document(std::move(received), std::move(canonical));
-    std::vector<action> actions;
-    actions.emplace_back(adopt{*current});
+    adopt_document(built, actions);
     push(actions);
-    return actions;
 }
 
-void rollout::state::adopt_document(config::document adopted,
-                                    std::string serialized)
+void rollout::state::adopt_document(const built_document_ptr& adopted,
+                                    std::vector<action>& actions)
 {
-    const bool lower = current && adopted.version < current->version;
+    const bool lower = current && adopted->id.version < current_id.version;
     counters.reversions_adopted += lower ? 1 : 0;
     ++counters.adopted;
-    current_id = {adopted.version, hash_of(serialized)};
-    recent_documents.push_back({adopted.version, std::move(serialized)});
-    if (recent_documents.size() > max_recent_documents)
-        recent_documents.pop_front();
-    current = std::move(adopted);
+    recent_changes.push_back({current_id, adopted->id, adopted->patch});
+    if (recent_changes.size() > max_recent_changes)
+        recent_changes.pop_front();
+    current_id = adopted->id;
+    built_document_ptr previous = std::exchange(current, adopted);
+    actions.emplace_back(adopt{adopted});
+    if (previous)
+        actions.emplace_back(release_document{std::move(previous)});
+}
+
+/// Returns the patch from the document \p peer_id to the one in force, composed
+/// of those of recent adoptions; empty if there is none that is smaller than
+/// the document.
+std::string rollout::state::patch_from(const document_id& peer_id) const
+{
+    std::string operations;
+    for (auto step = recent_changes.rbegin(); step != recent_changes.rend();
+         ++step) {
+        constexpr std::size_t empty_patch_bytes = 2;
+        if (step->patch.size() <= empty_patch_bytes)
+            return {};
+        const std::string_view step_operations =
+            std::string_view(step->patch).substr(1, step->patch.size() - 2);
+        operations.insert(0, std::string(step_operations) +
+                                 (operations.empty() ? "" : ","));
+        if (operations.size() >= current->text.size())
+            return {};
+        if (step->from == peer_id)
+            return "[" + operations + "]";
+    }
+    return {};
+}
+
+/// Returns the change itself if it is small and the peer may not get it
+/// otherwise, else only the offer.
+std::string rollout::state::push_payload_for(const support::member_id& to)
+{
+    const change& latest = recent_changes.back();
+    const bool has_patch = !latest.patch.empty() && latest.from.version != 0;
+    const std::string& body = has_patch ? latest.patch : current->text;
+    const bool offered =
+        body.size() > max_pushed_bytes || watches(peers.at(to), to);
+    if (offered) {
+        ++counters.offers;
+        return encode(transfer{{}, current_id, {}});
+    }
+    return encode(
+        transfer{has_patch ? latest.from : document_id(), current_id, body});
 }
 
 void rollout::state::push(std::vector<action>& actions)
 {
-    const bool has_no_base = recent_documents.size() < 2;
-    const serialized_document no_document;
-    const serialized_document& base =
-        has_no_base ? no_document
-                    : recent_documents[recent_documents.size() - 2];
-    push_payload = encode(make_transfer(base.text, base.version, current_text(),
-                                        current_id.version));
     push_retries = 0;
     std::vector<support::member_id> older_peers = peers_with_older_version();
     std::shuffle(older_peers.begin(), older_peers.end(), random);
@@ -242,8 +396,9 @@
                              std::vector<action>& actions)
 {
     ++counters.pushes;
+    std::string payload = push_payload_for(to);
     actions.emplace_back(
-        push_to_peer{to, peers.at(to).operators, push_payload});
+        push_to_peer{to, peers.at(to).operators, std::move(payload)});
 }
 
 void rollout::state::take_transfer(std::string_view encoded,
@@ -251,36 +406,43 @@
                                    std::vector<action>& actions,
                                    time_point now)
 {
-    auto received = decode_transfer(encoded);
-    if (!received) {
+    auto decoded = decode_transfer(encoded);
+    if (!decoded) {
         ++counters.invalid;
         return;
     }
-    const transfer& incoming = received.value();
-    const bool is_patch = incoming.from.version != 0;
+    transfer& incoming = decoded.value();
+    const std::uint64_t version = incoming.to.version;
     const auto sending_peer = peers.find(sender);
     if (sending_peer != peers.end()) {
         sending_peer->second.version =
-            std::max(sending_peer->second.version, incoming.to.version);
-        highest_seen_version =
-            std::max(highest_seen_version, incoming.to.version);
+            std::max(sending_peer->second.version, version);
+        if (incoming.is_offer())
+            return hear_of(version, now);
+        highest_seen_version = std::max(highest_seen_version, version);
     }
-    if (is_patch && incoming.to == current_id)
+    if (incoming.is_offer() || incoming.to == current_id)
         return;
-    if (is_patch && incoming.to.version < current_id.version) {
-        ++counters.reversions_refused;
+    if (version <= current_id.version) {
+        ++(version < current_id.version ? counters.reversions_refused
+                                        : counters.conflicts);
         return;
     }
-    auto serialized = apply_transfer(
-        recent_documents.empty() ? "" : current_text(), incoming);
-    if (!serialized) {
-        next_pull = now;
-        pull_tick(actions, now);
+    const bool awaited = building && building->received.to == incoming.to;
+    const bool base_awaited =
+        building && building->received.to == incoming.from;
+    const bool newer_waits =
+        next_from_peer && next_from_peer->received.to.version >= version;
+    if (awaited || newer_waits) {
+        ++counters.superseded;
         return;
     }
-    ++(is_patch ? counters.patches : counters.whole_documents);
-    for (action& next_action : adopt_if_newer(serialized.value(), now))
-        actions.push_back(std::move(next_action));
+    if (incoming.is_patch() && incoming.from != current_id && !base_awaited) {
+        next_pull = now;
+        return pull_tick(actions, now);
+    }
+    next_from_peer = pending_document{std::move(incoming), std::nullopt};
+    start_next_build(actions, now);
 }
 
 void rollout::state::take_document_of_store(std::string_view serialized,
@@ -288,21 +450,27 @@
                                             std::vector<action>& actions,
                                             time_point now)
 {
-    for (action& next_action : adopt_if_newer(serialized, now))
-        actions.push_back(std::move(next_action));
-    const auto parsed = config::parse_document(serialized);
-    if (parsed && parsed.value().version < current_id.version)
-        restore(index, actions);
+    std::string hash = hash_of(serialized);
+    if (hash == stored_id.hash) {
+        ++counters.superseded;
+        if (stored_id.version != 0 && stored_id.version < current_id.version)
+            restore(index, actions);
+        return;
+    }
+    stored_id = {0, std::move(hash)};
+    next_from_store =
+        pending_document{{{}, {}, std::string(serialized)}, index};
+    start_next_build(actions, now);
 }
 
 /// Writes the document in force to a store that has an older document or none.
 void rollout::state::restore(const store::change_index& index,
                              std::vector<action>& actions)
 {
-    if (!watching || recent_documents.empty())
+    if (!watching || !current)
         return;
     ++counters.store_restores;
-    actions.emplace_back(restore_store{current_text(), index});
+    actions.emplace_back(restore_store{current->text, index});
 }
 
 void rollout::state::watch_tick(std::vector<action>& actions, time_point now)
@@ -318,10 +486,10 @@
 
 void rollout::state::pull_tick(std::vector<action>& actions, time_point now)
 {
-    if (!pull_peer.empty())
+    if (!pull_peer.empty() || building || now < next_pull)
         return;
     const auto newer_peer = random_newer_peer();
-    if (!newer_peer || now < next_pull)
+    if (!newer_peer)
         return;
     pull_peer = *newer_peer;
     ++counters.pulls;
@@ -345,20 +513,42 @@
 rollout::rollout(std::string member,
                  std::string domain,
                  std::uint64_t seed,
-                 std::size_t watchers)
+                 std::size_t watchers,
+                 document_reader read_stored)
     : state_(std::make_unique<state>())
 {
     state_->member = std::move(member);
     state_->domain = std::move(domain);
     state_->random.seed(seed);
     state_->watchers = watchers;
+    state_->read_stored = read_stored;
 }
 
 rollout::~rollout() = default;
 
 std::vector<action> rollout::on_document(std::string_view text, time_point now)
 {
-    return state_->adopt_if_newer(text, now);
+    std::vector<action> actions;
+    const pending_document pending{{{}, {}, std::string(text)}, std::nullopt};
+    state_->finish_build(pending,
+                         build({pending.received, state_->current,
+                                state_->domain, config::parse_document}),
+                         actions, now);
+    return actions;
+}
+
+std::vector<action>
+rollout::on_built(std::uint64_t build_number,
+                  const support::result<built_document_ptr>& built,
+                  time_point now)
+{
+    std::vector<action> actions;
+    if (build_number != state_->build_number || !state_->building)
+        return actions;
+    const pending_document done = *std::exchange(state_->building, {});
+    state_->finish_build(done, built, actions, now);
+    state_->start_next_build(actions, now);
+    return actions;
 }
 
 std::vector<action> rollout::on_store_answer(std::string_view text,
@@ -482,11 +672,7 @@
     peer.domain = record.domain;
     peer.accepts_transfers = accepts_transfers(record.state);
     peer.version = record.configuration_version;
-    if (peer.version <= state_->highest_seen_version)
-        return;
-    state_->highest_seen_version = peer.version;
-    state_->next_pull =
-        std::max(state_->next_pull, now + state_->jitter(pull_jitter));
+    state_->hear_of(peer.version, now);
 }
 
 void rollout::on_peer_message(time_point now)
@@ -513,22 +699,20 @@
 {
     if (peer_id.version >= state_->current_id.version)
         return "";
-    for (const serialized_document& candidate : state_->recent_documents) {
-        const bool is_base = candidate.version == peer_id.version &&
-                             hash_of(candidate.text) == peer_id.hash;
-        if (!is_base)
-            continue;
-        return encode(make_transfer(candidate.text, candidate.version,
-                                    state_->current_text(),
-                                    state_->current_id.version));
-    }
-    return encode(make_transfer("", 0, state_->current_text(),
-                                state_->current_id.version));
+    std::string patch = state_->patch_from(peer_id);
+    if (patch.empty())
+        return encode(transfer{{}, state_->current_id, state_->current->text});
+    return encode(transfer{peer_id, state_->current_id, std::move(patch)});
+}
+
+const built_document_ptr& rollout::built() const
+{
+    return state_->current;
 }
 
 const config::document* rollout::current() const
 {
-    return state_->current ? &*state_->current : nullptr;
+    return state_->current ? &state_->current->content : nullptr;
 }
 
 std::uint64_t rollout::version() const
--- a/lib/rollout/transfer.cpp
+++ b/lib/rollout/transfer.cpp
@@ -1,12 +1,21 @@
 // JSON patches by nlohmann::json, hashes by xxHash, signatures by HMAC.
 #include "galenarudder/rollout/transfer.hpp"
 
+#include "galenarudder/config/json_text.hpp"
 #include "galenarudder/config/schema.hpp"
 #include "galenarudder/support/hmac.hpp"
+#include "galenarudder/support/pause_point.hpp"
 
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
+#include <functional>
+#include <iterator>
+#include <limits>
+#include <unordered_map>
+#include <vector>
+
 namespace galenarudder::rollout {
 
 using nlohmann::json;
@@ -18,11 +27,10 @@
 constexpr const char* transfer_schema = R"({
   "type": "object",
   "additionalProperties": false,
-  "required": ["from", "to", "body"],
+  "required": ["from", "to"],
   "properties": {
     "from": {"$ref": "#/definitions/document"},
-    "to": {"$ref": "#/definitions/document"},
-    "body": {"type": "string"}
+    "to": {"$ref": "#/definitions/document"}
   },
   "definitions": {
     "document": {
@@ -35,6 +43,10 @@
   }
 })";
 
+/// Ends the ids of an encoded transfer. JSON text without indentation does not
+/// contain it.
+constexpr char ids_end = '\n';
+
 /// Prefix of the signed text, so that a signature of a datagram under the same
 /// key is not valid for a transfer.
 constexpr std::string_view signing_context = "galenarudder-configuration\n";
@@ -74,6 +86,145 @@
             "fetch the full document"};
 }
 
+void add_operations(const json& from,
+                    const json& to,
+                    const json::json_pointer& path,
+                    json& operations);
+
+void add_object_operations(const json& from,
+                           const json& to,
+                           const json::json_pointer& path,
+                           json& operations)
+{
+    for (const auto& [key, value] : from.items()) {
+        const auto kept = to.find(key);
+        if (kept != to.end())
+            add_operations(value, *kept, path / key, operations);
+        else
+            operations.push_back(
+                {{"op", "remove"}, {"path", (path / key).to_string()}});
+    }
+    for (const auto& [key, value] : to.items()) {
+        if (from.contains(key))
+            continue;
+        operations.push_back({{"op", "add"},
+                              {"path", (path / key).to_string()},
+                              {"value", value}});
+    }
+}
+
+/// A pair of equal elements, by their positions in two arrays.
+struct equal_pair
+{
+    std::size_t from = 0;
+    std::size_t to = 0;
+};
+
+/// Pairs each element of \p from, in order, with the first equal element of
+/// \p to that is not paired yet. Positions before \p begin are left out.
+std::vector<equal_pair>
+pair_equal_elements(const json& from, const json& to, std::size_t begin)
+{
+    std::unordered_multimap<std::size_t, std::size_t> positions;
+    for (std::size_t position = to.size(); position-- > begin;) {
+        support::pause_point();
+        positions.emplace(std::hash<json>()(to[position]), position);
+    }
+    std::vector<equal_pair> pairs;
+    for (std::size_t position = begin; position < from.size(); ++position) {
+        support::pause_point();
+        const auto [first, last] =
+            positions.equal_range(std::hash<json>()(from[position]));
+        auto match = last;
+        for (auto candidate = first; candidate != last; ++candidate) {
+            const bool earlier =
+                match == last || candidate->second < match->second;
+            if (earlier && to[candidate->second] == from[position])
+                match = candidate;
+        }
+        if (match == last)
+            continue;
+        pairs.push_back({position, match->second});
+        positions.erase(match);
+    }
+    return pairs;
+}
+
+/// Returns a longest subsequence of \p pairs whose positions increase in both
+/// arrays. These elements can stay while the others are removed or added.
+std::vector<equal_pair> longest_increasing(const std::vector<equal_pair>& pairs)
+{
+    constexpr std::size_t none = std::numeric_limits<std::size_t>::max();
+    // The end of the best subsequence of each length, and what precedes it.
+    std::vector<std::size_t> ends;
+    std::vector<std::size_t> previous(pairs.size(), none);
+    for (std::size_t index = 0; index < pairs.size(); ++index) {
+        const auto length =
+            std::lower_bound(ends.begin(), ends.end(), pairs[index].to,
+                             [&](std::size_t end, std::size_t to) {
+                                 return pairs[end].to < to;
+                             });
+        if (length != ends.begin())
+            previous[index] = *std::prev(length);
+        if (length == ends.end())
+            ends.push_back(index);
+        else
+            *length = index;
+    }
+    std::vector<equal_pair> longest;
+    for (std::size_t index = ends.empty() ? none : ends.back(); index != none;
+         index = previous[index])
+        longest.push_back(pairs[index]);
+    std::reverse(longest.begin(), longest.end());
+    return longest;
+}
+
+void add_array_operations(const json& from,
+                          const json& to,
+                          const json::json_pointer& path,
+                          json& operations)
+{
+    const auto first_difference =
+        std::mismatch(from.begin(), from.end(), to.begin(), to.end());
+    const auto begin = static_cast<std::size_t>(
+        std::distance(from.begin(), first_difference.first));
+    std::vector<bool> kept_in_from(from.size(), false);
+    std::vector<bool> kept_in_to(to.size(), false);
+    for (const equal_pair& kept :
+         longest_increasing(pair_equal_elements(from, to, begin))) {
+        kept_in_from[kept.from] = true;
+        kept_in_to[kept.to] = true;
+    }
+    for (std::size_t position = from.size(); position-- > begin;) {
+        if (!kept_in_from[position])
+            operations.push_back(
+                {{"op", "remove"}, {"path", (path / position).to_string()}});
+    }
+    for (std::size_t position = begin; position < to.size(); ++position) {
+        support::pause_point();
+        if (kept_in_to[position])
+            continue;
+        operations.push_back({{"op", "add"},
+                              {"path", (path / position).to_string()},
+                              {"value", to[position]}});
+    }
+}
+
+void add_operations(const json& from,
+                    const json& to,
+                    const json::json_pointer& path,
+                    json& operations)
+{
+    if (from.is_object() && to.is_object())
+        return add_object_operations(from, to, path, operations);
+    if (from.is_array() && to.is_array())
+        return add_array_operations(from, to, path, operations);
+    if (from == to)
+        return;
+    operations.push_back(
+        {{"op", "replace"}, {"path", path.to_string()}, {"value", to}});
+}
+
 } // namespace
 
 std::string hash_of(std::string_view serialized)
@@ -88,24 +239,38 @@
 
 std::string encode(const transfer& outgoing)
 {
-    return json{{"from", encode(outgoing.from)},
-                {"to", encode(outgoing.to)},
-                {"body", outgoing.body}}
-        .dump();
+    std::string encoded = json{
+        {"from", encode(outgoing.from)},
+        {"to",
+         encode(outgoing.to)}}.dump();
+    encoded += ids_end;
+    encoded += outgoing.body;
+    return encoded;
 }
 
 support::result<transfer> decode_transfer(std::string_view text)
 {
-    BOOST_OUTCOME_TRY(
-        const json fields,
-        config::parse_and_check(text, "transfer", transfer_schema));
+    const std::size_t end = std::min(text.find(ids_end), text.size());
+    BOOST_OUTCOME_TRY(const json ids,
+                      config::parse_and_check(text.substr(0, end), "transfer",
+                                              transfer_schema));
     transfer received;
-    received.from = decode_id(fields.at("from"));
-    received.to = decode_id(fields.at("to"));
-    received.body = fields.at("body");
+    received.from = decode_id(ids.at("from"));
+    received.to = decode_id(ids.at("to"));
+    if (end < text.size())
+        received.body = std::string(text.substr(end + 1));
     return received;
 }
 
+json make_patch(const json& from,
+                const json& to,
+                const json::json_pointer& path)
+{
+    json operations = json::array();
+    add_operations(from, to, path, operations);
+    return operations;
+}
+
 transfer make_transfer(std::string_view from,
                        std::uint64_t from_version,
                        std::string_view to,
@@ -120,7 +285,8 @@
     const json to_json = json::parse(to, nullptr, false);
     if (from_json.is_discarded() || to_json.is_discarded())
         return built;
-    std::string patch = json::diff(from_json, to_json).dump();
+    std::string patch =
+        make_patch(from_json, to_json, json::json_pointer()).dump();
     if (patch.size() >= built.body.size())
         return built;
     built.from = {from_version, hash_of(from)};
@@ -128,25 +294,32 @@
     return built;
 }
 
-support::result<std::string> apply_transfer(std::string_view current,
-                                            const transfer& received)
-{
-    std::string rebuilt = received.body;
-    if (received.from.version != 0) {
-        if (current.empty() || hash_of(current) != received.from.hash)
-            return patch_base_mismatch(received);
-        try {
-            const json patch = json::parse(received.body);
-            rebuilt = json::parse(current).patch(patch).dump();
-        } catch (const json::exception& patch_error) {
-            return error{error_kind::malformed_message,
-                         std::string("the patch cannot be applied: ") +
-                             patch_error.what(),
-                         "fetch the full document"};
-        }
+support::result<std::pair<json, std::string>> apply_patch(
+    json current, const document_id& current_id, const transfer& received)
+{
+    if (current_id.hash != received.from.hash)
+        return patch_base_mismatch(received);
+    try {
+        support::pause_point();
+        current.patch_inplace(json::parse(received.body));
+        support::pause_point();
+    } catch (const json::exception& patch_error) {
+        return error{error_kind::malformed_message,
+                     std::string("the patch cannot be applied: ") +
+                         patch_error.what(),
+                     "fetch the full document"};
     }
-    if (hash_of(rebuilt) == received.to.hash)
-        return rebuilt;
+    std::string serialized;
+    config::append_json(current, serialized);
+    BOOST_OUTCOME_TRYV(check_hash(serialized, received));
+    return std::pair(std::move(current), std::move(serialized));
+}
+
+support::result<void> check_hash(std::string_view serialized,
+                                 const transfer& received)
+{
+    if (hash_of(serialized) == received.to.hash)
+        return boost::outcome_v2::success();
     return error{error_kind::malformed_message,
                  "the document does not have the hash that the transfer gives "
                  "for version " +
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -152,7 +152,9 @@
     // By "SERVICE/DOMAIN".
     std::map<std::string, std::shared_ptr<link_delay>> link_delays;
     double fleet_saved_extra_attempts = 0;
-    config::configuration in_force = config::default_configuration();
+    std::shared_ptr<const config::configuration> in_force =
+        std::make_shared<const config::configuration>(
+            config::default_configuration());
     /// The view that publish() makes visible to other threads.
     fleet_view next_view;
     // Read by any thread on the path of a call.
@@ -227,7 +229,7 @@
     }
     if (all.empty())
         return nullptr;
-    const config::service_policy* policy = in_force.find_service(name);
+    const config::service_policy* policy = in_force->find_service(name);
     auto view = std::make_shared<service_view>();
     view->state = all.front().state->service;
     view->strategy = find_strategy(policy ? policy->strategy : "");
@@ -235,7 +237,7 @@
         view->strategy = find_strategy("");
     view->candidates = select_subset(
         std::move(all), own_member,
-        static_cast<std::size_t>(in_force.value(config::limit::subset_size)));
+        static_cast<std::size_t>(in_force->value(config::limit::subset_size)));
     const auto first_remote = std::stable_partition(
         view->candidates.begin(), view->candidates.end(),
         [](const candidate& upstream) { return upstream.local; });
@@ -267,7 +269,7 @@
 {
     state_->own_domain = std::move(own_domain);
     state_->own_member = std::move(own_member);
-    state_->next_view.limits = limits_of(state_->in_force);
+    state_->next_view.limits = limits_of(*state_->in_force);
     state_->publish();
 }
 
@@ -301,10 +303,11 @@
     state_->publish();
 }
 
-void router::on_configuration(const config::configuration& in_force)
+void router::on_configuration(
+    std::shared_ptr<const config::configuration> in_force)
 {
-    state_->in_force = in_force;
-    state_->next_view.limits = limits_of(in_force);
+    state_->in_force = std::move(in_force);
+    state_->next_view.limits = limits_of(*state_->in_force);
     for (const auto& [service, members] : state_->members_by_service)
         state_->rebuild_service(service);
     state_->publish();
--- a/lib/store/consul_store.cpp
+++ b/lib/store/consul_store.cpp
@@ -3,6 +3,7 @@
 
 #include "galenarudder/http/client.hpp"
 #include "galenarudder/store/reachability.hpp"
+#include "galenarudder/support/background.hpp"
 #include "galenarudder/support/base64.hpp"
 #include "galenarudder/support/token_bucket.hpp"
 #include "galenarudder/telemetry/log.hpp"
@@ -175,9 +176,11 @@
     using counter = std::uint64_t store_counters::*;
 
     state(asio::any_io_executor callback_executor,
+          asio::any_io_executor background_executor,
           config::endpoint store_server,
           const store_limits& limits)
         : executor(std::move(callback_executor)),
+          background(std::move(background_executor)),
           server(std::move(store_server)),
           read_budget(limits.reads_per_second, limits.read_burst),
           write_budget(limits.writes_per_second, limits.write_burst)
@@ -185,6 +188,7 @@
     }
 
     asio::any_io_executor executor;
+    asio::any_io_executor background;
     config::endpoint server;
     support::token_bucket read_budget;
     support::token_bucket write_budget;
@@ -254,7 +258,11 @@
          done = std::move(done)]() -> asio::awaitable<void> {
             const http_result response =
                 co_await http::fetch(state->server, request, timeout);
-            support::result<T> parsed = parse(response);
+            const std::size_t bytes =
+                response ? response.value().body.size() : 0;
+            support::result<T> parsed = co_await support::run_by_size(
+                bytes, state->background, state->executor,
+                [&response, parse] { return parse(response); });
             // A lapsed lease is a valid answer of a reachable store.
             const bool succeeded =
                 parsed || parsed.error().kind == error_kind::not_found;
@@ -268,10 +276,13 @@
 } // namespace
 
 consul_store::consul_store(asio::any_io_executor executor,
+                           asio::any_io_executor background,
                            config::endpoint server,
                            const store_limits& limits)
-    : state_(std::make_shared<state>(
-          std::move(executor), std::move(server), limits))
+    : state_(std::make_shared<state>(std::move(executor),
+                                     std::move(background),
+                                     std::move(server),
+                                     limits))
 {
 }
 
--- a/unittests/entry/gate_runtime_test.cpp
+++ b/unittests/entry/gate_runtime_test.cpp
@@ -36,7 +36,12 @@
 
 struct fixture
 {
-    fixture() : upstream(io), gate(io, config::default_configuration()) {}
+    fixture()
+        : upstream(io), gate(io,
+                             std::make_shared<const config::configuration>(
+                                 config::default_configuration()))
+    {
+    }
 
     link::exchange_ptr
     submit(std::uint64_t id, bool repeatable, std::uint64_t link = 0)
--- a/unittests/platform/metadata_store_test.cpp
+++ b/unittests/platform/metadata_store_test.cpp
@@ -142,7 +142,7 @@
                   [this](http::request received) {
                       return serve(std::move(received));
                   }),
-          client(io_.get_executor(), store_endpoint)
+          client(io_.get_executor(), io_.get_executor(), store_endpoint)
     {
         REQUIRE(server_.listen(store_endpoint));
     }
--- a/unittests/rollout/rollout_test.cpp
+++ b/unittests/rollout/rollout_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <map>
 #include <utility>
 
@@ -56,6 +57,25 @@
     return matches;
 }
 
+/// Performs the builds that \p actions ask for, and returns all actions with
+/// those that follow.
+std::vector<rollout::action> with_builds(rollout::rollout& daemon,
+                                         std::vector<rollout::action> actions,
+                                         support::time_point now = start)
+{
+    for (std::size_t index = 0; index < actions.size(); ++index) {
+        const auto* request =
+            std::get_if<rollout::build_document>(&actions[index]);
+        if (request == nullptr)
+            continue;
+        const rollout::build_document asked = *request;
+        for (rollout::action& next : daemon.on_built(
+                 asked.build_number, rollout::build(*asked.input), now))
+            actions.push_back(std::move(next));
+    }
+    return actions;
+}
+
 /// Daemons whose pushes and pulls are lost with probability \c loss_percent;
 /// the store does not answer the watches of members of \c
 /// domain_without_watches.
@@ -136,6 +156,13 @@
                        action);
     }
     void execute(const std::string&, const rollout::adopt&) {}
+    void execute(const std::string&, const rollout::release_document&) {}
+    void execute(const std::string& id, const rollout::build_document& request)
+    {
+        perform(id,
+                daemons_.at(id).on_built(request.build_number,
+                                         rollout::build(*request.input), now_));
+    }
     void execute(const std::string& id, const rollout::read_store&)
     {
         ++store_reads_;
@@ -209,11 +236,11 @@
         rollout::encode(rollout::make_transfer("", 0, older, 4));
     CHECK(daemon.on_document(older, start).empty());
     CHECK(actions_of_type<rollout::adopt>(
-              daemon.on_store_answer(older, {9}, start))
+              with_builds(daemon, daemon.on_store_answer(older, {9}, start)))
+              .empty());
+    CHECK(actions_of_type<rollout::adopt>(
+              with_builds(daemon, daemon.on_transfer(encoded, "b", start)))
               .empty());
-    CHECK(
-        actions_of_type<rollout::adopt>(daemon.on_transfer(encoded, "b", start))
-            .empty());
     CHECK(daemon.version() == 5);
     CHECK(daemon.counters().reversions_refused == 3);
     CHECK(daemon.counters().reversions_adopted == 0);
@@ -241,14 +268,15 @@
         const auto opened =
             actions_of_type<rollout::watch_store>(daemon.on_tick(start + 5s));
         REQUIRE(opened.size() == 1);
-        const auto next =
-            actions_of_type<rollout::watch_store>(daemon.on_watch_answer(
-                opened.front().watch_number, document_text(5, "five"), {9, 1},
-                start + 5s));
+        const auto next = actions_of_type<rollout::watch_store>(with_builds(
+            daemon, daemon.on_watch_answer(opened.front().watch_number,
+                                           document_text(5, "five"), {9, 1},
+                                           start + 5s)));
         REQUIRE(next.size() == 1);
-        daemon.on_watch_answer(next.front().watch_number,
-                               document_text(test_case.version, "next"),
-                               test_case.index, start + 6s);
+        with_builds(daemon, daemon.on_watch_answer(
+                                next.front().watch_number,
+                                document_text(test_case.version, "next"),
+                                test_case.index, start + 6s));
         CHECK(daemon.version() == test_case.version_in_force);
         CHECK(daemon.counters().reversions_adopted == 0);
     }
@@ -333,10 +361,151 @@
     REQUIRE(pulls.size() == 1);
     CHECK(pulls.front().current_id == daemon.current_id());
     const auto full = rollout::make_transfer("", 0, three, 3);
-    daemon.on_pull_answer("b", rollout::encode(full), start);
+    with_builds(daemon,
+                daemon.on_pull_answer("b", rollout::encode(full), start));
     CHECK(daemon.version() == 3);
 }
 
+TEST_CASE("an event of a wide document leaves its build to another thread",
+          "[rollout]")
+{
+    const std::string text = document_text(5, "five");
+    const std::string whole =
+        rollout::encode(rollout::make_transfer("", 0, text, 5));
+    using event =
+        std::function<std::vector<rollout::action>(rollout::rollout&)>;
+    const std::pair<const char*, event> rows[] = {
+        {"a read of the store",
+         [&](rollout::rollout& daemon) {
+             return daemon.on_store_answer(text, {9, 1}, start);
+         }},
+        {"a transfer",
+         [&](rollout::rollout& daemon) {
+             return daemon.on_transfer(whole, "b", start);
+         }},
+    };
+    for (const auto& [name, deliver] : rows) {
+        INFO(name);
+        rollout::rollout daemon("a", "d", 1);
+        const auto actions = deliver(daemon);
+        CHECK(actions_of_type<rollout::build_document>(actions).size() == 1);
+        CHECK(actions_of_type<rollout::adopt>(actions).empty());
+        CHECK(daemon.version() == 0);
+        // The same document again is not built a second time.
+        CHECK(
+            actions_of_type<rollout::build_document>(deliver(daemon)).empty());
+        with_builds(daemon, actions);
+        CHECK(daemon.version() == 5);
+        CHECK(
+            actions_of_type<rollout::build_document>(deliver(daemon)).empty());
+    }
+}
+
+TEST_CASE("versions do not queue behind the build of a wide one", "[rollout]")
+{
+    rollout::rollout daemon("a", "d", 1);
+    const auto first =
+        daemon.on_store_answer(document_text(1, "c1"), {1}, start);
+    for (std::uint64_t version = 2; version <= 9; ++version) {
+        const auto actions = daemon.on_store_answer(
+            document_text(version, "c" + std::to_string(version)), {version},
+            start);
+        CHECK(actions_of_type<rollout::build_document>(actions).empty());
+    }
+    const auto all = with_builds(daemon, first);
+    CHECK(daemon.version() == 9);
+    CHECK(actions_of_type<rollout::build_document>(all).size() == 2);
+}
+
+TEST_CASE("a build that ends late or twice changes nothing", "[rollout]")
+{
+    rollout::rollout daemon("a", "d", 1);
+    const auto asked = actions_of_type<rollout::build_document>(
+        daemon.on_store_answer(document_text(1, "c1"), {1}, start));
+    REQUIRE(asked.size() == 1);
+    const auto built = rollout::build(*asked.front().input);
+    const std::uint64_t number = asked.front().build_number;
+    CHECK(daemon.on_built(number + 1, built, start).empty());
+    CHECK(daemon.version() == 0);
+    CHECK_FALSE(daemon.on_built(number, built, start).empty());
+    CHECK(daemon.on_built(number, built, start).empty());
+    CHECK(daemon.counters().adopted == 1);
+}
+
+TEST_CASE("a wide change is offered, a small one is pushed to peers that do "
+          "not watch the store",
+          "[rollout]")
+{
+    struct row
+    {
+        const char* name;
+        std::size_t watchers;
+        int padding_services;
+        bool offered;
+    };
+    const row rows[] = {{"a small change", 0, 0, false},
+                        {"a small change, all peers watch", 100, 0, true},
+                        {"a wide change", 0, 400, true}};
+    for (const row& test_case : rows) {
+        INFO(test_case.name);
+        rollout::rollout daemon("a", "d", 1, test_case.watchers);
+        daemon.on_document(document_text(1, "one"), start);
+        daemon.on_member(record_of("b", "d", 1), start);
+        auto next = config::parse_document(document_text(2, "two")).value();
+        for (int number = 0; number < test_case.padding_services; ++number) {
+            next.base["services"].push_back(
+                {{"name", "padding-" + std::to_string(number)},
+                 {"routes", {{{"rank", "normal"}}}}});
+        }
+        const auto pushes = actions_of_type<rollout::push_to_peer>(
+            daemon.on_document(config::serialize(next), start));
+        REQUIRE(pushes.size() == 1);
+        const auto sent = rollout::decode_transfer(pushes.front().encoded);
+        REQUIRE(sent);
+        CHECK(sent.value().is_offer() == test_case.offered);
+        CHECK(sent.value().to == daemon.current_id());
+        CHECK(pushes.front().encoded.size() <=
+              rollout::rollout::max_pushed_bytes + 1000);
+    }
+}
+
+TEST_CASE("an offer is fetched, after the store's answer had its time",
+          "[rollout]")
+{
+    const bool watches = GENERATE(false, true);
+    rollout::rollout daemon("a", "d", 1, watches ? 1 : 0);
+    daemon.on_tick(start);
+    daemon.on_tick(start + 2s);
+    daemon.on_member(record_of("b", "e", 0), start + 2s);
+    const std::string offer =
+        rollout::encode(rollout::transfer{{}, {7, "hash"}, {}});
+    CHECK(actions_of_type<rollout::build_document>(
+              daemon.on_transfer(offer, "b", start + 2s))
+              .empty());
+    const auto pulls_at = [&](support::milliseconds after) {
+        return actions_of_type<rollout::pull_from_peer>(
+                   daemon.on_tick(start + 2s + after))
+            .size();
+    };
+    CHECK(pulls_at(200ms) == (watches ? 0 : 1));
+    CHECK(pulls_at(900ms) == (watches ? 1 : 0));
+}
+
+TEST_CASE("a peer that is several versions behind gets one patch", "[rollout]")
+{
+    rollout::rollout sender("a", "d", 1);
+    rollout::rollout receiver("b", "d", 1);
+    receiver.on_document(document_text(1, "c1"), start);
+    for (std::uint64_t version = 1; version <= 4; ++version) {
+        sender.on_document(
+            document_text(version, "c" + std::to_string(version)), start);
+    }
+    const std::string encoded = sender.transfer_for(receiver.current_id());
+    CHECK(rollout::decode_transfer(encoded).value().is_patch());
+    with_builds(receiver, receiver.on_transfer(encoded, "a", start));
+    CHECK(receiver.current_id() == sender.current_id());
+}
+
 TEST_CASE("without peers a failing store is read again with backoff",
           "[rollout]")
 {
