Take the time that a call waited in transit from its deadline

Callers saw their requests sent on after they had left (GONE). In the record a request reaches an upstream 0.29 s after its deadline and 1.2 s after it was sent, from the daemon beside the upstream.

Cause: a gate takes the remaining time of a call anew when it handles the message. What the call waited in the entry's process, on the link, and in the socket of a gate that stood still did not count, nor did the time for which it waited for its link to open. After a stall of any kind a gate sent on calls whose callers had left.

A call now states when it was sent by the boot clock of its VM; the difference to the gate's clock is smallest for a message that did not wait, and what it exceeds the smallest one of the last 10 to 20 s by is taken from the call's time. Calls that wait for their link have their time taken when they are sent, and are refused as not run if it is over. The protocol's version is 4.

--- a/include/galenarudder/link/exchange.hpp
+++ b/include/galenarudder/link/exchange.hpp
@@ -41,6 +41,9 @@
              boost::asio::any_io_executor executor);
 
     support::call_head head;
+    /// When the caller stops waiting; the time that remains then is taken from
+    /// it wherever the call waits. Max if only \c head states the time.
+    support::time_point deadline = support::time_point::max();
     /// Body from caller to upstream.
     body_pipe request_body;
     /// Body from upstream to caller.
--- a/include/galenarudder/link/message.hpp
+++ b/include/galenarudder/link/message.hpp
@@ -17,7 +17,7 @@
 namespace galenarudder::link {
 
 /// Version of the protocol; both sides must use the same.
-inline constexpr unsigned protocol_version = 3;
+inline constexpr unsigned protocol_version = 4;
 
 /// Largest size of a chunk of a body, in bytes. The first part of a body on a
 /// link may join several chunks, up to small_body_bytes.
@@ -95,6 +95,8 @@
     std::uint64_t sequence_number = 0;
     std::string body;
     bool body_complete = false;
+    /// When the message was sent, by the boot clock of the entry.
+    support::milliseconds sent_at{0};
 };
 
 /// Both directions: a part of a body.
--- a/include/galenarudder/support/time.hpp
+++ b/include/galenarudder/support/time.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace galenarudder::support {
 
@@ -28,6 +29,16 @@
 
 using time_point = monotonic_clock::time_point;
 
+/// Returns the time since the VM was started. Unlike the monotonic clock it
+/// goes on while the VM is suspended.
+inline time_point boot_time()
+{
+    std::timespec elapsed{};
+    ::clock_gettime(CLOCK_BOOTTIME, &elapsed);
+    return time_point(std::chrono::seconds(elapsed.tv_sec) +
+                      std::chrono::nanoseconds(elapsed.tv_nsec));
+}
+
 /// Converts a duration to fractional milliseconds.
 constexpr double to_ms(duration interval)
 {
--- a/lib/link/entry_links.cpp
+++ b/lib/link/entry_links.cpp
@@ -40,6 +40,15 @@
                        "no link to the gate of " + member);
 }
 
+exchange_event deadline_passed(const member_id& member)
+{
+    return refused{
+        {refusal_kind::deadline_exceeded, run_outcome::not_run, false,
+         support::milliseconds(0),
+         "the deadline passed before the call was sent to " + member},
+        {}};
+}
+
 exchange_event not_started(const member_id& member)
 {
     return link_broken(run_outcome::not_run,
@@ -304,6 +313,15 @@
 
 void entry_links::send_call(outbound_link& link, exchange_ptr attempt)
 {
+    if (attempt->deadline != time_point::max()) {
+        const time_point now = support::monotonic_clock::now();
+        if (now >= attempt->deadline) {
+            attempt->deliver(deadline_passed(link.member));
+            return;
+        }
+        attempt->head.remaining_time =
+            std::chrono::floor<support::milliseconds>(attempt->deadline - now);
+    }
     const attempt_id id = attempt->head.id;
     open_call& call = link.calls[id];
     call.sequence_number = ++link.last_sequence_number;
@@ -312,8 +330,12 @@
     send_credit_on_read(context_->endpoint, link.connection, id,
                         call.attempt->response_body, call.window);
     available_body available = take_available(call.attempt->request_body);
-    call_begin begin{
-        call.attempt->head, call.sequence_number, {}, available.complete};
+    call_begin begin{call.attempt->head,
+                     call.sequence_number,
+                     {},
+                     available.complete,
+                     std::chrono::floor<support::milliseconds>(
+                         support::boot_time().time_since_epoch())};
     if (available.complete)
         begin.body = std::move(available.data);
     context_->send(link.connection, begin);
--- a/lib/link/gate_links.cpp
+++ b/lib/link/gate_links.cpp
@@ -189,6 +189,10 @@
     link.last_sequence_number = begin.sequence_number;
     auto attempt =
         std::make_shared<exchange>(std::move(begin.head), context_->strand);
+    const support::duration waited = link.transit.on_message(
+        time_point(begin.sent_at), support::boot_time());
+    attempt->deadline =
+        support::monotonic_clock::now() + attempt->head.remaining_time - waited;
     open_call& call = link.calls[id];
     call.attempt = attempt;
     call.sequence_number = begin.sequence_number;
--- a/lib/link/gate_links.hpp
+++ b/lib/link/gate_links.hpp
@@ -5,6 +5,7 @@
 #include "link_common.hpp"
 
 #include "galenarudder/link/closed_link_registry.hpp"
+#include "galenarudder/link/transit_estimate.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -64,6 +65,7 @@
         std::uint64_t last_sequence_number = 0;
         std::shared_ptr<link_send_window> window;
         link_receive_window receive_window;
+        transit_estimate transit;
         std::map<support::attempt_id, open_call> calls;
         support::time_point opened_at;
         support::time_point last_received_at;
--- a/lib/link/message.cpp
+++ b/lib/link/message.cpp
@@ -69,6 +69,16 @@
     return support::milliseconds(decode_number<std::uint32_t>(value));
 }
 
+support::milliseconds decode_boot_time(const json& value)
+{
+    // Over a century; it must not overflow in nanoseconds.
+    constexpr std::uint64_t max_ms = std::uint64_t{1} << 42;
+    const auto ms = decode_number<std::uint64_t>(value);
+    if (ms > max_ms)
+        throw invalid_number();
+    return support::milliseconds(ms);
+}
+
 json encode_bytes(const std::string& bytes)
 {
     return json::binary(
@@ -211,7 +221,7 @@
              head.idempotency_key, head.depth, head.method, head.target,
              encode_fields(head.fields), encode_length(head.content_length),
              msg.sequence_number, encode_bytes(msg.body), msg.body_complete,
-             head.may_hand_back});
+             head.may_hand_back, encode_milliseconds(msg.sent_at)});
     }
     json operator()(const body_part& msg) const
     {
@@ -310,9 +320,9 @@
     head.fields = decode_fields(list.at(10));
     head.content_length = decode_length(list.at(11));
     head.may_hand_back = list.at(15);
-    return call_begin{std::move(head),
-                      decode_number<std::uint64_t>(list.at(12)),
-                      decode_bytes(list.at(13)), list.at(14)};
+    return call_begin{
+        std::move(head), decode_number<std::uint64_t>(list.at(12)),
+        decode_bytes(list.at(13)), list.at(14), decode_boot_time(list.at(16))};
 }
 
 message decode_body_part(const json& list)
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -658,6 +658,7 @@
         call->deadline - monotonic_clock::now());
     auto exchange = std::make_shared<link::exchange>(std::move(head),
                                                      connection_->executor());
+    exchange->deadline = call->deadline;
     const std::weak_ptr<open_call> weak = call;
     exchange->deliver = [weak,
                          attempt = action.attempt](link::exchange_event event) {
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <algorithm>
 #include <map>
 
 namespace galenarudder::proxy {
@@ -191,7 +192,8 @@
 {
     const support::time_point now = monotonic_clock::now();
     const attempt_key key{link, attempt->head.id};
-    const support::time_point deadline = now + attempt->head.remaining_time;
+    const support::time_point deadline =
+        std::min(attempt->deadline, now + attempt->head.remaining_time);
     admission::attempt offered{key, attempt->head.rank, deadline,
                                attempt->head.repeatable,
                                attempt->head.may_hand_back};
