Render metrics off the event loop, rebuild each service once a datagram

Rendering runs on the background thread; the counters are still collected on the loop. A datagram's members are applied together."

--- a/include/galenarudder/daemon/operator_port.hpp
+++ b/include/galenarudder/daemon/operator_port.hpp
@@ -23,8 +23,11 @@
 {
     boost::asio::any_io_executor executor;
     boost::asio::any_io_executor background;
-    /// Returns the daemon's metrics in the Prometheus text format.
-    std::function<std::string()> metrics;
+    /// Copies the daemon's counters into its metrics and returns those of the
+    /// control logic in the Prometheus text format.
+    std::function<std::string()> collect_metrics;
+    /// Returns the other metrics in the same format. Called on \c background.
+    std::function<std::string()> render_metrics;
     const daemon::node* node = nullptr;
     const config::daemon_settings* settings = nullptr;
     std::function<void()> drain;
--- a/include/galenarudder/routing/router.hpp
+++ b/include/galenarudder/routing/router.hpp
@@ -84,6 +84,8 @@
     /// A member's record changed. Control thread only.
     void on_record(const membership::member_record& record,
                    support::time_point now);
+    /// The same for several members; each of their services is rebuilt once.
+    void on_records(std::span<const membership::member_record> records);
     /// A new configuration is in force. Control thread only.
     void
     on_configuration(std::shared_ptr<const config::configuration> in_force);
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -81,6 +81,7 @@
                     support::time_point now)
 {
     std::vector<node_action> node_actions;
+    std::vector<membership::member_record> changed_records;
     for (membership::action& action : actions) {
         if (auto* datagram = std::get_if<membership::send_datagram>(&action)) {
             node_actions.emplace_back(std::move(*datagram));
@@ -89,10 +90,11 @@
         const auto& changed = std::get<membership::record_changed>(action);
         if (!changed.only_version) {
             log_change(changed.record);
-            router_.on_record(changed.record, now);
+            changed_records.push_back(changed.record);
         }
         rollout_.on_member(changed.record, now);
     }
+    router_.on_records(changed_records);
     return node_actions;
 }
 
--- a/lib/daemon/operator_port.cpp
+++ b/lib/daemon/operator_port.cpp
@@ -1,4 +1,3 @@
-http::response metrics(const http::request&);
 // Serves each path with the handler that the route table names.
 #include "galenarudder/daemon/operator_port.hpp"
 
@@ -54,6 +53,11 @@
     return {status_accepted, json_type, body.dump(), {}};
 }
 
+http::response metrics_response(std::string text)
+{
+    return {status_ok, "text/plain; version=0.0.4", std::move(text), {}};
+}
+
 http::response snapshot_response(const node_snapshot& taken)
 {
     return {status_ok, "application/jsonl", render(taken), {}};
@@ -95,6 +99,7 @@
     asio::awaitable<http::response> configuration(http::request http_request);
     asio::awaitable<http::response> accept_transfer(http::request http_request);
     asio::awaitable<http::response> snapshot(http::request http_request);
+    asio::awaitable<http::response> metrics(http::request http_request);
     http::response health(const http::request&);
     http::response status(const http::request&);
     http::response members(const http::request&);
@@ -109,7 +114,7 @@
 };
 
 const operator_port::impl::route operator_port::impl::routes[] = {
-    {"GET", "/metrics", &impl::on_executor<&impl::metrics>},
+    {"GET", "/metrics", &impl::metrics},
     {"GET", "/v1/health", &impl::on_executor<&impl::health>},
     {"GET", "/v1/status", &impl::on_executor<&impl::status>},
     {"GET", "/v1/members", &impl::on_executor<&impl::members>},
@@ -147,12 +152,12 @@
     co_return (this->*Respond)(http_request);
 }
 
-http::response operator_port::impl::metrics(const http::request&)
+asio::awaitable<http::response> operator_port::impl::metrics(http::request)
 {
-    return {status_ok,
-            "text/plain; version=0.0.4",
-            handlers_.metrics() + render_node_metrics(*handlers_.node),
-            {}};
+    co_await enter(handlers_.executor);
+    const std::string of_control = handlers_.collect_metrics();
+    co_await enter(handlers_.background);
+    co_return metrics_response(handlers_.render_metrics() + of_control);
 }
 
 http::response operator_port::impl::health(const http::request&)
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -7,6 +7,7 @@
 #include "galenarudder/daemon/introducer_runtime.hpp"
 #include "galenarudder/daemon/membership_metrics.hpp"
 #include "galenarudder/daemon/node.hpp"
+#include "galenarudder/daemon/node_report.hpp"
 #include "galenarudder/daemon/operator_port.hpp"
 #include "galenarudder/daemon/rollout_runtime.hpp"
 #include "galenarudder/http/server.hpp"
@@ -373,13 +374,14 @@
     operator_handlers handlers;
     handlers.executor = control_;
     handlers.background = background_.get_executor();
-    handlers.metrics = [this] {
+    handlers.collect_metrics = [this] {
         const turn measured(turns_, "metrics");
         set_metrics(metrics_, node_.member());
         set_metrics(metrics_, store_->counters());
         collect_metrics();
-        return metrics_.render();
+        return render_node_metrics(node_);
     };
+    handlers.render_metrics = [this] { return metrics_.render(); };
     handlers.node = &node_;
     handlers.settings = &settings_;
     handlers.drain = [this] { drain("operator"); };
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -162,6 +162,8 @@
         std::make_unique<fleet_view>()};
 
     void publish();
+    void apply_record(const member_record& record,
+                      std::set<std::string>& changed_services);
     void remove_instance(const member_record& record);
     void rebuild_service(const std::string& service);
     std::shared_ptr<const service_view>
@@ -275,12 +277,14 @@
 
 router::~router() = default;
 
-void router::on_record(const member_record& record, support::time_point)
+/// Adds the services whose upstreams change to \p changed_services.
+void router::state::apply_record(const member_record& record,
+                                 std::set<std::string>& changed_services)
 {
-    const auto known = state_->records.find(record.id);
-    if (known == state_->records.end() && !membership::serves_calls(record))
+    const auto known = records.find(record.id);
+    if (known == records.end() && !membership::serves_calls(record))
         return;
-    if (known != state_->records.end()) {
+    if (known != records.end()) {
         const member_record previous = known->second;
         known->second = record;
         if (same_for_routing(previous, record) && !is_gone(record))
@@ -289,17 +293,32 @@
                                   previous.service != record.service ||
                                   previous.domain != record.domain;
         if (new_instance || is_gone(record))
-            state_->remove_instance(previous);
-        if (previous.service != record.service)
-            state_->rebuild_service(previous.service);
+            remove_instance(previous);
+        changed_services.insert(previous.service);
     }
     if (is_gone(record)) {
-        state_->records.erase(record.id);
+        records.erase(record.id);
     } else {
-        state_->records[record.id] = record;
-        state_->members_by_service[record.service].insert(record.id);
+        records[record.id] = record;
+        members_by_service[record.service].insert(record.id);
     }
-    state_->rebuild_service(record.service);
+    changed_services.insert(record.service);
+}
+
+void router::on_record(const member_record& record, support::time_point)
+{
+    on_records({&record, 1});
+}
+
+void router::on_records(std::span<const member_record> records)
+{
+    std::set<std::string> changed_services;
+    for (const member_record& record : records)
+        state_->apply_record(record, changed_services);
+    if (changed_services.empty())
+        return;
+    for (const std::string& service : changed_services)
+        state_->rebuild_service(service);
     state_->publish();
 }
 
