See a caller's close before its request is sent on

A caller gave up while its entry's daemon stood still, and its request was sent on when the daemon went on (GONE).

Cause: the request and the close lie in the socket together. The session reads the request and sends it to a gate; the close is seen with the next read.

The session looks for the close without taking bytes before a request whose body is complete is sent on, at the price of one system call for each. The call is logged and counted as canceled, not run.

--- a/lib/proxy/caller_connection.cpp
+++ b/lib/proxy/caller_connection.cpp
@@ -13,8 +13,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cassert>
+#include <cerrno>
 
 namespace galenarudder::proxy {
 
@@ -282,6 +285,19 @@
     stop_reading();
 }
 
+bool caller_connection::has_closed()
+{
+    if (closed_by_caller_ || buffer_.size() != 0)
+        return closed_by_caller_;
+    char next = 0;
+    const ssize_t peeked = ::recv(stream_.socket().native_handle(), &next,
+                                  sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    const bool nothing_yet =
+        peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    closed_by_caller_ = peeked <= 0 && !nothing_yet;
+    return closed_by_caller_;
+}
+
 asio::awaitable<head_result>
 caller_connection::read_head(request_parser& parser)
 {
--- a/lib/proxy/caller_connection.hpp
+++ b/lib/proxy/caller_connection.hpp
@@ -75,6 +75,9 @@
     void stop_waiting();
     /// Returns whether the caller closed the connection, or it failed.
     bool closed_by_caller() const { return closed_by_caller_; }
+    /// Returns whether the caller has closed the connection behind the bytes
+    /// that were read. A close that no read has reached yet is seen, too.
+    bool has_closed();
     /// Reads the head of the request that wait_for_request found.
     boost::asio::awaitable<head_result> read_head(request_parser& parser);
     /// Writes the interim response 100 (Continue).
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -257,6 +257,10 @@
     classification result = entry_.classify(
         convert(*parser), host, monotonic_clock::now(), caller_address_);
     if (auto* accepted = std::get_if<classified_call>(&result)) {
+        if (parser->is_done() && connection_->has_closed()) {
+            log_left_before_start(*accepted);
+            co_return false;
+        }
         if (may_run_concurrently(*parser, *accepted)) {
             start_concurrent(parser, std::move(*accepted),
                              std::move(open_count_guard));
@@ -281,6 +285,23 @@
     co_return keep_open;
 }
 
+/// Logs a call whose caller left before it was sent to an upstream: this
+/// process read the request late.
+void caller_session::log_left_before_start(const classified_call& call) const
+{
+    const refusal reason = disconnected_before_start();
+    entry_.metrics().record_refusal(call.head.service, call.head.rank, reason);
+    telemetry::log_event(telemetry::log_kind::failure, "call.refused",
+                         {{"call", request_id_of(call.head, entry_.dialect())},
+                          {"service", call.head.service},
+                          {"kind", to_string(reason.kind)},
+                          {"outcome", to_string(reason.outcome)},
+                          {"detail", reason.detail},
+                          {"took_ms", 0.0},
+                          {"attempts", 0U},
+                          {"retry_after_ms", 0U}});
+}
+
 bool caller_session::may_run_concurrently(const request_parser& parser,
                                           const classified_call& accepted) const
 {
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -144,6 +144,7 @@
     };
 
     boost::asio::awaitable<bool> serve_next();
+    void log_left_before_start(const classified_call& call) const;
     bool may_run_concurrently(const request_parser& parser,
                               const classified_call& accepted) const;
     void start_concurrent(parser_ptr parser,
