Keep the limit that an upstream states in its answers

Cause: no part of the daemon reads the field; what an upstream gets follows from its slots and speed alone.

All calls of an upstream start at one gate, which sees each answer first. The gate spaces the starts by a token bucket, so the limit binds all daemons without a message between them. The queue is in order of rank; a call that the calls before it leave no room for is refused at once as not run, with the time after which there is room; one that its entry can send elsewhere is handed back if it would wait longer than a call takes. Load reports state the slots that the limit can fill and the time until a call could start. A call that every upstream refuses so is not sent round: only attempts that the gate was told it may hand back count as handed back.

--- a/include/galenarudder/admission/gate.hpp
+++ b/include/galenarudder/admission/gate.hpp
@@ -63,8 +63,12 @@
     std::uint64_t refused_deadline = 0;
     /// Refused because the queue was full, on arrival or displaced later.
     std::uint64_t refused_overload = 0;
-    /// Handed back to their entries during a slowdown of the upstream.
+    /// Handed back to their entries during a slowdown of the upstream, or since
+    /// its limit left no room at the moment.
     std::uint64_t handed_back = 0;
+    /// Refused because the limit that the upstream states leaves no room before
+    /// their deadline.
+    std::uint64_t refused_limit = 0;
     /// Admitted although automation `shed` would have refused them, since it
     /// is in mode observe.
     std::uint64_t shed_observed = 0;
@@ -124,6 +128,13 @@
     /// that a query failed.
     std::vector<action> on_slowdown_report(std::optional<double> slowdown,
                                            support::time_point now);
+    /// The upstream stated how many calls per second it takes from all callers
+    /// together, in an answer; nullopt means that it states no limit any more.
+    /// Holds until the next call of this function.
+    std::vector<action> on_limit_stated(std::optional<double> calls_per_s,
+                                        support::time_point now);
+    /// Returns the limit that the upstream states, in calls per second.
+    std::optional<double> stated_limit() const;
     /// Returns whether the owner of the gate has to query the upstream's
     /// slowdown now, since calls wait for it. Each \c true stands for one
     /// query, whose result goes to on_slowdown_report.
--- a/include/galenarudder/admission/rank_queue.hpp
+++ b/include/galenarudder/admission/rank_queue.hpp
@@ -78,6 +78,10 @@
     std::size_t running() const;
 
     using attempt_predicate = std::function<bool(const attempt&)>;
+    /// Removes and returns the waiting calls for which \p matches holds. The
+    /// calls are visited once each, from the most to the least urgent rank and
+    /// in order of arrival within a rank.
+    std::vector<attempt> remove_in_order(const attempt_predicate& matches);
     /// Removes and returns the waiting calls for which \p matches holds.
     std::vector<attempt> remove_if(const attempt_predicate& matches);
 
@@ -102,6 +106,9 @@
     };
 
     void insert(queued_call queued);
+    static void remove_from(lane& rank_lane,
+                            const attempt_predicate& matches,
+                            std::vector<attempt>& removed);
     void
     charge_and_credit(std::size_t rank, double cost_ms, std::uint32_t limit);
     std::optional<std::size_t>
--- a/include/galenarudder/proxy/call_flow.hpp
+++ b/include/galenarudder/proxy/call_flow.hpp
@@ -130,6 +130,8 @@
         bool open = true;
         /// Whether the attempt was refused before an upstream ran it.
         bool not_run = false;
+        /// Whether its gate may hand it back.
+        bool may_hand_back = false;
     };
 
     bool send_to_next(support::time_point now,
--- a/include/galenarudder/proxy/http_dialect.hpp
+++ b/include/galenarudder/proxy/http_dialect.hpp
@@ -21,6 +21,16 @@
     double slowdown = 1;
 };
 
+/// What an upstream states in a response about the calls that it takes.
+struct upstream_demand
+{
+    /// Calls per second that it takes from all callers together; empty for no
+    /// limit.
+    std::optional<double> calls_per_s;
+    /// Whether it is leaving and takes no new calls.
+    bool leaving = false;
+};
+
 /// Field names and status rules of one deployment. Names refer to static
 /// storage; an empty name means that the dialect does not have the field.
 struct http_dialect
@@ -55,10 +65,16 @@
     /// Returns the load that a response states, if any.
     std::optional<upstream_load> (*read_load)(
         const support::response_head& response) = nullptr;
+    /// Returns what a response states about further calls.
+    upstream_demand (*read_demand)(const support::response_head& response) =
+        nullptr;
     /// Returns the HTTP status of a refusal.
     unsigned (*refusal_status)(const support::refusal& reason) = nullptr;
 };
 
+/// Reads a number of calls per second; returns nullopt if \p text is none.
+std::optional<double> parse_calls_per_s(std::string_view text);
+
 /// Returns the caller's id of the request, by which the log identifies the
 /// call; empty if there is none.
 std::string_view request_id_of(const support::call_head& head,
--- a/include/galenarudder/proxy/http_fields.hpp
+++ b/include/galenarudder/proxy/http_fields.hpp
@@ -20,6 +20,13 @@
 /// the call without running it.
 inline constexpr std::string_view outcome_field = "Galenarudder-Outcome";
 
+/// On a response of an upstream: the calls per second that it takes from all
+/// callers together, for as long as its responses state it.
+inline constexpr std::string_view limit_field = "Galenarudder-Limit";
+/// On a response of an upstream: `1` states that it leaves and takes no new
+/// calls.
+inline constexpr std::string_view leaving_field = "Galenarudder-Leaving";
+
 /// On a response that was recorded for an earlier call with the same key.
 inline constexpr std::string_view replayed_field = "Galenarudder-Replayed";
 
--- a/include/galenarudder/proxy/upstream_client.hpp
+++ b/include/galenarudder/proxy/upstream_client.hpp
@@ -78,12 +78,17 @@
                            support::duration elapsed,
                            const std::optional<upstream_load>& stated_load)>;
 
+    /// Called with what a response states about further calls, before the
+    /// response is delivered.
+    using demand_handler = std::function<void(const upstream_demand& stated)>;
+
     /// Sends the attempt and delivers its response or a refusal. Nothing is
     /// sent once \p deadline has passed.
     std::shared_ptr<upstream_call> run(link::exchange_ptr attempt,
                                        support::time_point deadline,
                                        load_source get_load,
-                                       finished_handler on_finished);
+                                       finished_handler on_finished,
+                                       demand_handler on_demand = {});
 
     /// Queries the upstream's load by a request for \p path, on a connection of
     /// the pool that calls use. \p on_load is called with nullopt if the
--- a/include/galenarudder/routing/upstream_state.hpp
+++ b/include/galenarudder/routing/upstream_state.hpp
@@ -121,8 +121,9 @@
     std::atomic<double> reported_service_ms{0};
     /// Time of the last report; 0 before the first.
     std::atomic<std::int64_t> reported_at_ns{0};
-    /// Expected end of the upstream's slowdown; 0 when there is none.
-    std::atomic<std::int64_t> slowdown_until_ns{0};
+    /// When the gate is expected to start further calls, which a slowdown or a
+    /// limit of the upstream delays; 0 when nothing does.
+    std::atomic<std::int64_t> starts_calls_at_ns{0};
     /// Time since which the upstream serves calls; 0 when not known.
     std::atomic<std::int64_t> serving_since_ns{0};
 
--- a/include/galenarudder/support/call.hpp
+++ b/include/galenarudder/support/call.hpp
@@ -72,9 +72,10 @@
     /// Milliseconds that the attempt spent at the gate; the rest of its latency
     /// was spent on the link.
     double time_at_gate_ms = 0;
-    /// Expected milliseconds until the upstream's current slowdown ends; 0
-    /// while its work takes the usual time.
-    double slowdown_remaining_ms = 0;
+    /// Expected milliseconds until a call that arrives now could start, because
+    /// of a slowdown of the upstream or the limit that it states; 0 if neither
+    /// delays it.
+    double start_delay_ms = 0;
 };
 
 /// A response without its body.
--- a/include/galenarudder/support/refusal.hpp
+++ b/include/galenarudder/support/refusal.hpp
@@ -43,6 +43,8 @@
     request_timeout,
     /// The upstream is in a slowdown; another upstream may be faster.
     slow_spell,
+    /// The limit that the upstream states leaves no room for the call.
+    rate_limited,
 };
 
 /// A refusal, as sent between daemons and to the caller.
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -4,12 +4,14 @@
 
 #include "galenarudder/admission/concurrency_limit.hpp"
 #include "galenarudder/admission/rank_queue.hpp"
+#include "galenarudder/admission/rate_limit.hpp"
 #include "galenarudder/admission/service_estimate.hpp"
 #include "galenarudder/admission/slowdown_monitor.hpp"
 #include "galenarudder/telemetry/decision_log.hpp"
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <map>
 
 namespace galenarudder::admission {
@@ -73,6 +75,7 @@
     concurrency_limit concurrency;
     service_estimate service_times;
     slowdown_monitor slowdowns;
+    rate_limit limit_stated;
     probe_budget probes{0};
     probe_estimate idle_estimate;
     support::time_point probe_started_at;
@@ -88,6 +91,7 @@
     void configure(std::shared_ptr<const config::configuration> next);
     bool may_start(std::size_t rank) const;
     support::duration expected_service_time(const attempt& call) const;
+    std::uint32_t usable_slots() const;
     support::duration expected_wait(std::size_t rank) const;
     bool misses_deadline(const attempt& call,
                          support::duration wait,
@@ -95,8 +99,11 @@
     bool try_shed(support::time_point now);
     support::milliseconds retry_after() const;
     refuse refuse_for_deadline(const attempt& call, std::string detail);
-    refuse hand_back(const attempt& call);
-    void hand_back_waiting(std::vector<action>& actions);
+    refuse hand_back(const attempt& call, refusal_kind kind);
+    void hand_back_waiting(refusal_kind kind, std::vector<action>& actions);
+    refuse refuse_for_limit(const attempt& call, support::time_point now);
+    void refuse_beyond_limit(support::time_point now,
+                             std::vector<action>& actions);
     refuse refuse_overflow(const attempt& call);
     bool slowdown_report_allows_start(support::time_point now) const;
     void start_waiting(support::time_point now, std::vector<action>& actions);
@@ -148,6 +155,21 @@
     return support::from_ms(service_times.mean_ms(call.rank));
 }
 
+/// Returns how many calls can run at once under the limit that the upstream
+/// states, by which entries compare upstreams.
+std::uint32_t gate::state::usable_slots() const
+{
+    const std::uint32_t slots = concurrency.current();
+    const double mean_ms = service_times.mean_ms();
+    if (!limit_stated.calls_per_s() || slots == 0 || mean_ms <= 0)
+        return slots;
+    constexpr double ms_per_s = 1000;
+    const double usable =
+        std::ceil(*limit_stated.calls_per_s() * mean_ms / ms_per_s);
+    return static_cast<std::uint32_t>(
+        std::clamp<double>(usable, 1, static_cast<double>(slots)));
+}
+
 /// Returns the estimated time until a new call of \p rank starts.
 support::duration gate::state::expected_wait(std::size_t rank) const
 {
@@ -211,20 +233,56 @@
 
 /// Refuses the call as handed back, since its entry can send it to another
 /// upstream.
-refuse gate::state::hand_back(const attempt& call)
+refuse gate::state::hand_back(const attempt& call, refusal_kind kind)
 {
     ++counts.handed_back;
-    return {call.key, not_run(refusal_kind::slow_spell, min_retry_after,
-                              "the upstream is temporarily slow")};
+    return {call.key, not_run(kind, min_retry_after,
+                              kind == refusal_kind::slow_spell
+                                  ? "the upstream is temporarily slow"
+                                  : "the upstream's limit leaves no room now")};
 }
 
-void gate::state::hand_back_waiting(std::vector<action>& actions)
+void gate::state::hand_back_waiting(refusal_kind kind,
+                                    std::vector<action>& actions)
 {
     const auto may_hand_back = [](const attempt& queued) {
         return queued.may_hand_back;
     };
     for (const attempt& queued : queue.remove_if(may_hand_back))
-        actions.emplace_back(hand_back(queued));
+        actions.emplace_back(hand_back(queued, kind));
+}
+
+refuse gate::state::refuse_for_limit(const attempt& call,
+                                     support::time_point now)
+{
+    ++counts.refused_limit;
+    const auto wait = std::chrono::ceil<support::milliseconds>(
+        limit_stated.wait(queue.size(), now));
+    return {call.key,
+            not_run(refusal_kind::rate_limited,
+                    std::clamp(wait, min_retry_after, max_retry_after),
+                    "the upstream's limit leaves no room before the deadline")};
+}
+
+/// Refuses the waiting calls that could start only when too little of their
+/// time is left, given the calls that go before them.
+void gate::state::refuse_beyond_limit(support::time_point now,
+                                      std::vector<action>& actions)
+{
+    if (!limit_stated.calls_per_s() || queue.size() == 0 ||
+        in_force->mode(automation::shed) == automation_mode::observe)
+        return;
+    std::size_t ahead = 0;
+    const auto has_no_room = [&](const attempt& queued) {
+        const support::duration wait = limit_stated.wait(ahead, now);
+        const bool late =
+            wait > support::duration(0) &&
+            now + wait + expected_service_time(queued) > queued.deadline;
+        ahead += late ? 0 : 1;
+        return late;
+    };
+    for (const attempt& queued : queue.remove_in_order(has_no_room))
+        actions.emplace_back(refuse_for_limit(queued, now));
 }
 
 /// Returns false during a slowdown and while the last report is too old.
@@ -238,7 +296,10 @@
 {
     if (!slowdown_report_allows_start(now))
         return;
-    const auto eligible = [this](std::size_t rank) { return may_start(rank); };
+    const auto eligible = [this, now](std::size_t rank) {
+        return may_start(rank) &&
+               limit_stated.wait(0, now) == support::duration(0);
+    };
     while (std::optional<attempt> next = queue.pop(eligible)) {
         if (next->deadline <= now) {
             actions.emplace_back(
@@ -253,6 +314,7 @@
         }
         const double cost_ms = service_times.mean_ms(next->rank);
         queue.charge(next->rank, cost_ms, concurrency.current());
+        limit_stated.on_start(now);
         ++counts.started;
         actions.emplace_back(start{next->key});
         const attempt_key key = next->key;
@@ -362,7 +424,14 @@
     if (call.deadline <= now)
         return {state_->refuse_for_deadline(call, "the deadline has passed")};
     if (call.may_hand_back && state_->slowdowns.is_slow_by_fresh_report(now))
-        return {state_->hand_back(call)};
+        return {state_->hand_back(call, refusal_kind::slow_spell)};
+    const std::size_t ahead =
+        state_->queue.waiting_at_or_before(state_->queue.rank_of(call.rank));
+    // A shorter wait is about what the entry expected when it chose this gate.
+    const bool waits_long = state_->limit_stated.wait(ahead, now) >
+                            state_->expected_service_time(call);
+    if (call.may_hand_back && waits_long)
+        return {state_->hand_back(call, refusal_kind::rate_limited)};
     const std::size_t rank = state_->queue.rank_of(call.rank);
     const support::duration wait = state_->expected_wait(rank);
     if (state_->misses_deadline(call, wait, now) && state_->try_shed(now)) {
@@ -372,6 +441,7 @@
     std::vector<action> actions;
     state_->queue.push(call);
     state_->start_waiting(now, actions);
+    state_->refuse_beyond_limit(now, actions);
     while (const auto dropped = state_->queue.drop_overflow())
         actions.emplace_back(state_->refuse_overflow(*dropped));
     return actions;
@@ -416,16 +486,35 @@
         state_->slowdowns.on_query_failed(now);
     std::vector<action> actions;
     if (state_->slowdowns.is_slow(now))
-        state_->hand_back_waiting(actions);
+        state_->hand_back_waiting(refusal_kind::slow_spell, actions);
     state_->start_waiting(now, actions);
     return actions;
 }
 
+std::vector<action> gate::on_limit_stated(std::optional<double> calls_per_s,
+                                          support::time_point now)
+{
+    std::vector<action> actions;
+    const bool is_new = calls_per_s && !state_->limit_stated.calls_per_s();
+    state_->limit_stated.set(calls_per_s, now);
+    if (is_new)
+        state_->hand_back_waiting(refusal_kind::rate_limited, actions);
+    state_->start_waiting(now, actions);
+    state_->refuse_beyond_limit(now, actions);
+    return actions;
+}
+
+std::optional<double> gate::stated_limit() const
+{
+    return state_->limit_stated.calls_per_s();
+}
+
 bool gate::take_slowdown_query(support::time_point now)
 {
     const bool can_start =
         state_->queue.size() != 0 &&
-        state_->queue.running() < state_->concurrency.current();
+        state_->queue.running() < state_->concurrency.current() &&
+        state_->limit_stated.wait(0, now) == support::duration(0);
     if (!can_start || !state_->slowdowns.needs_query(now))
         return false;
     state_->slowdowns.on_query_sent(now);
@@ -493,6 +582,7 @@
             expired_call, "the deadline passed in the queue"));
     }
     state_->start_waiting(now, actions);
+    state_->refuse_beyond_limit(now, actions);
     state_->record_sheds(state_->sheds_acted, decision_effect::acted, now);
     state_->record_sheds(state_->sheds_observed, decision_effect::observed,
                          now);
@@ -538,15 +628,16 @@
     support::load_report report;
     report.running = static_cast<std::uint32_t>(state_->queue.running());
     report.waiting = static_cast<std::uint32_t>(state_->queue.size());
-    report.limit = state_->concurrency.current();
+    report.limit = state_->usable_slots();
     report.service_ms =
         state_->service_times.mean_ms() * state_->idle_estimate.slowdown(now);
     for (std::size_t rank = 0; rank < state_->in_force->ranks.size(); ++rank) {
         report.waiting_by_rank.push_back(
             static_cast<std::uint32_t>(state_->queue.waiting(rank)));
     }
-    report.slowdown_remaining_ms =
-        support::to_ms(state_->slowdowns.remaining(now));
+    report.start_delay_ms = support::to_ms(
+        std::max(state_->slowdowns.remaining(now),
+                 state_->limit_stated.wait(state_->queue.size(), now)));
     if (state_->upstream_present)
         report.age_ms = support::to_ms(now - state_->serving_since);
     return report;
--- a/lib/admission/rank_queue.cpp
+++ b/lib/admission/rank_queue.cpp
@@ -182,19 +182,35 @@
         if (std::none_of(rank_lane.waiting.begin(), rank_lane.waiting.end(),
                          call_matches))
             continue;
-        std::deque<queued_call> remaining;
-        for (queued_call& queued : rank_lane.waiting) {
-            if (matches(queued.call))
-                removed.push_back(std::move(queued.call));
-            else
-                remaining.push_back(std::move(queued));
-        }
-        rank_lane.waiting = std::move(remaining);
-        clear_credit_if_idle(rank_lane);
+        remove_from(rank_lane, matches, removed);
     }
     return removed;
 }
 
+std::vector<attempt>
+rank_queue::remove_in_order(const attempt_predicate& matches)
+{
+    std::vector<attempt> removed;
+    for (lane& rank_lane : lanes_)
+        remove_from(rank_lane, matches, removed);
+    return removed;
+}
+
+void rank_queue::remove_from(lane& rank_lane,
+                             const attempt_predicate& matches,
+                             std::vector<attempt>& removed)
+{
+    std::deque<queued_call> remaining;
+    for (queued_call& queued : rank_lane.waiting) {
+        if (matches(queued.call))
+            removed.push_back(std::move(queued.call));
+        else
+            remaining.push_back(std::move(queued));
+    }
+    rank_lane.waiting = std::move(remaining);
+    clear_credit_if_idle(rank_lane);
+}
+
 void rank_queue::release(const std::string& rank_name,
                          double charged_ms,
                          double took_ms,
--- a/lib/link/message.cpp
+++ b/lib/link/message.cpp
@@ -123,7 +123,7 @@
 {
     return json::array({load.running, load.waiting, load.limit, load.service_ms,
                         load.waiting_by_rank, load.age_ms, load.time_at_gate_ms,
-                        load.slowdown_remaining_ms});
+                        load.start_delay_ms});
 }
 
 support::load_report decode_load(const json& list)
@@ -137,7 +137,7 @@
         load.waiting_by_rank.push_back(decode_number<std::uint32_t>(waiting));
     load.age_ms = list.at(5);
     load.time_at_gate_ms = list.at(6);
-    load.slowdown_remaining_ms = list.at(7);
+    load.start_delay_ms = list.at(7);
     return load;
 }
 
--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -44,9 +44,18 @@
 {
     return kind == refusal_kind::overloaded ||
            kind == refusal_kind::upstream_shed ||
+           kind == refusal_kind::rate_limited ||
            kind == refusal_kind::deadline_exceeded;
 }
 
+/// Returns whether the gate could not start the call now, so that its entry may
+/// send it elsewhere.
+bool is_handed_back(refusal_kind kind)
+{
+    return kind == refusal_kind::slow_spell ||
+           kind == refusal_kind::rate_limited;
+}
+
 /// Returns whether the call may be sent to another upstream without taking from
 /// the retry budget: the refusing one takes no calls at present, so that the
 /// load of the fleet does not grow.
@@ -55,7 +64,7 @@
     const bool takes_no_calls = reason.kind == refusal_kind::draining ||
                                 reason.kind == refusal_kind::no_upstream ||
                                 reason.kind == refusal_kind::link_broken ||
-                                reason.kind == refusal_kind::slow_spell;
+                                is_handed_back(reason.kind);
     return takes_no_calls && reason.outcome == run_outcome::not_run;
 }
 
@@ -176,7 +185,7 @@
     if (decided_)
         return {};
     may_have_run_ = may_have_run_ || reason.outcome == run_outcome::unknown;
-    if (reason.kind == refusal_kind::slow_spell) {
+    if (record.may_hand_back && is_handed_back(reason.kind)) {
         ++handed_back_count_;
         handed_back_by_.push_back(record.target.member);
     }
@@ -262,10 +271,11 @@
         return false;
     router_.on_sent(*target, now);
     tried_members_.push_back(target->member);
-    attempts_.push_back({*target, now});
     const bool may_hand_back = properties_.replayable &&
                                target->alternatives > 0 &&
                                handed_back_count_ < max_handed_back;
+    attempts_.push_back({*target, now});
+    attempts_.back().may_hand_back = may_hand_back;
     actions.emplace_back(
         send_attempt{attempts_.size() - 1, *target, may_hand_back});
     return true;
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -105,6 +105,7 @@
                     upstream_result result,
                     support::duration elapsed,
                     const std::optional<upstream_load>& stated_load) const;
+    void on_demand(const upstream_demand& stated, std::uint64_t generation);
     void apply_announcement();
     void stop_serving(std::string_view cause);
     std::string probe_path() const;
@@ -259,6 +260,10 @@
                         "Calls that wait at the gate", load.waiting);
     metrics_->set_gauge("galenarudder_gate_limit",
                         "Calls that the gate runs at once", load.limit);
+    metrics_->set_gauge("galenarudder_upstream_limit",
+                        "Calls per second that the upstream takes; -1 if it "
+                        "states no limit",
+                        gate_.stated_limit().value_or(-1));
     metrics_->set_gauge("galenarudder_probe_window_share",
                         "Share of the upstream's last 10 s spent on probes",
                         support::to_ms(gate_.probes().spent(now)) /
@@ -286,6 +291,9 @@
     add("galenarudder_gate_handed_back_total",
         "Calls handed back to their entries during slow spells",
         counts.handed_back, published_.handed_back);
+    add("galenarudder_gate_refused_limit_total",
+        "Calls refused because the upstream's limit leaves no room",
+        counts.refused_limit, published_.refused_limit);
     add("galenarudder_gate_shed_observed_total",
         "Calls that shedding in mode observe let through", counts.shed_observed,
         published_.shed_observed);
@@ -329,9 +337,14 @@
             if (const auto self = weak.lock())
                 self->on_finished(key, result, elapsed, stated_load);
         };
+    auto take_demand = [weak, generation = instance_generation_](
+                           const upstream_demand& stated) {
+        if (const auto self = weak.lock())
+            self->on_demand(stated, generation);
+    };
     std::shared_ptr<upstream_call> running =
         client_->run(attempt.exchange, attempt.deadline, std::move(load),
-                     std::move(report_result));
+                     std::move(report_result), std::move(take_demand));
     // The attempt may already have ended.
     const auto found = attempts_.find(key);
     if (found != attempts_.end())
@@ -416,6 +429,24 @@
                            elapsed, monotonic_clock::now()));
 }
 
+/// Applies what a response of the upstream states about further calls. All
+/// calls of the upstream start here, so this binds all daemons at once.
+void gate_runtime::impl::on_demand(const upstream_demand& stated,
+                                   std::uint64_t generation)
+{
+    if (generation != instance_generation_)
+        return;
+    if (stated.calls_per_s != gate_.stated_limit()) {
+        telemetry::log_event(
+            telemetry::log_kind::state_change, "upstream.limit",
+            {{"instance", upstream_.instance},
+             {"limited", stated.calls_per_s.has_value()},
+             {"calls_per_s", stated.calls_per_s.value_or(0.0)}});
+        perform(
+            gate_.on_limit_stated(stated.calls_per_s, monotonic_clock::now()));
+    }
+}
+
 void gate_runtime::impl::configure(
     std::shared_ptr<const config::configuration> in_force)
 {
@@ -447,6 +478,7 @@
         serving_ = false;
         announcement_count_ = 0;
         perform(gate_.on_upstream_gone(monotonic_clock::now()));
+        perform(gate_.on_limit_stated(std::nullopt, monotonic_clock::now()));
     }
     ++announcement_count_;
     next_confirmation_ = {};
--- a/lib/proxy/http_dialect.cpp
+++ b/lib/proxy/http_dialect.cpp
@@ -3,6 +3,8 @@
 
 #include "galenarudder/proxy/http_fields.hpp"
 
+#include <charconv>
+
 namespace galenarudder::proxy {
 
 namespace {
@@ -27,6 +29,12 @@
     return std::nullopt;
 }
 
+upstream_demand read_demand(const support::response_head& response)
+{
+    return {parse_calls_per_s(find_field(response.fields, limit_field)),
+            find_field(response.fields, leaving_field) == "1"};
+}
+
 unsigned refusal_status(const support::refusal& reason)
 {
     return support::http_status(reason.kind);
@@ -43,12 +51,24 @@
     dialect.states_not_run = states_not_run;
     dialect.promises_not_run = promises_not_run;
     dialect.read_load = no_load;
+    dialect.read_demand = read_demand;
     dialect.refusal_status = refusal_status;
     return dialect;
 }
 
 } // namespace
 
+std::optional<double> parse_calls_per_s(std::string_view text)
+{
+    constexpr double max_calls_per_s = 1e9;
+    double value = 0;
+    const char* const end = text.data() + text.size();
+    const auto [number_end, failure] = std::from_chars(text.data(), end, value);
+    const bool valid = failure == std::errc() && number_end == end &&
+                       value >= 0 && value <= max_calls_per_s;
+    return valid ? std::optional(value) : std::nullopt;
+}
+
 std::string_view request_id_of(const support::call_head& head,
                                const http_dialect& dialect)
 {
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -195,11 +195,13 @@
                     support::time_point deadline,
                     upstream_client::load_source get_load,
                     upstream_client::finished_handler on_finished,
+                    upstream_client::demand_handler on_demand,
                     std::string instance,
                     const http_dialect& dialect)
         : pool_(std::move(pool)), attempt_(std::move(attempt)),
           deadline_(deadline), get_load_(std::move(get_load)),
-          on_finished_(std::move(on_finished)), instance_(std::move(instance)),
+          on_finished_(std::move(on_finished)),
+          on_demand_(std::move(on_demand)), instance_(std::move(instance)),
           dialect_(dialect), request_task_(pool_->executor())
     {
     }
@@ -255,6 +257,7 @@
     support::time_point deadline_;
     upstream_client::load_source get_load_;
     upstream_client::finished_handler on_finished_;
+    upstream_client::demand_handler on_demand_;
     std::string instance_;
     const http_dialect& dialect_;
     std::optional<upstream_load> stated_load_;
@@ -375,6 +378,8 @@
         co_return refuse(no_response(read_failure_), upstream_result::failed);
     connection_->idle_timeout = idle_timeout_of(*parser_);
     stated_load_ = dialect_.read_load(head);
+    if (on_demand_ && head.status != status_misdirected)
+        on_demand_(dialect_.read_demand(head));
     if (dialect_.states_not_run(head)) {
         // The caller need not wait for the body, which may trickle.
         const upstream_result result = refuse_not_run(head.status);
@@ -660,11 +665,12 @@
 upstream_client::run(link::exchange_ptr attempt,
                      support::time_point deadline,
                      load_source get_load,
-                     finished_handler on_finished)
+                     finished_handler on_finished,
+                     demand_handler on_demand)
 {
     auto running = std::make_shared<running_attempt>(
         pool_, std::move(attempt), deadline, std::move(get_load),
-        std::move(on_finished), instance_, dialect_);
+        std::move(on_finished), std::move(on_demand), instance_, dialect_);
     asio::co_spawn(
         pool_->executor(),
         [running]() -> asio::awaitable<void> { co_await running->run(); },
--- a/lib/routing/estimate.cpp
+++ b/lib/routing/estimate.cpp
@@ -101,13 +101,13 @@
            (failure_cost_service_times * mean_service_ms + failure_cost_ms);
 }
 
-/// Returns the expected remaining time of the slowdown, in which the gate
-/// starts no calls.
-double remaining_slowdown_ms(const upstream_state& upstream,
-                             support::time_point now)
+/// Returns the expected time in which the gate starts no further calls, because
+/// of a slowdown or a limit of the upstream.
+double remaining_start_delay_ms(const upstream_state& upstream,
+                                support::time_point now)
 {
     const std::int64_t remaining_ns =
-        upstream.slowdown_until_ns.load(std::memory_order_relaxed) -
+        upstream.starts_calls_at_ns.load(std::memory_order_relaxed) -
         now.time_since_epoch().count();
     return support::to_ms(
         support::duration(std::max<std::int64_t>(remaining_ns, 0)));
@@ -169,7 +169,7 @@
     const double round_trip_ms =
         std::max(0.0, upstream.link->floor_ms.load(relaxed));
     double cost_ms = round_trip_ms + service_ms * (1 + queueing + contention);
-    cost_ms += remaining_slowdown_ms(upstream, inputs.now);
+    cost_ms += remaining_start_delay_ms(upstream, inputs.now);
     cost_ms += stall_ms(upstream, service_ms, inputs.now);
     cost_ms += recent_failure_cost_ms(upstream, mean_service_ms, inputs.now);
     return cost_ms / slow_start_progress(upstream, inputs);
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -503,10 +503,10 @@
     upstream.own_calls_in_report.store(own_calls > 0 ? own_calls - 1 : 0,
                                        relaxed);
     upstream.sent_since_report.store(0, relaxed);
-    const std::int64_t slowdown_ns =
-        support::from_ms(report.slowdown_remaining_ms).count();
-    upstream.slowdown_until_ns.store(slowdown_ns > 0 ? now_ns + slowdown_ns : 0,
-                                     relaxed);
+    const std::int64_t start_delay_ns =
+        support::from_ms(report.start_delay_ms).count();
+    upstream.starts_calls_at_ns.store(
+        start_delay_ns > 0 ? now_ns + start_delay_ns : 0, relaxed);
     if (report.age_ms > 0) {
         const std::int64_t age_ns = support::from_ms(report.age_ms).count();
         upstream.serving_since_ns.store(now_ns - age_ns, relaxed);
--- a/lib/support/refusal.cpp
+++ b/lib/support/refusal.cpp
@@ -16,7 +16,7 @@
     std::string_view remedy;
 };
 
-constexpr std::array<refusal_properties, 18> refusal_table = {{
+constexpr std::array<refusal_properties, 19> refusal_table = {{
     {refusal_kind::no_such_service, "no-such-service", 404,
      "name a service of the configuration in Host or the first path segment"},
     {refusal_kind::no_upstream, "no-upstream", 503,
@@ -52,6 +52,8 @@
      "send the whole request without pauses"},
     {refusal_kind::slow_spell, "slow-spell", 503,
      "retry; another upstream takes the call"},
+    {refusal_kind::rate_limited, "rate-limited", 503,
+     "retry after Retry-After; the upstream states how many calls it takes"},
 }};
 
 const refusal_properties& properties_of(refusal_kind kind)
--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -290,6 +290,10 @@
         self.early_status = None
         # Time before the body of a request is read.
         self.body_delay_s = 0
+        # Calls per second that answers name as the limit; None for no limit.
+        self.limit_per_s = None
+        # Whether answers state that the upstream leaves.
+        self.states_leaving = False
         # Size to which the bodies of answers are padded.
         self.answer_bytes = 0
         self.sequence = 0
@@ -361,6 +365,10 @@
                          ("Reply-Seal", "seal-of-" + attempt)]
         if early == 503:
             fields.append(("Not-Executed", "1"))
+        if upstream.limit_per_s is not None:
+            fields.append(("Server-Limit", str(upstream.limit_per_s)))
+        if upstream.states_leaving:
+            fields.append(("Server-Leaving", "1"))
         answer = b"done by " + call["instance"].encode()
         answer = answer.ljust(upstream.answer_bytes)
         call["answer_bytes"] = len(answer)
--- a/unittests/admission/gate_test.cpp
+++ b/unittests/admission/gate_test.cpp
@@ -281,4 +281,79 @@
     CHECK(gate.under_test.report(gate.now).running == 0);
 }
 
+TEST_CASE("a limit that the upstream states is not exceeded")
+{
+    gate_fixture gate(9);
+    gate.under_test.on_limit_stated(2.0, gate.now);
+    std::size_t started = 0;
+    std::uint64_t id = 0;
+    const support::time_point end = gate.now + std::chrono::seconds(8);
+    for (; gate.now < end; gate.now += support::milliseconds(50)) {
+        std::vector<action> actions = gate.offer(++id, "normal");
+        for (const action& next : gate.under_test.on_tick(gate.now))
+            actions.push_back(next);
+        for (const action& next : actions) {
+            const auto* call = std::get_if<start>(&next);
+            if (call == nullptr)
+                continue;
+            ++started;
+            gate.under_test.on_ended(call->key, run_result::answered,
+                                     support::milliseconds(5), gate.now);
+        }
+    }
+    CHECK(started >= 15);
+    CHECK(started <= 18);
+}
+
+TEST_CASE("a call that the upstream's limit leaves no room for is refused at "
+          "once")
+{
+    gate_fixture gate(9);
+    gate.under_test.on_limit_stated(2.0, gate.now);
+    using std::chrono::seconds;
+    CHECK(gate.offer(1, "normal", seconds(3)).empty());
+    CHECK(gate.offer(2, "normal", seconds(3)).empty());
+    // The first call can start in 0.5 s, the second in 1 s, the third in 1.5 s.
+    CHECK(describe(gate.offer(3, "normal", seconds(1))) ==
+          texts{"refuse 3 rate-limited"});
+    // The urgent call goes first, so that the last one has no room any more.
+    CHECK(gate.offer(4, "normal", support::milliseconds(1700)).empty());
+    CHECK(describe(gate.offer(5, "urgent", seconds(3))) ==
+          texts{"refuse 4 rate-limited"});
+    CHECK(gate.under_test.counters().refused_limit == 2);
+    gate.now += support::milliseconds(500);
+    CHECK(describe(gate.under_test.on_tick(gate.now)) == texts{"start 5"});
+}
+
+TEST_CASE("a call that its entry can send elsewhere does not wait long for "
+          "the upstream's limit")
+{
+    gate_fixture gate(9);
+    gate.under_test.on_limit_stated(2.0, gate.now);
+    attempt call;
+    call.key = gate_fixture::key(1);
+    call.rank = "normal";
+    call.deadline = gate.now + far_deadline;
+    call.may_hand_back = true;
+    CHECK(describe(gate.under_test.offer(call, gate.now)) ==
+          texts{"refuse 1 rate-limited"});
+    CHECK(gate.under_test.counters().handed_back == 1);
+    CHECK(gate.under_test.report(gate.now).start_delay_ms == 500);
+}
+
+TEST_CASE("a limit ends when the upstream no longer states it")
+{
+    gate_fixture gate(9);
+    gate.under_test.on_limit_stated(0.0, gate.now);
+    // One call in 4 s may start.
+    CHECK(gate.offer(1, "normal").empty());
+    CHECK(gate.offer(2, "normal").empty());
+    CHECK(describe(gate.offer(3, "normal")) == texts{"refuse 3 rate-limited"});
+    CHECK(gate.offer(3, "normal", std::chrono::seconds(60)).empty());
+    CHECK(gate.under_test.on_tick(gate.now).empty());
+    CHECK(describe(gate.under_test.on_limit_stated(std::nullopt, gate.now)) ==
+          texts{"start 1", "start 2", "start 3"});
+    CHECK_FALSE(gate.under_test.stated_limit());
+}
+
 } // namespace galenarudder::admission
--- a/unittests/admission/slowdown_monitor_test.cpp
+++ b/unittests/admission/slowdown_monitor_test.cpp
@@ -112,7 +112,7 @@
     CHECK(first_refusal.key == returnable_call.key);
     CHECK(first_refusal.refusal.kind == support::refusal_kind::slow_spell);
     CHECK(first_refusal.refusal.outcome == support::run_outcome::not_run);
-    CHECK(under_test.report(now).slowdown_remaining_ms > 0);
+    CHECK(under_test.report(now).start_delay_ms > 0);
 
     returnable_call.key = make_attempt(3).key;
     const auto actions_while_slow =
@@ -129,7 +129,7 @@
     const auto actions =
         under_test.on_slowdown_report(1, now + milliseconds(30));
     CHECK(count_starts(actions) == 2);
-    CHECK(under_test.report(now + milliseconds(30)).slowdown_remaining_ms == 0);
+    CHECK(under_test.report(now + milliseconds(30)).start_delay_ms == 0);
 }
 
 } // namespace galenarudder::admission
--- a/unittests/call_flow/call_flow_test.cpp
+++ b/unittests/call_flow/call_flow_test.cpp
@@ -157,6 +157,26 @@
                                                    given.random)) == 1);
 }
 
+TEST_CASE("a call that upstreams have no room for is not sent round and round",
+          "[call_flow]")
+{
+    const int upstreams = GENERATE(1, 2, 3, 9);
+    const refusal_kind kind =
+        GENERATE(refusal_kind::rate_limited, refusal_kind::slow_spell);
+    fixture given(upstreams);
+    call_flow flow = given.make(true);
+    std::vector<call_action> actions = flow.start(start_time, given.random);
+    std::size_t attempt = 0;
+    while (find_refusal(actions) == nullptr) {
+        REQUIRE(attempt < call_flow::max_attempts + call_flow::max_handed_back);
+        actions =
+            flow.on_refusal(attempt++, make_refusal(kind, run_outcome::not_run),
+                            no_load, start_time, given.random);
+    }
+    CHECK(find_refusal(actions)->kind == kind);
+    CHECK(find_refusal(actions)->outcome == run_outcome::not_run);
+}
+
 TEST_CASE("a call whose body cannot be sent again is never handed back",
           "[call_flow]")
 {
--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -204,4 +204,33 @@
     CHECK_FALSE(dialect().read_load(answer(200)));
 }
 
+TEST_CASE("a limit and a departure are read from answers")
+{
+    struct row
+    {
+        std::vector<support::header_field> fields;
+        std::optional<double> calls_per_s;
+        bool leaving;
+    };
+    const row rows[] = {
+        {{}, std::nullopt, false},
+        {{{"Server-Limit", "7.2"}}, 7.2, false},
+        {{{"server-limit", "0"}}, 0, false},
+        {{{"Server-Limit", "12"}, {"Server-Leaving", "1"}}, 12, true},
+        {{{"Server-Leaving", "0"}}, std::nullopt, false},
+        {{{"Server-Limit", "-1"}}, std::nullopt, false},
+        {{{"Server-Limit", ""}}, std::nullopt, false},
+        {{{"Server-Limit", "many"}}, std::nullopt, false},
+        {{{"Server-Limit", "7,2"}}, std::nullopt, false},
+        {{{"Server-Limit", "nan"}}, std::nullopt, false},
+        {{{"Server-Limit", "1e99"}}, std::nullopt, false},
+    };
+    for (const row& test_case : rows) {
+        const proxy::upstream_demand stated =
+            dialect().read_demand(answer(200, test_case.fields));
+        CHECK(stated.calls_per_s == test_case.calls_per_s);
+        CHECK(stated.leaving == test_case.leaving);
+    }
+}
+
 } // namespace galenarudder::platform
--- a/unittests/routing/estimate_test.cpp
+++ b/unittests/routing/estimate_test.cpp
@@ -102,7 +102,7 @@
 TEST_CASE("a slowdown adds its remaining duration to the estimate", "[routing]")
 {
     reported_upstream slow(0);
-    slow.slowdown_until_ns =
+    slow.starts_calls_at_ns =
         (now + milliseconds(100)).time_since_epoch().count();
     const reported_upstream idle(0);
     CHECK(cost_ms(slow) == Approx(cost_ms(idle) + 100));
