Stop calls to an upstream that states its leave in an answer

A back end that leaves says so in all its answers (Server-Leaving: 1); a request that is sent 2 s after a machine passed one on must not reach it from that machine (DRAIN). The daemon knew of a leave by check-ins alone.

The gate stops at the first such answer, before it passes it on, hands back what waits, and tells the presence of the upstream, so that the instance stays out whatever its check-ins say later. All calls of the upstream go through that gate, so a daemon that is cut off need not hear of it. An upstream without start times, of the product's own interface, serves again after it was gone.

--- a/include/galenarudder/proxy/gate_runtime.hpp
+++ b/include/galenarudder/proxy/gate_runtime.hpp
@@ -65,6 +65,11 @@
     void set_upstream(upstream_properties upstream);
     /// Sets the handler of changes; it is called on the gate's strand.
     void on_serving_changed(serving_handler on_changed);
+    /// Sets the handler that is called on the gate's strand when an instance of
+    /// the upstream states in a response that it leaves. The gate sends it no
+    /// more calls by then.
+    void on_leaving_stated(
+        std::function<void(const upstream_properties& upstream)> on_leaving);
     /// The upstream accepts no new calls; its running calls may end.
     void upstream_leaving();
     /// Sets where metrics and decisions are reported; both objects must outlive
--- a/lib/admission/upstream_presence.cpp
+++ b/lib/admission/upstream_presence.cpp
@@ -22,9 +22,11 @@
         ++stale_count_;
         return presence_change::stale;
     }
+    const bool came_back =
+        !has_start_time && now - announced_at_ >= lapse_after_;
     last_ = announced;
     announced_at_ = now;
-    if (!same_instance)
+    if (!same_instance || came_back)
         leaving_ = false;
     if (announced.leaving || leaving_)
         return leave();
@@ -59,6 +61,10 @@
 void upstream_presence::on_absent()
 {
     serves_ = false;
+    // Without a start time the next announcement cannot be told from one of the
+    // instance that left.
+    if (last_ && last_->started_ms == 0)
+        leaving_ = false;
 }
 
 presence_change upstream_presence::on_tick(support::time_point now)
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -414,6 +414,16 @@
                 runtime_impl.on_serving_changed(facts);
             });
         });
+    gate_->on_leaving_stated([this](
+                                 const proxy::upstream_properties& upstream) {
+        run_on_control([instance = upstream.instance,
+                        started_ms = upstream.started_ms](impl& runtime_impl) {
+            runtime_impl.on_presence_change(
+                runtime_impl.presence_.on_leave(instance, started_ms,
+                                                monotonic_clock::now()),
+                "the upstream " + instance + " states that it leaves");
+        });
+    });
     announcement_listener_ = deployment_.open_announcement_listener(
         io_, settings_, make_announcement_handlers());
     operator_port_ =
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -75,6 +75,11 @@
     void drain(std::function<void()> on_drained);
     void check_drained();
 
+    void set_leaving_handler(
+        std::function<void(const upstream_properties&)> on_leaving)
+    {
+        on_leaving_stated_ = std::move(on_leaving);
+    }
     void set_serving_handler(serving_handler on_changed)
     {
         on_serving_changed_ = std::move(on_changed);
@@ -139,6 +144,7 @@
     std::map<attempt_key, open_attempt> attempts_;
     std::function<void()> on_drained_;
     serving_handler on_serving_changed_;
+    std::function<void(const upstream_properties&)> on_leaving_stated_;
     telemetry::metrics* metrics_ = nullptr;
     support::time_point metrics_due_;
     admission::gate_counters published_;
@@ -445,6 +451,11 @@
         perform(
             gate_.on_limit_stated(stated.calls_per_s, monotonic_clock::now()));
     }
+    if (!stated.leaving)
+        return;
+    upstream_leaving();
+    if (on_leaving_stated_)
+        on_leaving_stated_(upstream_);
 }
 
 void gate_runtime::impl::configure(
@@ -665,6 +676,14 @@
     });
 }
 
+void gate_runtime::on_leaving_stated(
+    std::function<void(const upstream_properties& upstream)> on_leaving)
+{
+    impl_->on_strand([on_leaving = std::move(on_leaving)](impl& self) mutable {
+        self.set_leaving_handler(std::move(on_leaving));
+    });
+}
+
 void gate_runtime::upstream_leaving()
 {
     impl_->on_strand([](impl& self) { self.upstream_leaving(); });
--- a/test/process/test_stated_limits.py
+++ b/test/process/test_stated_limits.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Upstreams that state in their answers what they take.
 
-The limit that an upstream states binds all daemons together.
+The limit that an upstream states binds all daemons together; one that states
+that it leaves gets no more calls, from no daemon.
 """
 
 import pathlib
@@ -17,8 +18,9 @@
 LIMIT_PER_S = 4
 WINDOW_S = 4
 # The bounds of the users' rules: one and a half times the limit and 5 calls in
-# any window.
+# any window; no call that is sent 2 s after an answer that states the leave.
 MAX_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+DRAIN_S = 2
 # What the limit allows, less what the start of the window may lack.
 MIN_IN_WINDOW = LIMIT_PER_S * (WINDOW_S - 1)
 
@@ -92,6 +94,20 @@
                  "the limit ends with the answers that state it")
 
 
+def leaving_upstream_gets_no_calls(rig, vm):
+    begin = time.monotonic()
+    vm.upstream.states_leaving = True
+    with Callers(rig.vms, time_left_ms=1000):
+        wait_for(lambda: received_since(vm.upstream, begin),
+                 "an answer states that the upstream leaves")
+        time.sleep(DRAIN_S)
+        late = time.monotonic()
+        # Check-ins that were under way still say that it is ready.
+        time.sleep(DRAIN_S)
+    check(not received_since(vm.upstream, late),
+          "an upstream that states its leave gets no more calls")
+
+
 def main():
     with Rig(sys.argv[1], ["alpha", "beta", "alpha"], "127.35") as rig:
         for vm in rig.vms:
@@ -103,6 +119,7 @@
             wait_for(lambda: vm.call("/again/x")[1] == 200,
                      f"{vm.name} serves")
         limit_is_kept(rig, rig.vms[1].upstream)
+        leaving_upstream_gets_no_calls(rig, rig.vms[1])
 
 
 if __name__ == "__main__":
--- a/unittests/admission/upstream_presence_test.cpp
+++ b/unittests/admission/upstream_presence_test.cpp
@@ -106,4 +106,21 @@
           presence_change::arrived);
 }
 
+TEST_CASE("an upstream without start time that left serves again only after it "
+          "was gone")
+{
+    const bool lapses = GENERATE(false, true);
+    upstream_presence presence(lapse_after);
+    presence.on_announcement(announce("", 0, 0), start);
+    CHECK(presence.on_leave("", 0, start) == presence_change::left);
+    CHECK(presence.on_announcement(announce("", 0, 0), start) ==
+          presence_change::none);
+    CHECK_FALSE(presence.serves());
+    if (!lapses)
+        presence.on_absent();
+    CHECK(presence.on_announcement(announce("", 0, 0),
+                                   lapses ? start + lapse_after : start) ==
+          presence_change::arrived);
+}
+
 } // namespace galenarudder::admission
