--- a/benchmarks/bench_configuration_turn.cpp
+++ b/benchmarks/bench_loop_turns.cpp
@@ -1,8 +1,9 @@
-// Measures for how long one new configuration keeps the event loop of a daemon,
-// by the number of its routes: every event of the control state machines that a
-// change leads to, at a daemon that watches the store and at one that gets the
-// change from a peer. Prints the longest event, and the time of the build,
-// which runs on another thread.
+// Measures for how long single events keep the event loop of a daemon. For a
+// new configuration, by the number of its routes: every event of the control
+// state machines that a change leads to, at a daemon that watches the store and
+// at one that gets the change from a peer, and the time of the build, which
+// runs on another thread. For membership, by the number of members of one
+// service: a datagram that brings ten records.
 #include "galenarudder/admission/gate.hpp"
 #include "galenarudder/rollout/rollout.hpp"
 #include "galenarudder/routing/router.hpp"
@@ -11,6 +12,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <memory>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -191,11 +193,45 @@
     std::printf("}\n");
 }
 
+/// Changes ten members of a service at once, as a datagram does, until each has
+/// changed.
+void measure_members(std::size_t members)
+{
+    constexpr std::size_t records_in_datagram = 10;
+    routing::router router("bilbao", "a");
+    std::vector<membership::member_record> records;
+    for (std::size_t index = 0; index < members; ++index) {
+        records.push_back(record_of(index));
+        records.back().service = "s0";
+    }
+    router.on_records(records);
+    double longest_ms = 0;
+    for (std::size_t begin = 0; begin + records_in_datagram <= members;
+         begin += records_in_datagram) {
+        const std::span datagram =
+            std::span(records).subspan(begin, records_in_datagram);
+        for (membership::member_record& record : datagram)
+            record.slots = 8;
+        const auto started = support::monotonic_clock::now();
+        router.on_records(datagram);
+        longest_ms =
+            std::max(longest_ms,
+                     support::to_ms(support::monotonic_clock::now() - started));
+    }
+    std::printf("{\"name\":\"membership_turn_at_%zu_members\",\"value\":%.3f,"
+                "\"unit\":\"ms of a core\",\"target\":%.1f,\"better\":"
+                "\"less\",\"met\":%s}\n",
+                members, longest_ms, target_ms,
+                longest_ms <= target_ms ? "true" : "false");
+}
+
 } // namespace
 
 int main()
 {
     for (const std::size_t routes : route_counts)
         measure(routes);
+    for (const std::size_t members : {79, 400, 1400})
+        measure_members(members);
     return 0;
 }
