Play configurations with many routes in the soak

Versions with 200 to 2,800 routes more come in series beside the other faults, on a lane of their own, so that the other lanes of a seed stay as they are.

--- a/test/process/soak.py
+++ b/test/process/soak.py
@@ -83,11 +83,13 @@
         self.wait_for_calm()
         self.at_first = {vm.name: resources(vm) for vm in self.rig.vms}
 
-    def put_configuration(self):
+    def put_configuration(self, further_routes=0):
         with self.version_lock:
             self.version += 1
             routes = {**ROUTES,
-                      f"/version-{self.version}/": ("alpha", "idempotent")}
+                      f"/version-{self.version}/": ("alpha", "idempotent"),
+                      **{f"/wide-{number}/": ("alpha", "idempotent")
+                         for number in range(further_routes)}}
             self.rig.store.put_configuration(
                 configuration(self.version, routes))
             self.clients.version.value = self.version
@@ -144,10 +146,10 @@
             vm.process.send_signal(signal.SIGCONT)
         return time_s
 
-    def play_lane(self, number):
-        rng = random.Random(f"{self.seed}-{number}")
+    def play_lane(self, name, faults):
+        rng = random.Random(f"{self.seed}-{name}")
         while not self.ended.wait(rng.uniform(0.1, 1.5)):
-            play_fault = rng.choice(FAULTS)
+            play_fault = rng.choice(faults)
             self.faults_played[play_fault.__name__] += 1
             try:
                 play_fault(self, rng)
@@ -352,12 +354,20 @@
         soak.put_configuration()
 
 
+def widen_configuration(soak, rng):
+    for _ in range(rng.randint(1, 3)):
+        soak.put_configuration(rng.choice((200, 1400, 2800)))
+        time.sleep(rng.uniform(0, 0.5))
+
+
 FAULTS = (
     kill_some, kill_all, leave_in_turn, leave_in_turn, leave_overlapping,
     leave_overlapping, leave_with_further_signals, freeze, reload_settings,
     disturb_store, lose_write_answers_and_history, drain_upstream,
     restart_upstream, disturb_upstream, disturb_upstream,
     change_configuration, change_configuration)
+# On a lane of their own, so that the other lanes of a seed stay as they are.
+FURTHER_FAULTS = (widen_configuration,)
 
 
 def play(build, seed, time_s, vms, network, logs=None, lanes=3, processes=3):
@@ -372,8 +382,10 @@
             soak = Soak(rig, clients, seed)
             soak.start()
             clients.begun.set()
-            threads = [threading.Thread(target=soak.play_lane, args=(lane,))
-                       for lane in range(lanes)]
+            lanes_of_faults = [(lane, FAULTS) for lane in range(lanes)]
+            lanes_of_faults.append(("further", FURTHER_FAULTS))
+            threads = [threading.Thread(target=soak.play_lane, args=lane)
+                       for lane in lanes_of_faults]
             for thread in threads:
                 thread.start()
             time.sleep(time_s)
