--- a/test/process/soak.py
+++ b/test/process/soak.py
@@ -333,6 +333,10 @@
     upstream.delay_s = 0
     upstream.answer_bytes = 0
     upstream.early_status = None
+    upstream.limit_per_s = None
+    if upstream.states_leaving:
+        upstream.start_instance()
+    upstream.states_leaving = False
 
 
 def disturb_upstream(soak, rng):
@@ -360,6 +364,23 @@
         time.sleep(rng.uniform(0, 0.5))
 
 
+def limit_upstream(soak, rng):
+    vms = some_vms(soak, rng, rng.randint(1, 3))
+    for vm in vms:
+        vm.upstream.limit_per_s = rng.choice((0, 0.5, 3, 20))
+    time.sleep(rng.uniform(0.5, 4))
+    for vm in vms:
+        vm.upstream.limit_per_s = None
+
+
+def state_leave(soak, rng):
+    [vm] = some_vms(soak, rng, 1)
+    vm.upstream.states_leaving = True
+    time.sleep(rng.uniform(0.5, 2))
+    vm.upstream.states_leaving = False
+    vm.upstream.start_instance()
+
+
 FAULTS = (
     kill_some, kill_all, leave_in_turn, leave_in_turn, leave_overlapping,
     leave_overlapping, leave_with_further_signals, freeze, reload_settings,
@@ -367,7 +388,8 @@
     restart_upstream, disturb_upstream, disturb_upstream,
     change_configuration, change_configuration)
 # On a lane of their own, so that the other lanes of a seed stay as they are.
-FURTHER_FAULTS = (widen_configuration,)
+FURTHER_FAULTS = (widen_configuration, limit_upstream, limit_upstream,
+                  state_leave)
 
 
 def play(build, seed, time_s, vms, network, logs=None, lanes=3, processes=3):
