Do not write back to a store whose newer document waits to be built

A daemon that watches the store writes the document in force back when the store has an older one. While a document was built, a newer one of the store could already wait; the end of the first build then judged the store by the older. The store is judged only if nothing of it waits (unit_rollout). Also names and comments that stopped a reader, and a conversion that the linter rejects."

--- a/include/galenarudder/rollout/rollout.hpp
+++ b/include/galenarudder/rollout/rollout.hpp
@@ -151,8 +151,8 @@
                                         support::time_point now);
     std::vector<action> on_watch_failed(std::uint64_t watch_number,
                                         support::time_point now);
-    /// The build with that number ended. Builds may be abandoned by never
-    /// calling this only when the daemon ends.
+    /// The build with that number ended. Every build must end so, since no
+    /// other starts before.
     std::vector<action>
     on_built(std::uint64_t build_number,
              const support::result<built_document_ptr>& built,
--- a/include/galenarudder/support/background.hpp
+++ b/include/galenarudder/support/background.hpp
@@ -26,6 +26,7 @@
         boost::asio::bind_executor(executor, boost::asio::use_awaitable));
 }
 
+/// Returns the result of \p work, in which pause_point() takes effect.
 template <typename Work>
 std::invoke_result_t<Work> run_in_background(Work& work)
 {
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -75,7 +75,7 @@
     concurrency_limit concurrency;
     service_estimate service_times;
     slowdown_monitor slowdowns;
-    rate_limit limit_stated;
+    rate_limit stated_limit;
     probe_budget probes{0};
     probe_estimate idle_estimate;
     support::time_point probe_started_at;
@@ -161,11 +161,11 @@
 {
     const std::uint32_t slots = concurrency.current();
     const double mean_ms = service_times.mean_ms();
-    if (!limit_stated.calls_per_s() || slots == 0 || mean_ms <= 0)
+    if (!stated_limit.calls_per_s() || slots == 0 || mean_ms <= 0)
         return slots;
     constexpr double ms_per_s = 1000;
     const double usable =
-        std::ceil(*limit_stated.calls_per_s() * mean_ms / ms_per_s);
+        std::ceil(*stated_limit.calls_per_s() * mean_ms / ms_per_s);
     return static_cast<std::uint32_t>(
         std::clamp<double>(usable, 1, static_cast<double>(slots)));
 }
@@ -257,7 +257,7 @@
 {
     ++counts.refused_limit;
     const auto wait = std::chrono::ceil<support::milliseconds>(
-        limit_stated.wait(queue.size(), now));
+        stated_limit.wait(queue.size(), now));
     return {call.key,
             not_run(refusal_kind::rate_limited,
                     std::clamp(wait, min_retry_after, max_retry_after),
@@ -269,12 +269,12 @@
 void gate::state::refuse_beyond_limit(support::time_point now,
                                       std::vector<action>& actions)
 {
-    if (!limit_stated.calls_per_s() || queue.size() == 0 ||
+    if (!stated_limit.calls_per_s() || queue.size() == 0 ||
         in_force->mode(automation::shed) == automation_mode::observe)
         return;
     std::size_t ahead = 0;
     const auto has_no_room = [&](const attempt& queued) {
-        const support::duration wait = limit_stated.wait(ahead, now);
+        const support::duration wait = stated_limit.wait(ahead, now);
         const bool late =
             wait > support::duration(0) &&
             now + wait + expected_service_time(queued) > queued.deadline;
@@ -298,7 +298,7 @@
         return;
     const auto eligible = [this, now](std::size_t rank) {
         return may_start(rank) &&
-               limit_stated.wait(0, now) == support::duration(0);
+               stated_limit.wait(0, now) == support::duration(0);
     };
     while (std::optional<attempt> next = queue.pop(eligible)) {
         if (next->deadline <= now) {
@@ -314,7 +314,7 @@
         }
         const double cost_ms = service_times.mean_ms(next->rank);
         queue.charge(next->rank, cost_ms, concurrency.current());
-        limit_stated.on_start(now);
+        stated_limit.on_start(now);
         ++counts.started;
         actions.emplace_back(start{next->key});
         const attempt_key key = next->key;
@@ -428,7 +428,7 @@
     const std::size_t ahead =
         state_->queue.waiting_at_or_before(state_->queue.rank_of(call.rank));
     // A shorter wait is about what the entry expected when it chose this gate.
-    const bool waits_long = state_->limit_stated.wait(ahead, now) >
+    const bool waits_long = state_->stated_limit.wait(ahead, now) >
                             state_->expected_service_time(call);
     if (call.may_hand_back && waits_long)
         return {state_->hand_back(call, refusal_kind::rate_limited)};
@@ -495,8 +495,8 @@
                                           support::time_point now)
 {
     std::vector<action> actions;
-    const bool is_new = calls_per_s && !state_->limit_stated.calls_per_s();
-    state_->limit_stated.set(calls_per_s, now);
+    const bool is_new = calls_per_s && !state_->stated_limit.calls_per_s();
+    state_->stated_limit.set(calls_per_s, now);
     if (is_new)
         state_->hand_back_waiting(refusal_kind::rate_limited, actions);
     state_->start_waiting(now, actions);
@@ -506,7 +506,7 @@
 
 std::optional<double> gate::stated_limit() const
 {
-    return state_->limit_stated.calls_per_s();
+    return state_->stated_limit.calls_per_s();
 }
 
 bool gate::take_slowdown_query(support::time_point now)
@@ -514,7 +514,7 @@
     const bool can_start =
         state_->queue.size() != 0 &&
         state_->queue.running() < state_->concurrency.current() &&
-        state_->limit_stated.wait(0, now) == support::duration(0);
+        state_->stated_limit.wait(0, now) == support::duration(0);
     if (!can_start || !state_->slowdowns.needs_query(now))
         return false;
     state_->slowdowns.on_query_sent(now);
@@ -637,7 +637,7 @@
     }
     report.start_delay_ms = support::to_ms(
         std::max(state_->slowdowns.remaining(now),
-                 state_->limit_stated.wait(state_->queue.size(), now)));
+                 state_->stated_limit.wait(state_->queue.size(), now)));
     if (state_->upstream_present)
         report.age_ms = support::to_ms(now - state_->serving_since);
     return report;
--- a/lib/config/document.cpp
+++ b/lib/config/document.cpp
@@ -283,18 +283,19 @@
 /// conforms to the schema, for each part.
 bool conforms_in_parts(const json& base, const json& rest, const char* name)
 {
-    constexpr std::size_t part_size = 64;
+    constexpr std::ptrdiff_t part_size = 64;
     const auto table = base.find(name);
     if (table == base.end() || !table->is_array())
         return false;
     json part = rest;
-    for (std::size_t begin = 0; begin < table->size(); begin += part_size) {
+    for (auto begin = table->begin(); begin != table->end();) {
         support::pause_point();
-        const std::size_t end = std::min(begin + part_size, table->size());
-        part[name] =
-            json(json::array_t(table->begin() + begin, table->begin() + end));
+        const auto end =
+            begin + std::min(part_size, std::distance(begin, table->end()));
+        part[name] = json(json::array_t(begin, end));
         if (!check_schema(part, "base", base_schema))
             return false;
+        begin = end;
     }
     return true;
 }
--- a/lib/rollout/rollout.cpp
+++ b/lib/rollout/rollout.cpp
@@ -299,7 +299,9 @@
                                     : counters.whole_documents);
     }
     adopt_if_newer(built.value(), actions);
-    if (!done.index)
+    const bool is_of_store = done.index.has_value();
+    // A document that waits has replaced this one in the store.
+    if (!is_of_store || next_from_store)
         return;
     stored_id.version = built.value()->id.version;
     if (stored_id.version < current_id.version)
--- a/unittests/rollout/rollout_test.cpp
+++ b/unittests/rollout/rollout_test.cpp
@@ -417,6 +417,23 @@
     CHECK(actions_of_type<rollout::build_document>(all).size() == 2);
 }
 
+TEST_CASE("a store that has a newer document waiting is not written back to",
+          "[rollout]")
+{
+    rollout::rollout daemon("a", "d", 1);
+    daemon.on_document(document_text(5, "five"), start);
+    daemon.on_tick(start);
+    const auto opened =
+        actions_of_type<rollout::watch_store>(daemon.on_tick(start + 5s));
+    REQUIRE(opened.size() == 1);
+    const auto first =
+        daemon.on_store_answer(document_text(4, "four"), {4}, start);
+    daemon.on_store_answer(document_text(6, "six"), {6}, start);
+    const auto all = with_builds(daemon, first);
+    CHECK(daemon.version() == 6);
+    CHECK(actions_of_type<rollout::restore_store>(all).empty());
+}
+
 TEST_CASE("a build that ends late or twice changes nothing", "[rollout]")
 {
     rollout::rollout daemon("a", "d", 1);
