Change the size of answers in the closing test after the first is made

The test sets the size of the stand-in's answers to 0 as soon as the first call has reached the stand-in, which makes its answer a moment later. It now waits until the answer is made; the check is the same.

--- a/test/process/test_closing_connections.py
+++ b/test/process/test_closing_connections.py
@@ -69,6 +69,11 @@
                for call in vm.upstream.received_calls)
 
 
+def answer_is_made(rig, attempt):
+    return any(call["id"] == attempt and "answer_bytes" in call
+               for vm in rig.vms for call in vm.upstream.received_calls)
+
+
 def call_behind_the_last_response_is_not_passed_on(rig, vm):
     for other in rig.vms:
         other.upstream.answer_bytes = LARGE_ANSWER_BYTES
@@ -114,6 +119,7 @@
     caller = SlowCaller(rig, vm)
     first = caller.send()
     wait_for(lambda: runs(rig, first) == 1, "the first call runs")
+    wait_for(lambda: answer_is_made(rig, first), "its answer is made")
     for other in rig.vms:
         other.upstream.answer_bytes = 0
     behind = [caller.send() for _ in range(4)]
