Ask the store by failure domains, and show what it is asked for

Cause: on the users' platform every daemon watched the store, listed the introducers newest each second while alone and eight times more as a candidate, read the configuration twice at each start, and claimed its slot again after each restart.

Change: two watchers of each failure domain. A watcher that stops, or whose watch fails, asks the next two to watch; two standbys check the watchers each 0.5 s and take the place of one that is silent. Listings may be stale unless they decide a claim. A restart takes the document from a peer if one is quicker than the store. A slot of an earlier life of the process is left as it is. Each call has a purpose, in metrics and in the line store.calls.

--- a/include/galenarudder/daemon/node.hpp
+++ b/include/galenarudder/daemon/node.hpp
@@ -78,6 +78,10 @@
                                              support::time_point now);
     /// The upstream has left, or its heartbeat timed out.
     std::vector<node_action> on_upstream_gone(support::time_point now);
+    /// A signal asked this daemon to stop, once its calls are served.
+    std::vector<node_action> on_stopping(support::time_point now);
+    /// The introducers in the store were listed.
+    void on_directory_read(bool names_others);
     /// The upstream, an operator or a signal requested a drain.
     std::vector<node_action> on_drain(support::time_point now);
     /// The drain is complete and the daemon is about to stop.
--- a/include/galenarudder/membership/introducer_directory.hpp
+++ b/include/galenarudder/membership/introducer_directory.hpp
@@ -48,6 +48,7 @@
 /// Read all introducer slots and pass the result to \c on_listed.
 struct list_slots
 {
+    store::read_freshness freshness = store::read_freshness::may_be_stale;
 };
 /// Write the own address to a free introducer slot by compare-and-swap under
 /// the lease and pass the result to \c on_claimed.
@@ -111,6 +112,8 @@
                         support::time_point now);
     /// Lists the slots again soon, earlier than planned.
     void list_soon(support::time_point now);
+    /// Returns how new the next listing must be, and counts it.
+    store::read_freshness take_freshness(bool alone);
     /// Returns the time to the next read; uses up one of the reads at the
     /// shorter interval if it applies.
     support::duration take_list_interval(bool alone);
@@ -130,11 +133,19 @@
     bool slot_claim_unresolved_ = false;
     /// The claim of a slot to send once a lease is granted.
     std::optional<claim_slot> pending_slot_claim_;
+    /// Whether this process has held a slot.
+    bool has_held_slot_ = false;
     /// Whether this member should hold a slot of its domain.
     bool is_candidate_ = false;
     /// Reads that a candidate still makes at the shorter interval.
     unsigned short_interval_reads_left_;
     unsigned list_failures_ = 0;
+    /// The next listing decides whether to claim a slot.
+    bool newest_needed_ = false;
+    /// Whether the last listing that was asked for must be the newest.
+    bool newest_asked_ = false;
+    /// Listings while no other member was live.
+    unsigned alone_reads_ = 0;
     support::time_point settled_at_{};
     support::time_point next_list_{};
 };
--- a/include/galenarudder/rollout/rollout.hpp
+++ b/include/galenarudder/rollout/rollout.hpp
@@ -13,6 +13,7 @@
 #include "galenarudder/rollout/build.hpp"
 #include "galenarudder/rollout/transfer.hpp"
 #include "galenarudder/store/change_index.hpp"
+#include "galenarudder/store/platform_store.hpp"
 #include "galenarudder/support/random.hpp"
 #include "galenarudder/support/time.hpp"
 
@@ -48,6 +49,7 @@
 /// Read the configuration key of the store once.
 struct read_store
 {
+    store::read_freshness freshness = store::read_freshness::newest;
 };
 
 /// Wait until the index of the configuration key differs from \p known_index,
@@ -118,6 +120,10 @@
     std::uint64_t store_reads = 0;
     std::uint64_t store_watches = 0;
     std::uint64_t store_restores = 0;
+    /// Members that this one asked to watch the store in its place.
+    std::uint64_t handovers = 0;
+    /// Members that did not answer a standby's check of the watchers.
+    std::uint64_t silent_watchers = 0;
 };
 
 class rollout
@@ -143,6 +149,11 @@
     std::vector<action> on_store_answer(std::string_view text,
                                         const store::change_index& index,
                                         support::time_point now);
+    /// Like on_store_answer, for an answer that may be some seconds old: it may
+    /// bring a document, but not tell that there is none or an older one.
+    std::vector<action> on_stale_answer(std::string_view text,
+                                        const store::change_index& index,
+                                        support::time_point now);
     /// A read of the store failed.
     std::vector<action> on_store_unavailable(support::time_point now);
     std::vector<action> on_watch_answer(std::uint64_t watch_number,
@@ -176,9 +187,15 @@
     /// Takes the record of a member whenever membership changes it.
     void on_member(const membership::member_record& record,
                    support::time_point now);
+    /// The introducers in the store were listed. If the first listing names no
+    /// other member, a new fleet starts.
+    void on_directory_read(bool names_others);
     /// Records contact with a peer: an authenticated message arrived.
     void on_peer_message(support::time_point now);
     std::vector<action> on_tick(support::time_point now);
+    /// This daemon will stop: if it watches the store, the members that are
+    /// next in the order are asked to do so from now on.
+    std::vector<action> on_stopping(support::time_point now);
 
     /// Encodes the transfer that updates a peer from the document \p peer_id;
     /// empty when the peer is up to date.
@@ -197,6 +214,8 @@
 
     /// Members of each failure domain that watch the store.
     static constexpr std::size_t watchers_per_domain = 2;
+    /// Members of each failure domain that check the watchers.
+    static constexpr std::size_t standbys_per_domain = 2;
     /// Number of peers that are sent a push at each adoption.
     static constexpr std::size_t push_fan_out = 4;
     /// Larger changes are only offered, so that a peer that has the document
--- a/include/galenarudder/rollout/transfer.hpp
+++ b/include/galenarudder/rollout/transfer.hpp
@@ -39,6 +39,8 @@
     /// The JSON patch; the full serialized document if \c from has version 0.
     /// Empty for an offer: the receiver may fetch the document from the sender.
     std::string body;
+    /// The sender asks the receiver to watch the store in its place.
+    bool asks_to_watch = false;
 
     bool is_patch() const { return from.version != 0; }
     bool is_offer() const { return body.empty(); }
--- a/include/galenarudder/store/consul_store.hpp
+++ b/include/galenarudder/store/consul_store.hpp
@@ -35,9 +35,11 @@
     ~consul_store() override;
 
     void get(const std::string& key,
+             read_freshness freshness,
              support::duration timeout,
              callback<indexed_value> done) override;
     void list(const std::string& prefix,
+              read_freshness freshness,
               support::duration timeout,
               callback<std::vector<listed_value>> done) override;
     void compare_and_swap(const std::string& key,
--- a/include/galenarudder/store/platform_store.hpp
+++ b/include/galenarudder/store/platform_store.hpp
@@ -2,6 +2,7 @@
 /// Interface of the platform's key-value service.
 #pragma once
 
+#include "galenarudder/store/call_purpose.hpp"
 #include "galenarudder/store/change_index.hpp"
 #include "galenarudder/support/error.hpp"
 #include "galenarudder/support/time.hpp"
@@ -30,6 +31,15 @@
     indexed_value item;
 };
 
+/// How new the answer to a read must be.
+enum class read_freshness
+{
+    /// The answer is the newest state of the store.
+    newest,
+    /// The answer may be some seconds old, for a fraction of the cost.
+    may_be_stale
+};
+
 /// Result of a compare-and-swap that the store answered.
 enum class swap_outcome
 {
@@ -47,6 +57,12 @@
     std::uint64_t over_budget = 0;
     /// Calls that were sent and failed.
     std::uint64_t failures = 0;
+    call_counts by_purpose{};
+
+    purpose_counts& of(call_purpose purpose)
+    {
+        return by_purpose.at(static_cast<std::size_t>(purpose));
+    }
 };
 
 template <typename T>
@@ -64,12 +80,14 @@
     /// Reads a key; an absent key gives a value with the default
     /// index.
     virtual void get(const std::string& key,
+                     read_freshness freshness,
                      support::duration timeout,
                      callback<indexed_value> done) = 0;
 
     /// Reads all keys that begin with \p prefix, ordered by key. Keys that
     /// change during the call may be missed.
     virtual void list(const std::string& prefix,
+                      read_freshness freshness,
                       support::duration timeout,
                       callback<std::vector<listed_value>> done) = 0;
 
--- a/lib/daemon/introducer_runtime.cpp
+++ b/lib/daemon/introducer_runtime.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+
 namespace galenarudder::daemon {
 
 namespace asio = boost::asio;
@@ -13,7 +15,7 @@
 
 namespace {
 
-constexpr support::milliseconds tick_interval{500};
+constexpr support::milliseconds tick_interval{100};
 constexpr support::milliseconds store_timeout{2000};
 
 } // namespace
@@ -37,6 +39,8 @@
     using actions = std::vector<membership::directory_action>;
 
     void execute_all(const actions& directory_actions);
+    void report_listing(
+        const support::result<std::vector<store::listed_value>>& slots);
     void execute(const membership::list_slots& action);
     void execute(const membership::claim_slot& action);
     void execute(const membership::introducer_found& introducer);
@@ -85,16 +89,31 @@
                    action);
 }
 
-void introducer_runtime::impl::execute(const membership::list_slots&)
+void introducer_runtime::impl::execute(const membership::list_slots& action)
 {
-    store_.list(membership::introducer_prefix, store_timeout,
+    store_.list(membership::introducer_prefix, action.freshness, store_timeout,
                 make_callback<std::vector<store::listed_value>>(
-                    [](auto& directory, auto slots) {
+                    [this](auto& directory, auto slots) {
+                        report_listing(slots);
                         return directory.on_listed(slots,
                                                    monotonic_clock::now());
                     }));
 }
 
+void introducer_runtime::impl::report_listing(
+    const support::result<std::vector<store::listed_value>>& slots)
+{
+    if (!slots)
+        return;
+    const std::string& own_id = node_.member().self().id;
+    node_.on_directory_read(std::any_of(
+        slots.value().begin(), slots.value().end(),
+        [&](const store::listed_value& slot) {
+            const auto holder = membership::parse_introducer(slot.item.value);
+            return holder && holder.value().member != own_id;
+        }));
+}
+
 void introducer_runtime::impl::execute(const membership::claim_slot& action)
 {
     store_.compare_and_swap(
--- a/lib/daemon/membership_metrics.cpp
+++ b/lib/daemon/membership_metrics.cpp
@@ -100,6 +100,19 @@
 void set_metrics(telemetry::metrics& registry, const store_counters& counters)
 {
     set_counters(registry, store_rows, counters);
+    for (std::size_t index = 0; index < store::call_purpose_count; ++index) {
+        const store::purpose_counts& calls = counters.by_purpose.at(index);
+        const std::string purpose(
+            to_string(static_cast<store::call_purpose>(index)));
+        const auto set = [&](const char* outcome, std::uint64_t count) {
+            registry.set_counter("galenarudder_store_calls_total",
+                                 "Calls to the store by purpose and outcome",
+                                 {{"purpose", purpose}, {"outcome", outcome}},
+                                 static_cast<double>(count));
+        };
+        set("answered", calls.sent - calls.failed);
+        set("failed", calls.failed);
+    }
 }
 
 } // namespace galenarudder::daemon
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -179,6 +179,16 @@
     return update_own_record(self, now);
 }
 
+std::vector<node_action> node::on_stopping(support::time_point now)
+{
+    return apply_actions(rollout_.on_stopping(now), now);
+}
+
+void node::on_directory_read(bool names_others)
+{
+    rollout_.on_directory_read(names_others);
+}
+
 std::vector<node_action> node::on_drain(support::time_point now)
 {
     membership::member_record self = member_.self();
--- a/lib/daemon/node_report.cpp
+++ b/lib/daemon/node_report.cpp
@@ -61,6 +61,12 @@
     {"galenarudder_configuration_store_restores_total",
      "Newer configurations written back to the store",
      &rollout_counters::store_restores},
+    {"galenarudder_configuration_handovers_total",
+     "Members asked to watch the store in place of this one",
+     &rollout_counters::handovers},
+    {"galenarudder_configuration_silent_watchers_total",
+     "Members that did not answer as watchers of the store",
+     &rollout_counters::silent_watchers},
 };
 
 prometheus::MetricFamily make_counter_family(const char* name, const char* help)
--- a/lib/daemon/rollout_runtime.cpp
+++ b/lib/daemon/rollout_runtime.cpp
@@ -87,7 +87,7 @@
 
     void build(const rollout::build_document& action);
     void release(const rollout::release_document& action);
-    void read();
+    void read(store::read_freshness freshness);
     void watch(std::uint64_t watch_number,
                const store::change_index& known_index);
     void restore(const rollout::restore_store& action);
@@ -151,10 +151,10 @@
                [document = action.document]() mutable { document.reset(); });
 }
 
-void rollout_runtime::impl::read()
+void rollout_runtime::impl::read(store::read_freshness freshness)
 {
-    store_.get(store::configuration_key, store_timeout,
-               [weak = weak_from_this()](
+    store_.get(store::configuration_key, freshness, store_timeout,
+               [weak = weak_from_this(), freshness](
                    const support::result<store::indexed_value>& stored) {
                    const auto self = weak.lock();
                    if (!self)
@@ -163,7 +163,9 @@
                        self->report(&state_machine::on_store_unavailable);
                        return;
                    }
-                   self->report(&state_machine::on_store_answer,
+                   self->report(freshness == store::read_freshness::newest
+                                    ? &state_machine::on_store_answer
+                                    : &state_machine::on_stale_answer,
                                 stored.value().value, stored.value().index);
                });
 }
@@ -287,9 +289,9 @@
     impl_->release(action);
 }
 
-void rollout_runtime::execute(const rollout::read_store&)
+void rollout_runtime::execute(const rollout::read_store& action)
 {
-    impl_->read();
+    impl_->read(action.freshness);
 }
 
 void rollout_runtime::execute(const rollout::watch_store& action)
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -10,6 +10,7 @@
 #include "galenarudder/daemon/node_report.hpp"
 #include "galenarudder/daemon/operator_port.hpp"
 #include "galenarudder/daemon/rollout_runtime.hpp"
+#include "galenarudder/daemon/store_call_report.hpp"
 #include "galenarudder/http/server.hpp"
 #include "galenarudder/link/link_manager.hpp"
 #include "galenarudder/proxy/caller_server.hpp"
@@ -154,6 +155,7 @@
     std::unique_ptr<http::server> readiness_;
     std::unique_ptr<operator_port> operator_port_;
     std::unique_ptr<store::platform_store> store_;
+    store_call_report store_calls_;
     std::shared_ptr<proxy::keyed_calls> keyed_calls_;
     rollout_runtime rollout_runtime_;
     introducer_runtime introducer_runtime_;
@@ -520,6 +522,7 @@
     execute_all(node_.on_tick(monotonic_clock::now()));
     on_presence_change(presence_.on_tick(monotonic_clock::now()),
                        "no announcement was received in time");
+    store_calls_.on_tick(store_->counters().by_purpose, monotonic_clock::now());
     telemetry::flush_log();
     timer_.expires_after(membership::member::tick_interval);
     timer_.async_wait(
@@ -616,6 +619,7 @@
     telemetry::log_event(
         log_kind::state_change, "daemon.stopping",
         {{"asked_by", asked_by}, {"open_calls", caller_server_.open_calls()}});
+    execute_all(node_.on_stopping(monotonic_clock::now()));
     caller_server_.begin_drain(latest_deadline());
     leave_timer_.expires_after(settings_.leave_notice);
     leave_timer_.async_wait(
@@ -693,6 +697,7 @@
 void runtime::impl::leave()
 {
     telemetry::log_event(log_kind::state_change, "daemon.left", {});
+    store_calls_.finish(store_->counters().by_purpose);
     execute_all(node_.on_left(monotonic_clock::now()));
     stop_when_outcomes_stored(max_stop_checks);
 }
--- a/lib/membership/introducer_directory.cpp
+++ b/lib/membership/introducer_directory.cpp
@@ -25,6 +25,8 @@
 /// list_check_interval. Members of a starting fleet find each other in groups,
 /// which learn of each other through these reads.
 constexpr unsigned max_short_interval_reads = 8;
+/// While this member is alone, one of so many listings is the newest.
+constexpr unsigned alone_reads_for_newest = 3;
 
 support::error malformed()
 {
@@ -99,6 +101,20 @@
     return actions;
 }
 
+/// A listing that may be some seconds old is enough to find introducers; an
+/// older entry names a member that may have gone, which a join shows. While
+/// none answers, the newest is read from time to time.
+store::read_freshness introducer_directory::take_freshness(bool alone)
+{
+    alone_reads_ = alone ? alone_reads_ + 1 : 0;
+    const bool found_none =
+        alone_reads_ != 0 && alone_reads_ % alone_reads_for_newest == 0;
+    newest_asked_ = newest_needed_ || slot_claim_unresolved_ || found_none;
+    newest_needed_ = false;
+    return newest_asked_ ? store::read_freshness::newest
+                         : store::read_freshness::may_be_stale;
+}
+
 support::duration introducer_directory::take_list_interval(bool alone)
 {
     if (alone)
@@ -129,7 +145,7 @@
     if (!settled)
         next_list_ = std::min(next_list_, settled_at_);
     if (alone || is_candidate_ || !held_key_.empty() || slot_claim_unresolved_)
-        actions.emplace_back(list_slots{});
+        actions.emplace_back(list_slots{take_freshness(alone)});
     return actions;
 }
 
@@ -145,6 +161,7 @@
         });
     if (own_slot != slots.end()) {
         held_key_ = own_slot->key;
+        has_held_slot_ = true;
         return;
     }
     if (!held_key_.empty())
@@ -170,7 +187,11 @@
         claim_slot claim{
             key, introducer_value(self_),
             absent ? store::change_index() : slot_entry->item.index, ""};
-        if (!absent && slot_entry->item.value == claim.value) {
+        const bool own = !absent && slot_entry->item.value == claim.value;
+        // What an earlier process of this member claimed holds for this one.
+        if (own && !slot_entry->item.lease.empty() && !has_held_slot_)
+            return;
+        if (own) {
             free_slots.clear();
             free_slots.push_back(std::move(claim));
             break;
@@ -180,6 +201,11 @@
     }
     if (free_slots.empty())
         return;
+    if (!newest_asked_) {
+        newest_needed_ = true;
+        next_list_ = now;
+        return;
+    }
     claim_slot& chosen =
         free_slots[support::uniform_below(random_, free_slots.size())];
     chosen.lease = lease_.lease_id(now);
@@ -225,6 +251,7 @@
         // Another member claimed the slot, or the answer was lost: the next
         // listing shows which.
         slot_claim_unresolved_ = !outcome;
+        newest_needed_ = true;
         list_soon(now);
         const bool lapsed =
             !outcome && outcome.error().kind == support::error_kind::not_found;
@@ -232,8 +259,10 @@
             return apply_lease_actions(lease_.on_lapsed(now), now);
         return {};
     }
-    if (lease_.holds(now))
+    if (lease_.holds(now)) {
         held_key_ = key;
+        has_held_slot_ = true;
+    }
     return {};
 }
 
--- a/lib/proxy/keyed_calls.cpp
+++ b/lib/proxy/keyed_calls.cpp
@@ -170,7 +170,8 @@
 {
     metrics_.add_to_counter("galenarudder_claim_reads_total",
                             "Reads of claims from the store");
-    store_.get(once::shard_key(action.shard), store_timeout,
+    store_.get(once::shard_key(action.shard), store::read_freshness::newest,
+               store_timeout,
                [weak = weak_from_this(), shard = action.shard](
                    support::result<store::indexed_value> stored) {
                    const auto self = weak.lock();
--- a/lib/rollout/rollout.cpp
+++ b/lib/rollout/rollout.cpp
@@ -23,6 +23,23 @@
 /// times as long, each a random time, so that the members of a fleet that
 /// starts at once do not call the store at the same time.
 constexpr milliseconds start_jitter{500};
+/// The first watch waits until no new member of the failure domain was heard of
+/// for this long, since a member that knows few others yet would consider
+/// itself one of the first of its domain.
+constexpr milliseconds watch_settling{600};
+/// The longest that the first watch waits in a running fleet, and in a new one,
+/// whose members have to find each other first.
+constexpr milliseconds max_watch_delay{1500};
+constexpr milliseconds max_watch_delay_of_new_fleet{4000};
+/// Interval of reads in a new fleet while the store seems to have no document.
+constexpr milliseconds absent_read_interval{500};
+/// How long a member watches the store in place of another that asked it to.
+/// Membership knows by then that the other has gone.
+constexpr milliseconds handover_time{10'000};
+/// Interval at which a standby asks one of the watchers of its domain.
+constexpr milliseconds watcher_check_interval{500};
+/// How long a watcher that did not answer is passed over.
+constexpr milliseconds silent_time{10'000};
 /// Maximum random delay of a pull after membership reports a newer version,
 /// since a push is probably already in flight.
 constexpr milliseconds pull_jitter{150};
@@ -32,6 +49,9 @@
 /// Contact is a message from a peer or an answer of the store. After this time
 /// without contact the store is read.
 constexpr milliseconds contact_timeout{5000};
+/// Time for which a member without a document that has heard of one waits for a
+/// peer before it reads the store.
+constexpr milliseconds first_pull_time{300};
 constexpr milliseconds first_backoff{250};
 constexpr milliseconds max_backoff{2000};
 /// Adoptions whose patches are kept for peers that are behind.
@@ -45,6 +65,8 @@
     std::string domain;
     std::uint64_t version = 0;
     bool accepts_transfers = false;
+    /// The member did not answer; it is no watcher until then.
+    time_point silent_until{};
 };
 
 /// An adopted document and the patch that led to it.
@@ -102,11 +124,32 @@
     std::map<support::member_id, known_peer> peers;
 
     bool started = false;
+    time_point started_at{};
+    /// When a member of the own failure domain was first heard of, the last
+    /// time.
+    time_point heard_of_member_at{};
+    /// The first watch has been opened, or another member asked for it.
+    bool settled = false;
     time_point last_contact{};
     time_point next_read{};
     bool store_answered = false;
+    /// Whether the first listing of introducers named no other member.
+    std::optional<bool> new_fleet;
+    /// When a first document was heard of, which is pulled from a peer.
+    std::optional<time_point> first_heard_at;
     milliseconds read_backoff = first_backoff;
 
+    /// This daemon watches in place of another until then.
+    time_point watches_for_other_until{};
+    bool stopping = false;
+    /// Others were asked to watch, since this daemon stops or its watch failed.
+    bool handed_over = false;
+    time_point next_watcher_check{};
+    /// The watcher that a standby is asking; empty when there is none.
+    support::member_id checked_watcher;
+    /// Members that were asked to watch and may not have heard of it.
+    std::vector<support::member_id> asked_to_watch;
+
     bool watching = false;
     bool watch_open = false;
     std::uint64_t watch_number = 0;
@@ -123,10 +166,19 @@
 
     milliseconds jitter(milliseconds max_wait);
     milliseconds back_off(milliseconds& backoff);
-    bool should_watch() const;
-    bool watches(const known_peer& peer, const support::member_id& id) const;
+    bool is_settled(time_point now) const;
+    bool should_watch(time_point now) const;
+    bool watches(const known_peer& peer,
+                 const support::member_id& id,
+                 time_point now) const;
     std::size_t watchers_before(std::string_view id,
-                                std::string_view of_domain) const;
+                                std::string_view of_domain,
+                                time_point now) const;
+    std::vector<support::member_id> watch_order(time_point now) const;
+    void hand_over(std::vector<action>& actions, time_point now);
+    void pass_over(const support::member_id& id, time_point now);
+    void take_over(time_point now);
+    void check_watcher_tick(std::vector<action>& actions, time_point now);
     std::vector<support::member_id> peers_with_older_version() const;
     std::optional<support::member_id> random_newer_peer();
     void hear_of(std::uint64_t version, time_point now);
@@ -138,19 +190,22 @@
                       std::vector<action>& actions,
                       time_point now);
     void adopt_if_newer(const built_document_ptr& built,
-                        std::vector<action>& actions);
+                        std::vector<action>& actions,
+                        time_point now);
     void adopt_document(const built_document_ptr& adopted,
                         std::vector<action>& actions);
     std::string patch_from(const document_id& peer_id) const;
-    std::string push_payload_for(const support::member_id& to);
-    void push(std::vector<action>& actions);
-    void push_to(const support::member_id& to, std::vector<action>& actions);
+    std::string push_payload_for(const support::member_id& to, time_point now);
+    void push(std::vector<action>& actions, time_point now);
+    void push_to(const support::member_id& to,
+                 std::vector<action>& actions,
+                 time_point now);
     void take_transfer(std::string_view encoded,
                        const support::member_id& sender,
                        std::vector<action>& actions,
                        time_point now);
     void take_document_of_store(std::string_view serialized,
-                                const store::change_index& index,
+                                const std::optional<store::change_index>& index,
                                 std::vector<action>& actions,
                                 time_point now);
     void restore(const store::change_index& index,
@@ -175,10 +230,23 @@
     return wait;
 }
 
+/// Returns whether this member knows enough of its failure domain to tell
+/// whether it is one of the watchers.
+bool rollout::state::is_settled(time_point now) const
+{
+    const bool is_new_fleet = new_fleet.value_or(false);
+    const bool too_long =
+        now - started_at >=
+        (is_new_fleet ? max_watch_delay_of_new_fleet : max_watch_delay);
+    return too_long ||
+           (!peers.empty() && now - heard_of_member_at >= watch_settling);
+}
+
 /// Returns the number of members of \p of_domain that are asked to watch the
 /// store before \p id is.
 std::size_t rollout::state::watchers_before(std::string_view id,
-                                            std::string_view of_domain) const
+                                            std::string_view of_domain,
+                                            time_point now) const
 {
     const auto own = std::pair(watcher_hash(id), id);
     std::size_t lower_hash_count = 0;
@@ -187,7 +255,8 @@
         lower_hash_count += other < own ? 1 : 0;
     };
     for (const auto& [other_id, peer] : peers) {
-        if (peer.domain == of_domain && peer.accepts_transfers)
+        if (peer.domain == of_domain && peer.accepts_transfers &&
+            now >= peer.silent_until)
             count(other_id);
     }
     if (domain == of_domain)
@@ -195,15 +264,101 @@
     return lower_hash_count;
 }
 
-bool rollout::state::should_watch() const
+bool rollout::state::should_watch(time_point now) const
 {
-    return watchers_before(member, domain) < watchers;
+    return now < watches_for_other_until ||
+           watchers_before(member, domain, now) < watchers;
 }
 
 bool rollout::state::watches(const known_peer& peer,
-                             const support::member_id& id) const
+                             const support::member_id& id,
+                             time_point now) const
+{
+    return now >= peer.silent_until &&
+           watchers_before(id, peer.domain, now) < watchers;
+}
+
+/// Returns the other members of the own failure domain that may watch the
+/// store, in the order in which they are asked to.
+std::vector<support::member_id>
+rollout::state::watch_order(time_point now) const
+{
+    std::vector<std::pair<std::uint64_t, support::member_id>> order;
+    for (const auto& [id, peer] : peers) {
+        const bool may_watch = peer.domain == domain &&
+                               peer.accepts_transfers &&
+                               now >= peer.silent_until;
+        if (may_watch)
+            order.emplace_back(watcher_hash(id), id);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<support::member_id> ids;
+    for (auto& [hash, id] : order)
+        ids.push_back(std::move(id));
+    return ids;
+}
+
+/// Asks the first members that do not watch to do so from now on, as many as
+/// there are watchers, since all of them may be stopping.
+void rollout::state::hand_over(std::vector<action>& actions, time_point now)
+{
+    if (!watching || handed_over)
+        return;
+    handed_over = true;
+    asked_to_watch.clear();
+    std::size_t asked = 0;
+    for (const support::member_id& id : watch_order(now)) {
+        if (asked == watchers)
+            return;
+        if (watches(peers.at(id), id, now))
+            continue;
+        ++asked;
+        ++counters.handovers;
+        asked_to_watch.push_back(id);
+        transfer request{{}, current_id, {}};
+        request.asks_to_watch = true;
+        actions.emplace_back(
+            push_to_peer{id, peers.at(id).operators, encode(request)});
+    }
+}
+
+/// Leaves a member that does not answer out of the watchers for a while.
+void rollout::state::pass_over(const support::member_id& id, time_point now)
 {
-    return watchers_before(id, peer.domain) < watchers;
+    const auto silent_peer = peers.find(id);
+    if (silent_peer == peers.end())
+        return;
+    ++counters.silent_watchers;
+    silent_peer->second.silent_until = now + silent_time;
+}
+
+void rollout::state::take_over(time_point now)
+{
+    watches_for_other_until = now + handover_time;
+    settled = true;
+    if (!watching)
+        next_watch = now;
+}
+
+/// A standby, which is next in the order behind the watchers, asks one of them
+/// for a newer document. One that does not answer is passed over, so that the
+/// standby takes its place long before membership has declared it dead.
+void rollout::state::check_watcher_tick(std::vector<action>& actions,
+                                        time_point now)
+{
+    if (watching || !checked_watcher.empty() || now < next_watcher_check)
+        return;
+    const std::size_t before = watchers_before(member, domain, now);
+    next_watcher_check = now + watcher_check_interval;
+    if (before >= watchers + standbys_per_domain)
+        return;
+    const std::vector<support::member_id> order = watch_order(now);
+    const std::size_t choices = std::min(watchers, order.size());
+    if (choices == 0)
+        return;
+    checked_watcher = order[support::uniform_below(random, choices)];
+    actions.emplace_back(pull_from_peer{
+        checked_watcher, peers.at(checked_watcher).operators, current_id});
 }
 
 std::vector<support::member_id> rollout::state::peers_with_older_version() const
@@ -237,6 +392,11 @@
     if (version <= highest_seen_version)
         return;
     highest_seen_version = version;
+    // Without a document nothing is served: it is pulled at once.
+    if (current_id.version == 0) {
+        first_heard_at = first_heard_at.value_or(now);
+        return;
+    }
     const milliseconds head_start =
         watch_open ? watch_head_start : milliseconds(0);
     next_pull = std::max(next_pull, now + head_start + jitter(pull_jitter));
@@ -298,7 +458,7 @@
         ++(done.received.is_patch() ? counters.patches
                                     : counters.whole_documents);
     }
-    adopt_if_newer(built.value(), actions);
+    adopt_if_newer(built.value(), actions, now);
     const bool is_of_store = done.index.has_value();
     // A document that waits has replaced this one in the store.
     if (!is_of_store || next_from_store)
@@ -311,7 +471,8 @@
 /// Adopts \p built if it is newer than the document in force; drops it
 /// otherwise, and counts it if it is older or conflicting.
 void rollout::state::adopt_if_newer(const built_document_ptr& built,
-                                    std::vector<action>& actions)
+                                    std::vector<action>& actions,
+                                    time_point now)
 {
     if (current && built->id.version < current_id.version) {
         ++counters.reversions_refused;
@@ -328,7 +489,7 @@
         return;
     }
     adopt_document(built, actions);
-    push(actions);
+    push(actions, now);
 }
 
 void rollout::state::adopt_document(const built_document_ptr& adopted,
@@ -372,13 +533,14 @@
 
 /// Returns the change itself if it is small and the peer may not get it
 /// otherwise, else only the offer.
-std::string rollout::state::push_payload_for(const support::member_id& to)
+std::string rollout::state::push_payload_for(const support::member_id& to,
+                                             time_point now)
 {
     const change& latest = recent_changes.back();
     const bool has_patch = !latest.patch.empty() && latest.from.version != 0;
     const std::string& body = has_patch ? latest.patch : current->text;
     const bool offered =
-        body.size() > max_pushed_bytes || watches(peers.at(to), to);
+        body.size() > max_pushed_bytes || watches(peers.at(to), to, now);
     if (offered) {
         ++counters.offers;
         return encode(transfer{{}, current_id, {}});
@@ -387,21 +549,22 @@
         transfer{has_patch ? latest.from : document_id(), current_id, body});
 }
 
-void rollout::state::push(std::vector<action>& actions)
+void rollout::state::push(std::vector<action>& actions, time_point now)
 {
     push_retries = 0;
     std::vector<support::member_id> older_peers = peers_with_older_version();
     std::shuffle(older_peers.begin(), older_peers.end(), random);
     older_peers.resize(std::min(older_peers.size(), push_fan_out));
     for (const support::member_id& to : older_peers)
-        push_to(to, actions);
+        push_to(to, actions, now);
 }
 
 void rollout::state::push_to(const support::member_id& to,
-                             std::vector<action>& actions)
+                             std::vector<action>& actions,
+                             time_point now)
 {
     ++counters.pushes;
-    std::string payload = push_payload_for(to);
+    std::string payload = push_payload_for(to, now);
     actions.emplace_back(
         push_to_peer{to, peers.at(to).operators, std::move(payload)});
 }
@@ -418,6 +581,8 @@
     }
     transfer& incoming = decoded.value();
     const std::uint64_t version = incoming.to.version;
+    if (incoming.asks_to_watch)
+        take_over(now);
     const auto sending_peer = peers.find(sender);
     if (sending_peer != peers.end()) {
         sending_peer->second.version =
@@ -450,16 +615,20 @@
     start_next_build(actions, now);
 }
 
-void rollout::state::take_document_of_store(std::string_view serialized,
-                                            const store::change_index& index,
-                                            std::vector<action>& actions,
-                                            time_point now)
+/// Takes what the store holds; \p index is empty if the answer may be old.
+void rollout::state::take_document_of_store(
+    std::string_view serialized,
+    const std::optional<store::change_index>& index,
+    std::vector<action>& actions,
+    time_point now)
 {
     std::string hash = hash_of(serialized);
     if (hash == stored_id.hash) {
         ++counters.superseded;
-        if (stored_id.version != 0 && stored_id.version < current_id.version)
-            restore(index, actions);
+        const bool older =
+            stored_id.version != 0 && stored_id.version < current_id.version;
+        if (older && index)
+            restore(*index, actions);
         return;
     }
     stored_id = {0, std::move(hash)};
@@ -480,7 +649,8 @@
 
 void rollout::state::watch_tick(std::vector<action>& actions, time_point now)
 {
-    watching = should_watch();
+    settled = settled || is_settled(now);
+    watching = settled && should_watch(now);
     if (!watching || watch_open || now < next_watch)
         return;
     watch_open = true;
@@ -508,11 +678,21 @@
     const bool initial_read_done = current_id.version != 0 || store_answered;
     const bool read_not_needed =
         initial_read_done && (recent_contact || watching);
-    if (read_not_needed || now < next_read)
+    const bool pulls_first = current_id.version == 0 && first_heard_at &&
+                             now < *first_heard_at + first_pull_time;
+    if (read_not_needed || pulls_first || now < next_read)
         return;
     next_read = now + contact_timeout + jitter(contact_timeout / 2);
     ++counters.store_reads;
-    actions.emplace_back(read_store{});
+    // A restarted member must not use an older document than the fleet. In a
+    // new fleet the first answers of watches come soon.
+    const bool may_be_stale =
+        new_fleet.value_or(false) && now - started_at < contact_timeout;
+    if (may_be_stale)
+        next_read = now + absent_read_interval + jitter(start_jitter);
+    actions.emplace_back(read_store{may_be_stale
+                                        ? store::read_freshness::may_be_stale
+                                        : store::read_freshness::newest});
 }
 
 rollout::rollout(std::string member,
@@ -564,11 +744,26 @@
     state_->last_contact = now;
     state_->read_backoff = first_backoff;
     state_->store_answered = true;
+    if (!state_->watch_open)
+        state_->known_index = index;
     if (!index.is_absent())
         state_->take_document_of_store(text, index, actions, now);
     return actions;
 }
 
+std::vector<action> rollout::on_stale_answer(std::string_view text,
+                                             const store::change_index& index,
+                                             time_point now)
+{
+    std::vector<action> actions;
+    state_->read_backoff = first_backoff;
+    if (index.is_absent())
+        return actions;
+    state_->last_contact = now;
+    state_->take_document_of_store(text, std::nullopt, actions, now);
+    return actions;
+}
+
 std::vector<action> rollout::on_store_unavailable(time_point now)
 {
     state_->next_read = now + state_->back_off(state_->read_backoff);
@@ -584,6 +779,7 @@
     if (watch_number != state_->watch_number)
         return actions;
     state_->watch_open = false;
+    state_->handed_over = state_->stopping;
     state_->last_contact = now;
     state_->watch_backoff = first_backoff;
     const bool changed = index != state_->known_index;
@@ -605,9 +801,11 @@
 {
     if (watch_number != state_->watch_number)
         return {};
+    std::vector<action> actions;
     state_->watch_open = false;
     state_->next_watch = now + state_->back_off(state_->watch_backoff);
-    return {};
+    state_->hand_over(actions, now);
+    return actions;
 }
 
 std::vector<action> rollout::on_transfer(std::string_view encoded,
@@ -625,10 +823,15 @@
                                             time_point now)
 {
     std::vector<action> actions;
-    if (peer != state_->pull_peer)
+    const bool is_check = peer == state_->checked_watcher;
+    if (is_check)
+        state_->checked_watcher.clear();
+    if (!is_check && peer != state_->pull_peer)
         return actions;
-    state_->pull_peer.clear();
-    state_->next_pull = now + first_backoff;
+    if (peer == state_->pull_peer) {
+        state_->pull_peer.clear();
+        state_->next_pull = now + first_backoff;
+    }
     state_->last_contact = now;
     if (!encoded.empty())
         state_->take_transfer(encoded, peer, actions, now);
@@ -638,18 +841,30 @@
 std::vector<action> rollout::on_pull_failed(const support::member_id& peer,
                                             time_point now)
 {
+    if (peer == state_->checked_watcher) {
+        state_->checked_watcher.clear();
+        state_->pass_over(peer, now);
+        if (!state_->watching)
+            state_->next_watch = now;
+    }
     if (peer != state_->pull_peer)
         return {};
-    ++state_->counters.pulls_failed;
     state_->pull_peer.clear();
+    ++state_->counters.pulls_failed;
     state_->next_pull = now + state_->jitter(first_backoff);
     return {};
 }
 
 std::vector<action> rollout::on_push_failed(const support::member_id& peer,
-                                            time_point)
+                                            time_point now)
 {
     std::vector<action> actions;
+    if (std::erase(state_->asked_to_watch, peer) != 0) {
+        state_->pass_over(peer, now);
+        state_->handed_over = false;
+        state_->hand_over(actions, now);
+        return actions;
+    }
     std::vector<support::member_id> older_peers =
         state_->peers_with_older_version();
     std::erase(older_peers, peer);
@@ -658,7 +873,7 @@
     ++state_->push_retries;
     const auto index =
         support::uniform_below(state_->random, older_peers.size());
-    state_->push_to(older_peers[index], actions);
+    state_->push_to(older_peers[index], actions, now);
     return actions;
 }
 
@@ -672,6 +887,9 @@
         state_->peers.erase(record.id);
         return;
     }
+    const bool is_new = !state_->peers.contains(record.id);
+    if (is_new && record.domain == state_->domain)
+        state_->heard_of_member_at = now;
     known_peer& peer = state_->peers[record.id];
     peer.operators = record.operators;
     peer.domain = record.domain;
@@ -680,6 +898,12 @@
     state_->hear_of(peer.version, now);
 }
 
+void rollout::on_directory_read(bool names_others)
+{
+    if (!state_->new_fleet)
+        state_->new_fleet = !names_others;
+}
+
 void rollout::on_peer_message(time_point now)
 {
     state_->last_contact = now;
@@ -692,11 +916,22 @@
         state_->started = true;
         state_->last_contact = now;
         state_->next_read = now + state_->jitter(start_jitter);
-        state_->next_watch = now + state_->jitter(start_jitter) + start_jitter;
+        state_->started_at = now;
+        state_->heard_of_member_at = now;
     }
     state_->watch_tick(actions, now);
     state_->pull_tick(actions, now);
     state_->read_tick(actions, now);
+    state_->check_watcher_tick(actions, now);
+    return actions;
+}
+
+std::vector<action> rollout::on_stopping(time_point now)
+{
+    std::vector<action> actions;
+    state_->hand_over(actions, now);
+    state_->stopping = true;
+    state_->handed_over = true;
     return actions;
 }
 
--- a/lib/rollout/transfer.cpp
+++ b/lib/rollout/transfer.cpp
@@ -29,7 +29,8 @@
   "required": ["from", "to"],
   "properties": {
     "from": {"$ref": "#/definitions/document"},
-    "to": {"$ref": "#/definitions/document"}
+    "to": {"$ref": "#/definitions/document"},
+    "watch": {"type": "boolean"}
   },
   "definitions": {
     "document": {
@@ -175,10 +176,10 @@
 
 std::string encode(const transfer& outgoing)
 {
-    std::string encoded = json{
-        {"from", encode(outgoing.from)},
-        {"to",
-         encode(outgoing.to)}}.dump();
+    json ids = {{"from", encode(outgoing.from)}, {"to", encode(outgoing.to)}};
+    if (outgoing.asks_to_watch)
+        ids["watch"] = true;
+    std::string encoded = ids.dump();
     encoded += ids_end;
     encoded += outgoing.body;
     return encoded;
@@ -193,6 +194,7 @@
     transfer received;
     received.from = decode_id(ids.at("from"));
     received.to = decode_id(ids.at("to"));
+    received.asks_to_watch = ids.value("watch", false);
     if (end < text.size())
         received.body = std::string(text.substr(end + 1));
     return received;
--- a/lib/store/consul_store.cpp
+++ b/lib/store/consul_store.cpp
@@ -198,21 +198,31 @@
 
     /// Takes a token from the budget and counts the call, or counts it as over
     /// budget; watches use the read budget.
-    bool admit(support::token_bucket& budget, counter call_counter)
+    bool admit(support::token_bucket& budget,
+               counter call_counter,
+               call_purpose purpose,
+               read_freshness freshness = read_freshness::newest)
     {
         const std::lock_guard lock(state_mutex);
         const bool admitted =
             budget.try_take(1, support::monotonic_clock::now());
         ++(counters.*(admitted ? call_counter : &store_counters::over_budget));
-        return admitted;
+        if (!admitted)
+            return false;
+        purpose_counts& calls = counters.of(purpose);
+        ++calls.sent;
+        calls.may_be_stale += freshness == read_freshness::may_be_stale ? 1 : 0;
+        return true;
     }
 
     /// Records the result of a call and logs when the store is lost or
     /// regained.
-    void record_result(bool succeeded, std::string_view cause)
+    void
+    record_result(call_purpose purpose, bool succeeded, std::string_view cause)
     {
         const std::lock_guard lock(state_mutex);
         counters.failures += succeeded ? 0 : 1;
+        counters.of(purpose).failed += succeeded ? 0 : 1;
         const auto change = store_reachability.on_call(
             succeeded, support::monotonic_clock::now());
         if (!change)
@@ -241,6 +251,7 @@
 /// the executor in both cases.
 template <typename T, typename State>
 void send(const std::shared_ptr<State>& state,
+          call_purpose purpose,
           bool admitted,
           http::client_request request,
           support::duration timeout,
@@ -254,7 +265,7 @@
     }
     asio::co_spawn(
         state->executor,
-        [state, request = std::move(request), timeout, parse,
+        [state, purpose, request = std::move(request), timeout, parse,
          done = std::move(done)]() -> asio::awaitable<void> {
             const http_result response =
                 co_await http::fetch(state->server, request, timeout);
@@ -266,8 +277,9 @@
             // A lapsed lease is a valid answer of a reachable store.
             const bool succeeded =
                 parsed || parsed.error().kind == error_kind::not_found;
-            state->record_result(succeeded, succeeded ? std::string_view()
-                                                      : parsed.error().message);
+            state->record_result(purpose, succeeded,
+                                 succeeded ? std::string_view()
+                                           : parsed.error().message);
             done(std::move(parsed));
         },
         asio::detached);
@@ -295,23 +307,39 @@
 consul_store::~consul_store() = default;
 
 void consul_store::get(const std::string& key,
+                       read_freshness freshness,
                        support::duration timeout,
                        callback<indexed_value> done)
 {
+    const call_purpose purpose = purpose_of(call_operation::read, key);
     send<indexed_value>(
-        state_, state_->admit(state_->read_budget, &store_counters::reads),
-        {"GET", "/v1/kv/" + encode_key(key), "", {}}, timeout, parse_value,
-        std::move(done));
+        state_, purpose,
+        state_->admit(state_->read_budget, &store_counters::reads, purpose,
+                      freshness),
+        {"GET",
+         "/v1/kv/" + encode_key(key) +
+             (freshness == read_freshness::may_be_stale ? "?stale" : ""),
+         "",
+         {}},
+        timeout, parse_value, std::move(done));
 }
 
 void consul_store::list(const std::string& prefix,
+                        read_freshness freshness,
                         support::duration timeout,
                         callback<std::vector<listed_value>> done)
 {
+    const call_purpose purpose = purpose_of(call_operation::read, prefix);
     send<std::vector<listed_value>>(
-        state_, state_->admit(state_->read_budget, &store_counters::reads),
-        {"GET", "/v1/kv/" + encode_key(prefix) + "?recurse", "", {}}, timeout,
-        parse_list, std::move(done));
+        state_, purpose,
+        state_->admit(state_->read_budget, &store_counters::reads, purpose,
+                      freshness),
+        {"GET",
+         "/v1/kv/" + encode_key(prefix) + "?recurse" +
+             (freshness == read_freshness::may_be_stale ? "&stale" : ""),
+         "",
+         {}},
+        timeout, parse_list, std::move(done));
 }
 
 void consul_store::compare_and_swap(const std::string& key,
@@ -321,12 +349,14 @@
                                     support::duration timeout,
                                     callback<swap_outcome> done)
 {
+    const call_purpose purpose = purpose_of(call_operation::write, key);
     std::string path = "/v1/kv/" + encode_key(key) +
                        "?cas=" + std::to_string(expected_index.number);
     if (!lease.empty())
         path += "&acquire=" + http::percent_encode(lease);
     send<swap_outcome>(
-        state_, state_->admit(state_->write_budget, &store_counters::writes),
+        state_, purpose,
+        state_->admit(state_->write_budget, &store_counters::writes, purpose),
         {"PUT", std::move(path), std::move(value), {}}, timeout, parse_swap,
         std::move(done));
 }
@@ -336,11 +366,13 @@
                          support::duration wait,
                          callback<indexed_value> done)
 {
+    const call_purpose purpose = purpose_of(call_operation::watch, key);
     const std::string path = "/v1/kv/" + encode_key(key) +
                              "?index=" + std::to_string(known_index.number) +
                              "&wait=" + seconds_text(wait);
     send<indexed_value>(
-        state_, state_->admit(state_->read_budget, &store_counters::watches),
+        state_, purpose,
+        state_->admit(state_->read_budget, &store_counters::watches, purpose),
         {"GET", path, "", {}}, wait + watch_grace, parse_value,
         std::move(done));
 }
@@ -349,9 +381,11 @@
                                support::duration timeout,
                                callback<std::string> done)
 {
+    const call_purpose purpose = call_purpose::lease;
     const json body = {{"TTL", seconds_text(ttl)}, {"Behavior", "delete"}};
     send<std::string>(
-        state_, state_->admit(state_->write_budget, &store_counters::writes),
+        state_, purpose,
+        state_->admit(state_->write_budget, &store_counters::writes, purpose),
         {"PUT", "/v1/session/create", body.dump(), {}}, timeout, parse_lease,
         std::move(done));
 }
@@ -360,20 +394,24 @@
                                support::duration timeout,
                                callback<void> done)
 {
-    send<void>(state_,
-               state_->admit(state_->write_budget, &store_counters::writes),
-               {"PUT", "/v1/session/renew/" + lease, "", {}}, timeout,
-               parse_lease_result, std::move(done));
+    const call_purpose purpose = call_purpose::lease;
+    send<void>(
+        state_, purpose,
+        state_->admit(state_->write_budget, &store_counters::writes, purpose),
+        {"PUT", "/v1/session/renew/" + lease, "", {}}, timeout,
+        parse_lease_result, std::move(done));
 }
 
 void consul_store::revoke_lease(const std::string& lease,
                                 support::duration timeout,
                                 callback<void> done)
 {
-    send<void>(state_,
-               state_->admit(state_->write_budget, &store_counters::writes),
-               {"PUT", "/v1/session/destroy/" + lease, "", {}}, timeout,
-               parse_lease_result, std::move(done));
+    const call_purpose purpose = call_purpose::lease;
+    send<void>(
+        state_, purpose,
+        state_->admit(state_->write_budget, &store_counters::writes, purpose),
+        {"PUT", "/v1/session/destroy/" + lease, "", {}}, timeout,
+        parse_lease_result, std::move(done));
 }
 
 } // namespace galenarudder::store
--- a/lib/store/resolve_swap.cpp
+++ b/lib/store/resolve_swap.cpp
@@ -52,7 +52,7 @@
     void read_back()
     {
         store_.get(
-            request_.key, request_.timeout,
+            request_.key, read_freshness::newest, request_.timeout,
             [self = shared_from_this()](support::result<indexed_value> value) {
                 self->on_read(value);
             });
