--- a/include/galenarudder/config/raw_json.hpp
+++ b/include/galenarudder/config/raw_json.hpp
@@ -3,7 +3,9 @@
 /// that was parsed before can be recognized by its text.
 #pragma once
 
+#include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -51,4 +53,16 @@
     bool failed_ = false;
 };
 
+/// Reads the value of the member \p name, which follows, and returns the text
+/// that stands for it. Returns an empty text to leave the member out, nothing
+/// if the value is malformed.
+using member_reader =
+    std::function<std::optional<std::string>(std::string_view name)>;
+
+/// Reads the object that follows, and returns it with the texts that \p read
+/// gives its members. Returns nothing if it is malformed or names a member
+/// twice.
+std::optional<std::string> read_members(raw_json_reader& reader,
+                                        const member_reader& read);
+
 } // namespace galenarudder::config
--- a/lib/config/raw_json.cpp
+++ b/lib/config/raw_json.cpp
@@ -3,7 +3,7 @@
 
 #include "galenarudder/support/pause_point.hpp"
 
-#include <algorithm>
+#include <set>
 
 namespace galenarudder::config {
 
@@ -131,4 +131,25 @@
     return backslashes % 2 == 1;
 }
 
+std::optional<std::string> read_members(raw_json_reader& reader,
+                                        const member_reader& read)
+{
+    if (!reader.enter_object())
+        return std::nullopt;
+    std::string object = "{";
+    std::set<std::string_view> names;
+    while (const auto name = reader.next_name()) {
+        if (!names.insert(*name).second)
+            return std::nullopt;
+        const std::optional<std::string> value = read(*name);
+        if (!value)
+            return std::nullopt;
+        if (value->empty())
+            continue;
+        object.append(object.size() > 1 ? ",\"" : "\"").append(*name);
+        object.append("\":").append(*value);
+    }
+    return object + "}";
+}
+
 } // namespace galenarudder::config
--- a/lib/config/shared_document.cpp
+++ b/lib/config/shared_document.cpp
@@ -175,69 +175,44 @@
     json new_values_ = json::array();
 };
 
-/// Reads the object that follows. Puts the texts of the arrays that \p tables
-/// name there, and returns the other members with empty arrays in their place,
-/// as an object in JSON; nothing if it is malformed.
-std::optional<std::string>
-read_object(raw_json_reader& reader,
-            std::array<std::optional<std::vector<std::string_view>>,
-                       table_count>& tables)
-{
-    std::string rest = "{";
-    if (!reader.enter_object())
-        return std::nullopt;
-    std::set<std::string_view> names;
-    while (const auto name = reader.next_name()) {
-        if (!names.insert(*name).second)
-            return std::nullopt;
-        rest.append(names.size() > 1 ? ",\"" : "\"").append(*name);
-        rest.append("\":");
-        const auto table =
-            std::find_if(shared_tables.begin(), shared_tables.end(),
-                         [&](shared_table candidate) {
-                             return *name == name_of(candidate);
-                         });
-        if (table == shared_tables.end()) {
-            rest.append(reader.value());
-            continue;
-        }
-        rest.append("[]");
-        auto& texts = tables.at(static_cast<std::size_t>(*table)).emplace();
-        if (!reader.enter_array())
-            return std::nullopt;
-        while (reader.next_element())
-            texts.push_back(reader.value());
-    }
-    return rest + "}";
+/// The texts of the rows of each table that a document has.
+using row_texts =
+    std::array<std::optional<std::vector<std::string_view>>, table_count>;
+
+/// Reads the array that follows.
+std::vector<std::string_view> read_elements(raw_json_reader& reader)
+{
+    std::vector<std::string_view> elements;
+    reader.enter_array();
+    while (reader.next_element())
+        elements.push_back(reader.value());
+    return elements;
+}
+
+/// Reads the base document that follows. Puts the texts of the rows into \p
+/// tables, and returns the rest with empty tables in their place.
+std::optional<std::string> read_base(raw_json_reader& reader, row_texts& tables)
+{
+    return read_members(reader, [&](std::string_view name) {
+        const auto table = std::find_if(
+            shared_tables.begin(), shared_tables.end(),
+            [&](shared_table candidate) { return name == name_of(candidate); });
+        if (table == shared_tables.end())
+            return std::optional(std::string(reader.value()));
+        tables.at(static_cast<std::size_t>(*table)) = read_elements(reader);
+        return std::optional<std::string>("[]");
+    });
 }
 
-/// Like read_object, for the stored form, which has the tables in "base".
-std::optional<std::string>
-read_stored_form(raw_json_reader& reader,
-                 std::array<std::optional<std::vector<std::string_view>>,
-                            table_count>& tables)
+/// Like read_base, for the stored form.
+std::optional<std::string> read_stored_form(raw_json_reader& reader,
+                                            row_texts& tables)
 {
-    std::string rest = "{";
-    if (!reader.enter_object())
-        return std::nullopt;
-    std::set<std::string_view> names;
-    while (const auto name = reader.next_name()) {
-        if (!names.insert(*name).second)
-            return std::nullopt;
-        rest.append(names.size() > 1 ? ",\"" : "\"").append(*name);
-        rest.append("\":");
-        if (*name != "base") {
-            rest.append(reader.value());
-            continue;
-        }
-        const std::optional<std::string> base = read_object(reader, tables);
-        if (!base)
-            return std::nullopt;
-        rest.append(*base);
-    }
-    if (!reader.complete())
-        return std::nullopt;
-    return rest + "}";
+    auto head = read_members(reader, [&](std::string_view name) {
+        return name == "base" ? read_base(reader, tables)
+                              : std::optional(std::string(reader.value()));
+    });
+    return reader.complete() ? std::move(head) : std::nullopt;
 }
 
 /// Names that the routes of a document may refer to.
@@ -477,10 +452,10 @@
         return std::nullopt;
     shared.head = to_json(read_parts(std::move(parsed_head)));
     for (const shared_table table : shared_tables) {
-        const auto& row_texts = texts.at(static_cast<std::size_t>(table));
-        if (!row_texts)
+        const auto& of_table = texts.at(static_cast<std::size_t>(table));
+        if (!of_table)
             continue;
-        auto rows = make_rows(table, *row_texts, earlier);
+        auto rows = make_rows(table, *of_table, earlier);
         if (!rows)
             return std::nullopt;
         shared.rows(table) = std::move(*rows);
--- a/lib/rollout/rollout.cpp
+++ b/lib/rollout/rollout.cpp
@@ -293,6 +293,7 @@
     }
     std::sort(order.begin(), order.end());
     std::vector<support::member_id> ids;
+    ids.reserve(order.size());
     for (auto& [hash, id] : order)
         ids.push_back(std::move(id));
     return ids;
