--- a/unittests/platform/metadata_store_test.cpp
+++ b/unittests/platform/metadata_store_test.cpp
@@ -42,6 +42,8 @@
     std::set<std::uint64_t> leases;
     /// Whether watches are cut.
     bool cuts_watches = false;
+    /// Body of every response, if it is not empty.
+    std::string body;
     /// Paths of the calls that were received.
     std::vector<std::string> paths;
 
@@ -113,6 +115,12 @@
     http::response respond(const http::request& received)
     {
         paths.push_back(received.path);
+        if (!body.empty()) {
+            http::response made;
+            made.status = 200;
+            made.body = body;
+            return made;
+        }
         if (received.path.ends_with("kv-key"))
             return answer(value_revision == 0 ? 404 : 200,
                           value_revision == 0 ? json::object() : item());
@@ -392,4 +400,53 @@
     CHECK(setup.platform.value == "changed");
 }
 
+TEST_CASE("a malformed answer of the store is an error", "[platform]")
+{
+    constexpr std::size_t depth = 200'000;
+    std::string nested_items;
+    std::string nested_arrays;
+    for (std::size_t level = 0; level < depth; ++level) {
+        nested_items += R"({"items":[)";
+        nested_arrays += '[';
+    }
+    const std::string item =
+        R"("key":"k","rev":7,"lease":0,"currentRev":9,"value":"aGVsbG8=")";
+    const std::string bodies[] = {
+        "{",
+        "[]",
+        "null",
+        "{" + item,
+        "{" + item + ",}",
+        R"({"key":"k","rev":7,"value":7})",
+        R"({"key":"k","rev":7,"value":"not base64"})",
+        R"({"key":"k","rev":7,"value":"aGVsbG8=)",
+        R"({"key":"k","rev":"7","value":"aGVsbG8="})",
+        R"({"items":7,"hasMore":false})",
+        R"({"items":[7],"hasMore":false})",
+        R"({"items":[{"rev":1}],"hasMore":false})",
+        R"({"events":[{],"currentRev":9})",
+        nested_items,
+        nested_arrays,
+        "{\"events\":" + nested_arrays,
+    };
+    for (const std::string& body : bodies) {
+        INFO(body.substr(0, 60));
+        session setup;
+        setup.platform.body = body;
+        CHECK_FALSE(setup.get());
+        CHECK_FALSE(
+            setup.call<std::vector<store::listed_value>>([&](auto done) {
+                setup.client.list("k", store::read_freshness::newest,
+                                  call_timeout, done);
+            }));
+        CHECK_FALSE(setup.watch(store::change_index{3}));
+    }
+    session setup;
+    setup.platform.body = "{" + item + "}";
+    CHECK(setup.get().value().value == "hello");
+    setup.platform.body =
+        R"({"key":"k","rev":7,"currentRev":9,"value":"\u0061GVsbG8="})";
+    CHECK(setup.get().value().value == "hello");
+}
+
 } // namespace galenarudder::platform
--- a/unittests/platform/version_sequence_test.cpp
+++ b/unittests/platform/version_sequence_test.cpp
@@ -348,6 +348,88 @@
     }));
 }
 
+TEST_CASE("no patch of a peer ends the process or is taken if it is invalid")
+{
+    const json first_written = first_configuration(3);
+    const built_document_ptr first =
+        build_stored(first_written.dump(), nullptr).value();
+    const char* const names[] = {"add",  "remove", "replace", "move",
+                                 "copy", "test",   "other"};
+    const char* const paths[] = {"",
+                                 "/",
+                                 "/base",
+                                 "/base/hosts",
+                                 "/base/hosts/0",
+                                 "/base/hosts/1/services",
+                                 "/base/hosts/3",
+                                 "/base/hosts/4",
+                                 "/base/hosts/-",
+                                 "/base/hosts/00",
+                                 "/base/hostss",
+                                 "/base/services",
+                                 "/base/services/0",
+                                 "/base/services/0/name",
+                                 "/base/ranks",
+                                 "/base/ranks/0",
+                                 "/base/limits",
+                                 "/overlays",
+                                 "/overlays/east",
+                                 "/history/7",
+                                 "/version",
+                                 "/change_id",
+                                 "no path"};
+    const json values[] = {
+        nullptr,
+        -1,
+        7,
+        1.5,
+        "text",
+        json::array(),
+        json::object(),
+        {{"name", "s9"}},
+        {{"name", "priority-0"}, {"minimum_share", 2}},
+        {{"host", "h"},
+         {"prefix", "/"},
+         {"rank", "priority-0"},
+         {"services", {{{"service", "s0"}}}}},
+        json::array({json::object()}),
+    };
+    const auto random_operation = [&] {
+        json operation = {{"op", names[random_below(std::size(names))]},
+                          {"path", paths[random_below(std::size(paths))]},
+                          {"from", paths[random_below(std::size(paths))]},
+                          {"value", values[random_below(std::size(values))]}};
+        if (random_below(10) == 0)
+            operation.erase(operation.begin());
+        return random_below(20) == 0 ? json(7) : operation;
+    };
+    CHECK(rc::check("random operations", [&] {
+        json operations = json::array(
+            {{{"op", "replace"}, {"path", "/version"}, {"value", 2}}});
+        for (std::size_t count = random_below(4); count > 0; --count)
+            operations.push_back(random_operation());
+        // What applying the operations to the whole document gives.
+        json patched = config::to_json(config::to_document(first->content));
+        bool applies = true;
+        try {
+            patched.patch_inplace(operations);
+        } catch (const json::exception&) {
+            applies = false;
+        }
+        const auto whole =
+            applies ? config::read_document(patched)
+                    : support::result<config::document>(support::error{});
+        const rollout::transfer received{first->id,
+                                         {2, rollout::hash_of(patched.dump())},
+                                         operations.dump()};
+        const auto built = rollout::build({received, first, site, reader});
+        RC_LOG() << operations.dump() << '\n';
+        RC_ASSERT(built.has_value() == whole.has_value());
+        if (built)
+            RC_ASSERT(built.value()->text == patched.dump());
+    }));
+}
+
 TEST_CASE("a patch that reaches into a row or over a table is applied whole")
 {
     const built_document_ptr first =
