--- a/unittests/entry/upstream_client_test.cpp
+++ b/unittests/entry/upstream_client_test.cpp
@@ -1,6 +1,7 @@
 // upstream_client against an upstream on loopback with scripted responses.
 #include "galenarudder/proxy/upstream_client.hpp"
 
+#include "dialect.hpp"
 #include "galenarudder/link/message.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -30,8 +31,8 @@
 constexpr const char* upstream_address = "127.2.2.200";
 constexpr support::milliseconds ample_time{20'000};
 
-/// Answers each request with the same bytes, or closes the connection if there
-/// are none.
+/// Answers each request with the same bytes, or with those of its number, or
+/// closes the connection if there are none.
 class scripted_upstream
 {
 public:
@@ -50,6 +51,11 @@
         return {upstream_address, acceptor_.local_endpoint().port()};
     }
     void stop() { acceptor_.close(); }
+    /// Answers the first requests, in their order, with these bytes.
+    void answer_first_with(std::vector<std::string> responses)
+    {
+        first_responses_ = std::move(responses);
+    }
 
     /// Sends no response until release_responses is called.
     void hold_responses() { holding_ = true; }
@@ -108,12 +114,15 @@
             if (failure)
                 break;
             buffer.erase(0, size);
+            const std::string& response = requests < first_responses_.size()
+                                              ? first_responses_[requests]
+                                              : response_;
             ++requests;
             while (holding_)
                 co_await wait_briefly(socket);
-            if (response_.empty())
+            if (response.empty())
                 break;
-            co_await asio::async_write(*socket, asio::buffer(response_),
+            co_await asio::async_write(*socket, asio::buffer(response),
                                        use_nothrow_awaitable);
             while (reads_one_request_)
                 co_await wait_briefly(socket);
@@ -124,6 +133,7 @@
 
     tcp::acceptor acceptor_;
     std::string response_;
+    std::vector<std::string> first_responses_;
     bool holding_ = false;
     bool reads_one_request_ = false;
     std::vector<std::shared_ptr<tcp::socket>> sockets_;
@@ -149,13 +159,20 @@
           client(io.get_executor(), upstream.endpoint())
     {
     }
+    fixture(std::string response, const http_dialect& dialect)
+        : upstream(io, std::move(response)),
+          client(io.get_executor(), upstream.endpoint(), "", dialect)
+    {
+    }
 
     /// Without \p content_length, the body is streamed by the test.
     call_ptr send(const std::string& method,
                   support::duration time_left = ample_time,
-                  std::optional<std::uint64_t> content_length = 0)
+                  std::optional<std::uint64_t> content_length = 0,
+                  std::vector<support::header_field> fields = {})
     {
         support::call_head head;
+        head.fields = std::move(fields);
         head.method = method;
         head.target = "/";
         head.content_length = content_length;
@@ -378,6 +395,54 @@
     CHECK(next->result != upstream_result::unreachable);
 }
 
+TEST_CASE("a second, late copy of an answer reaches no other call")
+{
+    const auto answer_of = [](const std::string& id, const std::string& status,
+                              const std::string& extra = "") {
+        return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id +
+               "\r\nReply-Seal: s\r\n" + extra +
+               "Content-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id;
+    };
+    const std::string first = answer_of("first", "200 OK");
+    const std::string copies[] = {
+        first, answer_of("first", "500 Failed"),
+        answer_of("first", "503 Full", "Not-Executed: 1\r\n"),
+        answer_of("earlier", "200 OK"), first + first + first};
+    const std::string second = answer_of("second", "200 OK");
+    struct row
+    {
+        const char* name;
+        std::vector<std::string> responses;
+    };
+    for (const std::string& copy : copies) {
+        const row rows[] = {
+            {"the copy is there before the next call", {first + copy, second}},
+            {"the copy comes in front of the next answer",
+             {first, copy + second}},
+            {"only the copy comes", {first, copy, second}},
+        };
+        for (const row& test_case : rows) {
+            INFO(test_case.name << ": " << copy);
+            fixture given(second, platform::dialect());
+            given.upstream.answer_first_with(test_case.responses);
+            const auto call_with = [&](const char* id) {
+                const call_ptr call = given.send(
+                    "GET", support::milliseconds(700), 0, {{"Attempt-Id", id}});
+                given.wait_until_ended(call);
+                return call;
+            };
+            CHECK(call_with("first")->body == "first");
+            const call_ptr next = call_with("second");
+            const bool answered =
+                std::holds_alternative<link::answered>(*next->event);
+            CHECK((!answered || next->body == "second"));
+            // What is not of this call must not say that it did not run.
+            if (!answered)
+                CHECK(refusal_of(next).outcome == run_outcome::unknown);
+        }
+    }
+}
+
 TEST_CASE("abort closes the connection of a running call")
 {
     fixture given("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
