--- a/lib/daemon/operator_port.cpp
+++ b/lib/daemon/operator_port.cpp
@@ -66,10 +66,10 @@
             return last_;
         last_ = signed_transfer(encoded, key);
         last_.body = support::compress(encoded);
-        last_.fields.emplace_back(rollout::encoding_field,
-                                  rollout::deflate_encoding);
-        last_.fields.emplace_back(rollout::plain_size_field,
-                                  std::to_string(encoded.size()));
+        last_.fields.push_back(
+            {rollout::encoding_field, rollout::deflate_encoding});
+        last_.fields.push_back(
+            {rollout::plain_size_field, std::to_string(encoded.size())});
         last_hash_ = std::move(hash);
         return last_;
     }
