--- a/review/common.py
+++ b/review/common.py
@@ -31,7 +31,7 @@
     for _ in range(50):
         network = f"127.{random.randint(20, 250)}"
         try:
-            for host in ("0.1", "0.2", "0.3", "0.4", "1.1"):
+            for host in (*(f"0.{number}" for number in range(1, 11)), "1.1"):
                 for port in ports:
                     with socket.socket() as probe:
                         probe.bind((f"{network}.{host}", port))
