Interfaces for organisations, cold limits and messages between daemons

Cause: the parts for two new customers need common types before they are written side by side.

Change: policies of organisations, open routes and cold limits in the configuration; the organisation in the head of a call; refusals unknown-key and organisation-limit; regions and the tolerance of limits in the settings; membership messages that carry the payload of another part, at most 448 bytes so that they fit one datagram with a record.

Result: no behaviour changes yet.

--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -139,6 +139,25 @@
     /// Number of connections that an upstream accepts; 0 to use the number that
     /// the upstream announces.
     std::uint32_t connections = 0;
+    /// Calls per second that an upstream takes from all daemons together while
+    /// it is cold; 0 for no limit.
+    double cold_calls_per_s = 0;
+};
+
+/// An organisation whose callers share a rank, a rate limit and regions.
+struct organisation_policy
+{
+    std::string name;
+    /// SHA-256 digests of its keys, in bytes.
+    std::vector<std::string> key_digests;
+    /// Takes precedence over the rank of the route; empty to use the route's.
+    std::string rank;
+    /// Calls per second of all its callers at all daemons; 0 for no limit.
+    double calls_per_s = 0;
+    /// Calls that it may send at once beyond that rate.
+    double burst = 0;
+    /// Regions in which its calls may be served; empty for all.
+    std::vector<std::string> regions;
 };
 
 /// A service that receives a share of a route's calls.
@@ -166,6 +185,10 @@
     /// The calls are distributed among these services in proportion to their
     /// weights.
     std::vector<weighted_service> services;
+    /// Whether calls need no key although the configuration has organisations.
+    bool open = false;
+    /// Regions in which its calls may be served; empty for all.
+    std::vector<std::string> regions;
 };
 
 /// Returns whether \p left comes before \p right: routes are ordered by host,
@@ -194,6 +217,9 @@
     /// path instead of by service name. Versions share the routes that they
     /// have in common.
     std::vector<std::shared_ptr<const host_route>> host_routes;
+    /// Sorted by name. If there are any, a call needs the key of one of them,
+    /// unless its route is open.
+    std::vector<std::shared_ptr<const organisation_policy>> organisations;
     caller_limits callers;
     std::array<double, limit_count> limits{};
     std::array<limit_bounds, limit_count> bounds{};
--- a/include/galenarudder/config/settings.hpp
+++ b/include/galenarudder/config/settings.hpp
@@ -8,6 +8,7 @@
 #include "galenarudder/support/time.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -92,6 +93,15 @@
     /// accumulate in the retry budgets of one service; 0 to apply only the
     /// bound of each entry.
     double saved_extra_attempts = 0;
+    /// Region of this daemon's failure domain; empty if there are no regions.
+    std::string region;
+    /// Region of each failure domain, the own one included.
+    std::map<std::string, std::string> domain_regions;
+    /// By how much the calls of an organisation that run in one window may
+    /// exceed its limit: a share of the limit, and a number of calls.
+    support::milliseconds organisation_window{5000};
+    double organisation_overrun_share = 0;
+    double organisation_overrun_calls = 0;
 };
 
 /// Parses and validates settings. Errors name \p file as the source, except
--- a/include/galenarudder/daemon/node.hpp
+++ b/include/galenarudder/daemon/node.hpp
@@ -15,6 +15,8 @@
 #include "galenarudder/telemetry/decision_log.hpp"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -72,6 +74,18 @@
         return apply_actions(
             (rollout_.*event)(std::forward<Arguments>(arguments)..., now), now);
     }
+    /// Handles a message that the part of a peer called by the same topic sent.
+    using extension_handler =
+        std::function<std::vector<node_action>(const support::member_id& peer,
+                                               const std::string& payload,
+                                               support::time_point now)>;
+    /// Sets the handler of \p topic. Messages of other topics are dropped.
+    void set_extension_handler(std::string topic, extension_handler handler);
+    /// Sends a message to the handler of \p topic at \p peer.
+    std::vector<node_action> send_extension(std::string_view peer,
+                                            std::string topic,
+                                            std::string payload,
+                                            support::time_point now);
     /// The upstream announced itself for the first time or as a heartbeat.
     std::vector<node_action> on_announcement(const std::string& service,
                                              std::uint32_t slots,
@@ -124,6 +138,7 @@
     support::rcu_cell<config::configuration> configuration_;
     membership::member member_;
     rollout::rollout rollout_;
+    std::map<std::string, extension_handler, std::less<>> extension_handlers_;
 };
 
 } // namespace galenarudder::daemon
--- a/include/galenarudder/membership/member.hpp
+++ b/include/galenarudder/membership/member.hpp
@@ -34,7 +34,15 @@
     bool only_version = false;
 };
 
-using action = std::variant<send_datagram, record_changed>;
+/// A live member sent a message for another part of the daemon.
+struct extension_received
+{
+    support::member_id peer;
+    std::string topic;
+    std::string payload;
+};
+
+using action = std::variant<send_datagram, record_changed, extension_received>;
 
 /// Protocol counters, exported as metrics.
 struct member_counters
@@ -93,6 +101,14 @@
     std::vector<action> update_self(const member_record& changed,
                                     support::time_point now);
 
+    /// Sends \p payload, of at most max_extension_bytes, to the part of the
+    /// daemon \p peer that \p topic names. Datagrams may be lost, and arrive
+    /// late or twice. Returns no action if the peer is unknown or dead.
+    std::vector<action> send_extension(std::string_view peer,
+                                       std::string topic,
+                                       std::string payload,
+                                       support::time_point now);
+
     /// Adds introducers from the directory in the store.
     void add_introducers(std::span<const config::endpoint> introducers);
 
--- a/include/galenarudder/membership/wire.hpp
+++ b/include/galenarudder/membership/wire.hpp
@@ -42,6 +42,8 @@
 inline constexpr std::size_t digest_buckets = 64;
 /// Maximum number of failure domains in one digest message.
 inline constexpr std::size_t max_domains = 16;
+/// Largest payload of an extension message.
+inline constexpr std::size_t max_extension_bytes = 448;
 /// Maximum number of members in one fetch message.
 inline constexpr std::size_t max_fetched_members = 32;
 
@@ -141,6 +143,12 @@
 {
     std::uint64_t highest_start_incarnation = 0;
 };
+/// Carries a message of another part of the daemon, which \c topic names.
+struct extension
+{
+    std::string topic;
+    std::string payload;
+};
 
 using message_body = std::variant<probe,
                                   ack,
@@ -153,7 +161,8 @@
                                   bucket_digests,
                                   pull,
                                   fetch,
-                                  stale_incarnation>;
+                                  stale_incarnation,
+                                  extension>;
 
 struct message
 {
--- a/include/galenarudder/support/call.hpp
+++ b/include/galenarudder/support/call.hpp
@@ -36,6 +36,8 @@
     attempt_id id{};
     std::string service;
     std::string rank;
+    /// Name of the caller's organisation; empty if it has none.
+    std::string organisation;
     /// Time until the caller's deadline, measured when the head is sent.
     milliseconds remaining_time{0};
     /// Whether the call may run more than once without harm.
--- a/include/galenarudder/support/refusal.hpp
+++ b/include/galenarudder/support/refusal.hpp
@@ -45,6 +45,10 @@
     slow_spell,
     /// The limit that the upstream states leaves no room for the call.
     rate_limited,
+    /// The call has no key of an organisation.
+    unknown_key,
+    /// The limit of the caller's organisation leaves no room for the call.
+    organisation_limit,
 };
 
 /// A refusal, as sent between daemons and to the caller.
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -43,6 +43,13 @@
     "join_settling": {"type": "string"},
     "store_watchers": {"type": "integer", "minimum": 1, "maximum": 100000},
     "saved_extra_attempts": {"type": "number", "minimum": 0},
+    "region": {"type": "string", "maxLength": 64},
+    "domain_regions": {"type": "object",
+                       "additionalProperties": {"type": "string"}},
+    "organisation_window": {"type": "string"},
+    "organisation_overrun_share": {"type": "number", "minimum": 0,
+                                   "maximum": 1},
+    "organisation_overrun_calls": {"type": "number", "minimum": 0},
     "keys": {"type": "array", "minItems": 1, "items": {
       "type": "object", "additionalProperties": false,
       "required": ["id", "secret"],
@@ -143,6 +150,7 @@
     {"leave_notice", &daemon_settings::leave_notice},
     {"stop_timeout", &daemon_settings::stop_timeout},
     {"join_settling", &daemon_settings::join_settling},
+    {"organisation_window", &daemon_settings::organisation_window},
 };
 
 support::result<void> read_duration(const nlohmann::json& document,
@@ -186,6 +194,13 @@
         document.value("store_watchers", settings.store_watchers);
     settings.saved_extra_attempts =
         document.value("saved_extra_attempts", settings.saved_extra_attempts);
+    settings.region = document.value("region", "");
+    settings.domain_regions =
+        document.value("domain_regions", settings.domain_regions);
+    settings.organisation_overrun_share = document.value(
+        "organisation_overrun_share", settings.organisation_overrun_share);
+    settings.organisation_overrun_calls = document.value(
+        "organisation_overrun_calls", settings.organisation_overrun_calls);
     return boost::outcome_v2::success();
 }
 
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -87,6 +87,15 @@
             node_actions.emplace_back(std::move(*datagram));
             continue;
         }
+        if (const auto* received =
+                std::get_if<membership::extension_received>(&action)) {
+            const auto handler = extension_handlers_.find(received->topic);
+            if (handler != extension_handlers_.end())
+                append_all(
+                    node_actions,
+                    handler->second(received->peer, received->payload, now));
+            continue;
+        }
         const auto& changed = std::get<membership::record_changed>(action);
         if (!changed.only_version) {
             log_change(changed.record);
@@ -156,6 +165,21 @@
     return on_rollout_event(&rollout::rollout::on_store_unavailable, now);
 }
 
+void node::set_extension_handler(std::string topic, extension_handler handler)
+{
+    extension_handlers_[std::move(topic)] = std::move(handler);
+}
+
+std::vector<node_action> node::send_extension(std::string_view peer,
+                                              std::string topic,
+                                              std::string payload,
+                                              support::time_point now)
+{
+    return apply_actions(
+        member_.send_extension(peer, std::move(topic), std::move(payload), now),
+        now);
+}
+
 std::vector<node_action> node::on_announcement(const std::string& service,
                                                std::uint32_t slots,
                                                support::time_point now)
--- a/lib/membership/member.cpp
+++ b/lib/membership/member.cpp
@@ -5,6 +5,7 @@
 #include "member_state.hpp"
 
 #include <algorithm>
+#include <cassert>
 
 namespace galenarudder::membership {
 
@@ -187,6 +188,12 @@
     raise_incarnation(body.highest_start_incarnation);
 }
 
+void member::state::on(const extension& body, const envelope& incoming)
+{
+    actions.emplace_back(
+        extension_received{incoming.received.sender, body.topic, body.payload});
+}
+
 member::member(member_record self,
                std::vector<config::endpoint> introducers,
                std::vector<config::shared_key> keys,
@@ -269,6 +276,23 @@
     return state_->take_actions();
 }
 
+std::vector<action> member::send_extension(std::string_view peer,
+                                           std::string topic,
+                                           std::string payload,
+                                           support::time_point now)
+{
+    assert(payload.size() <= max_extension_bytes);
+    const auto* const known_peer = state_->table.find(hash_of(peer));
+    const bool reachable = known_peer != nullptr &&
+                           known_peer->record.id == peer &&
+                           known_peer->record.state != member_state::left &&
+                           known_peer->record.state != member_state::dead;
+    if (reachable)
+        state_->send(*known_peer,
+                     extension{std::move(topic), std::move(payload)}, now);
+    return state_->take_actions();
+}
+
 void member::add_introducers(std::span<const config::endpoint> introducers)
 {
     std::vector<config::endpoint>& known_introducers = state_->introducers;
--- a/lib/membership/member_state.hpp
+++ b/lib/membership/member_state.hpp
@@ -165,6 +165,7 @@
     void on(const pull& body, const envelope& incoming);
     void on(const fetch& body, const envelope& incoming);
     void on(const stale_incarnation& body, const envelope& incoming);
+    void on(const extension& body, const envelope& incoming);
 
     support::duration jittered(support::duration span);
 
--- a/lib/membership/wire.cpp
+++ b/lib/membership/wire.cpp
@@ -207,6 +207,12 @@
     {
         return json::array({body.highest_start_incarnation});
     }
+    json operator()(const extension& body) const
+    {
+        const std::vector<std::uint8_t> bytes(body.payload.begin(),
+                                              body.payload.end());
+        return json::array({body.topic, json::binary(bytes)});
+    }
 };
 
 template <typename Body>
@@ -281,6 +287,19 @@
     return stale_incarnation{decode_incarnation(element(fields, 0))};
 }
 
+message_body decode_extension(const json& fields)
+{
+    extension body;
+    body.topic = decode_name(element(fields, 0));
+    const json& payload = element(fields, 1);
+    if (!payload.is_binary() ||
+        payload.get_binary().size() > max_extension_bytes)
+        throw invalid_value();
+    body.payload.assign(payload.get_binary().begin(),
+                        payload.get_binary().end());
+    return body;
+}
+
 /// Upper bounds of the encoded sizes of bodies.
 struct body_size
 {
@@ -307,6 +326,10 @@
     {
         return 2 * list_bytes + number_bytes * body.members.size();
     }
+    std::size_t operator()(const extension& body) const
+    {
+        return 3 * list_bytes + body.topic.size() + body.payload.size();
+    }
     template <typename Body>
     std::size_t operator()(const Body&) const
     {
@@ -324,6 +347,7 @@
     decode_empty<join>,     decode_digest,
     decode_bucket_digests,  decode_pull,
     decode_fetch,           decode_stale_incarnation,
+    decode_extension,
 };
 static_assert(std::size(body_decoders) == std::variant_size_v<message_body>);
 
--- a/lib/support/refusal.cpp
+++ b/lib/support/refusal.cpp
@@ -16,7 +16,7 @@
     std::string_view remedy;
 };
 
-constexpr std::array<refusal_properties, 19> refusal_table = {{
+constexpr std::array<refusal_properties, 21> refusal_table = {{
     {refusal_kind::no_such_service, "no-such-service", 404,
      "name a service of the configuration in Host or the first path segment"},
     {refusal_kind::no_upstream, "no-upstream", 503,
@@ -54,6 +54,10 @@
      "retry; another upstream takes the call"},
     {refusal_kind::rate_limited, "rate-limited", 503,
      "retry after Retry-After; the upstream states how many calls it takes"},
+    {refusal_kind::unknown_key, "unknown-key", 401,
+     "send a key of an organisation in the Authorization field"},
+    {refusal_kind::organisation_limit, "organisation-limit", 429,
+     "retry after Retry-After; an operator may raise the organisation's limit"},
 }};
 
 const refusal_properties& properties_of(refusal_kind kind)
--- a/unittests/membership/wire_test.cpp
+++ b/unittests/membership/wire_test.cpp
@@ -38,19 +38,21 @@
     const std::string domain(64, 'd');
     digest digests;
     digests.domains.assign(4, {domain, UINT32_MAX, UINT64_MAX});
-    return {probe{UINT64_MAX},
-            ack{UINT64_MAX},
-            nack{UINT64_MAX},
-            probe_request{UINT64_MAX, UINT64_MAX},
-            gossip{},
-            membership::sync{},
-            join{},
-            digests,
-            bucket_digests{
-                domain, std::vector<std::uint32_t>(digest_buckets, UINT32_MAX)},
-            pull{domain, UINT64_MAX},
-            fetch{std::vector<member_hash>(max_fetched_members, UINT64_MAX)},
-            stale_incarnation{max_incarnation}};
+    return {
+        probe{UINT64_MAX},
+        ack{UINT64_MAX},
+        nack{UINT64_MAX},
+        probe_request{UINT64_MAX, UINT64_MAX},
+        gossip{},
+        membership::sync{},
+        join{},
+        digests,
+        bucket_digests{domain,
+                       std::vector<std::uint32_t>(digest_buckets, UINT32_MAX)},
+        pull{domain, UINT64_MAX},
+        fetch{std::vector<member_hash>(max_fetched_members, UINT64_MAX)},
+        stale_incarnation{max_incarnation},
+        extension{std::string(64, 't'), std::string(max_extension_bytes, 'x')}};
 }
 
 message max_size_message(message_body body)
