Pass the regions of a call to the router

Cause: routes and organisations may be limited to regions. Change: properties of a call and requests to pick hold them; nothing sets them yet. Result: no behaviour changes.

--- a/include/galenarudder/proxy/call_flow.hpp
+++ b/include/galenarudder/proxy/call_flow.hpp
@@ -74,6 +74,8 @@
     /// Number of upstreams on which the call may run; 0 if only
     /// call_flow::max_attempts limits it.
     unsigned max_runs = 0;
+    /// Regions in which the call may be served; empty for all.
+    std::vector<std::string> regions;
 };
 
 /// Decides the attempts of one call. To be used by one thread at a time; the
--- a/include/galenarudder/routing/router.hpp
+++ b/include/galenarudder/routing/router.hpp
@@ -42,6 +42,8 @@
     std::size_t rank = 0;
     /// Members that the call has already tried.
     std::span<const support::member_id> tried;
+    /// Regions whose upstreams may be picked; empty for all.
+    std::span<const std::string> regions;
 };
 
 /// How an attempt ended, as far as it matters for routing.
--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -249,7 +249,7 @@
                                                support::random_engine& random)
 {
     const routing::pick_request request{properties_.service, properties_.rank,
-                                        tried_members_};
+                                        tried_members_, properties_.regions};
     auto target = router_.pick(request, now, random);
     if (target || handed_back_by_.empty())
         return target;
@@ -258,7 +258,8 @@
                          member) != handed_back_by_.end();
     });
     handed_back_by_.clear();
-    return router_.pick({properties_.service, properties_.rank, tried_members_},
+    return router_.pick({properties_.service, properties_.rank, tried_members_,
+                         properties_.regions},
                         now, random);
 }
 
