Send calls out of the failure domain only when that is worth their bytes

Change: routing::choose_distance compares the chance to be late at the best upstream of the own domain, the own region and other regions with what the bytes of a call are worth; a share that grows and shrinks step by step bounds how many calls leave for a gain. Subsets prefer near upstreams; routes and organisations limited to regions are obeyed. Settings state the worth of a megabyte; without several regions or a stated worth nothing changes. Metrics by distance and reason, limit leave_share, a line in the decision log.

--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -75,8 +75,11 @@
     share_window_ms,
     /// Time for which a claim of an idempotency key is kept, in milliseconds.
     claim_retention_ms,
+    /// Largest share of a service's calls that may leave the failure domain of
+    /// their entry for a gain, 0 to 1.
+    leave_share,
 };
-inline constexpr std::size_t limit_count = 15;
+inline constexpr std::size_t limit_count = 16;
 
 /// The built-in properties of a limit.
 struct limit_definition
--- a/include/galenarudder/config/settings.hpp
+++ b/include/galenarudder/config/settings.hpp
@@ -97,6 +97,11 @@
     std::string region;
     /// Region of each failure domain, the own one included.
     std::map<std::string, std::string> domain_regions;
+    /// Calls answered in time that are worth as much as a megabyte of traffic
+    /// between failure domains of a region, and between regions. With 0 for
+    /// both, calls have no preference for near upstreams.
+    double domain_crossing_calls_per_mb = 0;
+    double region_crossing_calls_per_mb = 0;
     /// By how much the calls of an organisation that run in one window may
     /// exceed its limit: a share of the limit, and a number of calls.
     support::milliseconds organisation_window{5000};
--- a/include/galenarudder/proxy/call_flow.hpp
+++ b/include/galenarudder/proxy/call_flow.hpp
@@ -74,6 +74,8 @@
     /// Number of upstreams on which the call may run; 0 if only
     /// call_flow::max_attempts limits it.
     unsigned max_runs = 0;
+    /// When the call is late; max() if its route has no goal.
+    support::time_point in_time_until = support::time_point::max();
     /// Regions in which the call may be served; empty for all.
     std::vector<std::string> regions;
 };
@@ -120,6 +122,8 @@
     /// The content of the forwarded response ended; \p complete is false if it
     /// was cut off.
     void on_response_end(bool complete, support::time_point now);
+    /// Records the size of the request and of the forwarded response.
+    void on_bytes(std::uint64_t bytes);
 
 private:
     struct attempt_record
--- a/include/galenarudder/proxy/entry.hpp
+++ b/include/galenarudder/proxy/entry.hpp
@@ -31,6 +31,8 @@
     support::call_head head;
     /// Largest body that the route accepts.
     std::uint64_t body_limit_bytes = 0;
+    /// Time within which the route wants calls to be answered; 0 for none.
+    support::milliseconds goal{0};
 };
 
 using classification = std::variant<classified_call, support::refusal>;
--- a/include/galenarudder/routing/fleet_view.hpp
+++ b/include/galenarudder/routing/fleet_view.hpp
@@ -23,7 +23,7 @@
 {
     std::shared_ptr<service_state> state;
     const pick_strategy* strategy = nullptr;
-    /// Candidates in this entry's failure domain come first.
+    /// Ordered by distance, those in this entry's failure domain first.
     std::vector<candidate> candidates;
     /// Number of candidates in this entry's failure domain.
     std::size_t local_count = 0;
@@ -45,6 +45,9 @@
     /// Largest number of unspent tokens for retries, and as many for hedges,
     /// that this entry may accumulate per service.
     double saved_extra_attempts = extra_attempt_budget::max_burst;
+    /// Largest share of a service's calls that leave their failure domain for a
+    /// gain while nearer upstreams can be used.
+    double leave_share = 1;
     config::automation_mode eject_mode = config::automation_mode::automatic;
     config::automation_mode reroute_mode = config::automation_mode::automatic;
     config::automation_mode retry_mode = config::automation_mode::automatic;
@@ -72,4 +75,10 @@
                                      std::string_view own_member,
                                      std::size_t subset_size);
 
+/// Like select_subset, but prefers near upstreams: those of this entry's domain
+/// get up to half of the places, those of its region up to half of the rest.
+std::vector<candidate> select_near_subset(std::vector<candidate> all,
+                                          std::string_view own_member,
+                                          std::size_t subset_size);
+
 } // namespace galenarudder::routing
--- a/include/galenarudder/routing/pick_strategy.hpp
+++ b/include/galenarudder/routing/pick_strategy.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "galenarudder/config/settings.hpp"
+#include "galenarudder/routing/crossing.hpp"
 #include "galenarudder/routing/upstream_state.hpp"
 #include "galenarudder/support/random.hpp"
 #include "galenarudder/support/time.hpp"
@@ -24,8 +25,10 @@
     std::shared_ptr<upstream_state> state;
     /// Where the upstream's gate accepts links.
     config::endpoint link_endpoint;
-    /// Whether the upstream is in this entry's failure domain.
-    bool local = false;
+    /// How far the upstream is from this entry.
+    distance length = distance::same_region;
+    /// Region of the upstream; empty if its domain has none.
+    std::string region;
 };
 
 /// Inputs of a strategy beside the candidates.
--- a/include/galenarudder/routing/router.hpp
+++ b/include/galenarudder/routing/router.hpp
@@ -33,6 +33,7 @@
     std::shared_ptr<upstream_state> state;
     /// Number of other upstreams that could have been picked.
     std::size_t alternatives = 0;
+    distance length = distance::same_domain;
 };
 
 struct pick_request
@@ -44,6 +45,9 @@
     std::span<const support::member_id> tried;
     /// Regions whose upstreams may be picked; empty for all.
     std::span<const std::string> regions;
+    /// When the call is late, and when it is of no use any more.
+    support::time_point in_time_until = support::time_point::max();
+    support::time_point deadline = support::time_point::max();
 };
 
 /// How an attempt ended, as far as it matters for routing.
@@ -107,6 +111,14 @@
     /// applies. Must be called before other threads use the router.
     void set_fleet_saved_extra_attempts(double fleet_attempts);
 
+    /// Sets what traffic between failure domains and regions is worth. Without
+    /// this call distances have no price. Must be called before other threads
+    /// use the router and before the first record.
+    void set_crossings(crossing_settings settings);
+    /// Records the bytes of a call that \p chosen answered.
+    void on_bytes(const choice& chosen, std::uint64_t bytes) const;
+    const crossing_counters& crossings() const;
+
     /// Returns the picked upstream, or \c nullopt when the service has no
     /// upstream that the call has not tried.
     std::optional<choice> pick(const pick_request& request,
--- a/include/galenarudder/routing/upstream_state.hpp
+++ b/include/galenarudder/routing/upstream_state.hpp
@@ -3,6 +3,7 @@
 /// failure domain. Thread-safe.
 #pragma once
 
+#include "galenarudder/routing/crossing.hpp"
 #include "galenarudder/routing/extra_attempt_budget.hpp"
 #include "galenarudder/routing/latency_histogram.hpp"
 #include "galenarudder/support/call.hpp"
@@ -70,6 +71,12 @@
     /// Picks made by strategies that rotate.
     std::atomic<std::uint64_t> rotation_count{0};
 
+    /// Mean size of a call's request and response in bytes; 0 until known.
+    std::atomic<double> mean_call_bytes{0};
+    crossing_share crossings;
+    /// Whether many calls leave for a gain, as last recorded.
+    std::atomic<bool> known_leaving{false};
+
     /// Records that an upstream is excluded until \p until_ns.
     void extend_exclusion(std::int64_t until_ns)
     {
--- a/lib/config/configuration.cpp
+++ b/lib/config/configuration.cpp
@@ -30,6 +30,7 @@
     {"share_window_ms", "ms", 1000, 10, 60'000, no_automation, true},
     {"claim_retention_ms", "ms", day_ms, 60'000, 30 * day_ms, no_automation,
      true},
+    {"leave_share", "share", 0.5, no_floor, 1, automation::reroute, true},
 }};
 
 constexpr std::array<std::string_view, automation_count> automation_names = {
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <fstream>
@@ -46,6 +47,8 @@
     "region": {"type": "string", "maxLength": 64},
     "domain_regions": {"type": "object",
                        "additionalProperties": {"type": "string"}},
+    "domain_crossing_calls_per_mb": {"type": "number", "minimum": 0},
+    "region_crossing_calls_per_mb": {"type": "number", "minimum": 0},
     "organisation_window": {"type": "string"},
     "organisation_overrun_share": {"type": "number", "minimum": 0,
                                    "maximum": 1},
@@ -170,6 +173,24 @@
     return boost::outcome_v2::success();
 }
 
+/// With several regions, crossings have a price unless the settings state one:
+/// with 5 KB for request and response, a call leaves its region if that raises
+/// its chance to be in time by 0.35, and its domain if by 0.05.
+void apply_default_crossings(daemon_settings& settings)
+{
+    constexpr double default_domain_calls_per_mb = 10;
+    constexpr double default_region_calls_per_mb = 70;
+    const bool several_regions = std::any_of(
+        settings.domain_regions.begin(), settings.domain_regions.end(),
+        [&](const auto& listed) { return listed.second != settings.region; });
+    const bool stated = settings.domain_crossing_calls_per_mb > 0 ||
+                        settings.region_crossing_calls_per_mb > 0;
+    if (!several_regions || stated)
+        return;
+    settings.domain_crossing_calls_per_mb = default_domain_calls_per_mb;
+    settings.region_crossing_calls_per_mb = default_region_calls_per_mb;
+}
+
 /// Reads the optional settings other than threads and introducers.
 support::result<void> read_optional_settings(const nlohmann::json& document,
                                              daemon_settings& settings,
@@ -197,6 +218,11 @@
     settings.region = document.value("region", "");
     settings.domain_regions =
         document.value("domain_regions", settings.domain_regions);
+    settings.domain_crossing_calls_per_mb = document.value(
+        "domain_crossing_calls_per_mb", settings.domain_crossing_calls_per_mb);
+    settings.region_crossing_calls_per_mb = document.value(
+        "region_crossing_calls_per_mb", settings.region_crossing_calls_per_mb);
+    apply_default_crossings(settings);
     settings.organisation_overrun_share = document.value(
         "organisation_overrun_share", settings.organisation_overrun_share);
     settings.organisation_overrun_calls = document.value(
--- a/lib/daemon/collect_metrics.cpp
+++ b/lib/daemon/collect_metrics.cpp
@@ -54,10 +54,37 @@
     }
 }
 
+void collect_crossings(const routing::crossing_counters& counters,
+                       telemetry::metrics& registry)
+{
+    for (std::size_t index = 0; index < routing::distance_count; ++index) {
+        const std::string length(
+            to_string(static_cast<routing::distance>(index)));
+        registry.set_counter(
+            "galenarudder_routed_bytes_total",
+            "Bytes of requests and responses by distance of the upstream",
+            {{"distance", length}},
+            static_cast<double>(counters.bytes.at(index).load()));
+        for (std::size_t reason = 0; reason < routing::crossing_reason_count;
+             ++reason) {
+            registry.set_counter(
+                "galenarudder_routed_calls_total",
+                "Attempts by distance of the upstream and reason",
+                {{"distance", length},
+                 {"reason",
+                  std::string(to_string(
+                      static_cast<routing::crossing_reason>(reason)))}},
+                static_cast<double>(
+                    counters.calls.at(index).at(reason).load()));
+        }
+    }
+}
+
 } // namespace
 
 void collect(const node& daemon_node, telemetry::metrics& registry)
 {
+    collect_crossings(daemon_node.router().crossings(), registry);
     collect_decision_counts(daemon_node.decisions(), registry);
     registry.set_gauge(
         "galenarudder_configuration_version",
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -73,6 +73,10 @@
                read_stored)
 {
     router_.set_decision_log(decisions_);
+    router_.set_crossings({settings.domain,
+                           settings.domain_regions,
+                           {0, settings.domain_crossing_calls_per_mb,
+                            settings.region_crossing_calls_per_mb}});
     router_.set_fleet_saved_extra_attempts(settings.saved_extra_attempts);
 }
 
--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -243,14 +243,25 @@
                 now);
 }
 
+void call_flow::on_bytes(std::uint64_t bytes)
+{
+    router_.on_bytes(attempts_[forwarded_attempt_].target, bytes);
+}
+
 /// Picks an upstream that was not tried. If there is none, those that handed
 /// the call back may be tried again.
 std::optional<routing::choice> call_flow::pick(support::time_point now,
                                                support::random_engine& random)
 {
-    const routing::pick_request request{properties_.service, properties_.rank,
-                                        tried_members_, properties_.regions};
-    auto target = router_.pick(request, now, random);
+    const auto request = [&] {
+        return routing::pick_request{properties_.service,
+                                     properties_.rank,
+                                     tried_members_,
+                                     properties_.regions,
+                                     properties_.in_time_until,
+                                     properties_.deadline};
+    };
+    auto target = router_.pick(request(), now, random);
     if (target || handed_back_by_.empty())
         return target;
     std::erase_if(tried_members_, [this](const support::member_id& member) {
@@ -258,9 +269,7 @@
                          member) != handed_back_by_.end();
     });
     handed_back_by_.clear();
-    return router_.pick({properties_.service, properties_.rank, tried_members_,
-                         properties_.regions},
-                        now, random);
+    return router_.pick(request(), now, random);
 }
 
 bool call_flow::send_to_next(support::time_point now,
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -566,6 +566,8 @@
         co_return false;
     }
     entry_.metrics().record_response(head.service, head.rank, elapsed);
+    call->flow.on_bytes(head.content_length.value_or(0) +
+                        call->response.head.content_length.value_or(0));
     telemetry::log_event(telemetry::log_kind::routine, "call.answered",
                          {{"call", request_id_of(head, entry_.dialect())},
                           {"service", head.service},
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -213,6 +213,7 @@
         in_force.rank_index(route->rank).value_or(in_force.ranks.size() - 1);
     classified.properties.repeatable = route->repeatable;
     classified.properties.max_runs = route->attempts;
+    classified.goal = route->goal;
     head.remaining_time = route->deadline;
     return std::nullopt;
 }
@@ -283,6 +284,8 @@
             std::min(head.remaining_time, support::milliseconds(*requested_ms));
     properties.deadline =
         std::min(now + head.remaining_time, latest_deadline());
+    if (accepted.goal > support::milliseconds(0))
+        properties.in_time_until = now + accepted.goal;
     head.remaining_time = std::chrono::floor<support::milliseconds>(
         std::max(properties.deadline - now, support::duration(0)));
     head.service = properties.service;
--- a/lib/routing/fleet_view.cpp
+++ b/lib/routing/fleet_view.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 namespace galenarudder::routing {
@@ -49,6 +50,7 @@
     limits.reroute_mode = in_force.mode(automation::reroute);
     limits.retry_mode = in_force.mode(automation::retry);
     limits.hedge_mode = in_force.mode(automation::hedge);
+    limits.leave_share = in_force.automation_limit(limit::leave_share);
     return limits;
 }
 
@@ -99,4 +101,38 @@
     return subset;
 }
 
+std::vector<candidate> select_near_subset(std::vector<candidate> all,
+                                          std::string_view own_member,
+                                          std::size_t subset_size)
+{
+    const std::size_t size =
+        std::clamp<std::size_t>(subset_size, 1, max_candidates);
+    if (all.size() <= size)
+        return all;
+    std::array<std::vector<candidate>, distance_count> by_distance;
+    for (candidate& upstream : all) {
+        const auto index = static_cast<std::size_t>(upstream.length);
+        by_distance.at(index).push_back(std::move(upstream));
+    }
+    std::size_t farther = 0;
+    for (const std::vector<candidate>& group : by_distance)
+        farther += group.size();
+    std::vector<candidate> subset;
+    for (std::vector<candidate>& group : by_distance) {
+        farther -= group.size();
+        const std::size_t left = size - subset.size();
+        // Places that farther upstreams cannot fill go to the nearer ones.
+        const std::size_t places =
+            std::max((left + 1) / 2, left - std::min(left, farther));
+        if (group.empty())
+            continue;
+        if (places == 0)
+            break;
+        for (candidate& upstream :
+             select_subset(std::move(group), own_member, places))
+            subset.push_back(std::move(upstream));
+    }
+    return subset;
+}
+
 } // namespace galenarudder::routing
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -3,6 +3,7 @@
 #include "galenarudder/routing/router.hpp"
 
 #include "galenarudder/routing/ejection.hpp"
+#include "galenarudder/routing/estimate.hpp"
 #include "galenarudder/support/rcu_cell.hpp"
 #include "galenarudder/telemetry/decision_log.hpp"
 
@@ -22,6 +23,8 @@
 /// Time for which an upstream is excluded after its gate said that it accepts
 /// no more calls. Within this time membership shows whether it left.
 constexpr support::milliseconds draining_exclusion{5000};
+/// Size of a call's request and response until some were seen.
+constexpr double assumed_call_bytes = 4096;
 
 bool is_gone(const member_record& record)
 {
@@ -44,10 +47,16 @@
            now.time_since_epoch().count();
 }
 
-bool is_tried(const candidate& upstream, const pick_request& request)
+/// Returns whether the call has not tried the upstream and may be served in its
+/// region.
+bool is_permitted(const candidate& upstream, const pick_request& request)
 {
-    return std::find(request.tried.begin(), request.tried.end(),
-                     upstream.member) != request.tried.end();
+    const bool in_region =
+        request.regions.empty() ||
+        std::find(request.regions.begin(), request.regions.end(),
+                  upstream.region) != request.regions.end();
+    return in_region && std::find(request.tried.begin(), request.tried.end(),
+                                  upstream.member) == request.tried.end();
 }
 
 /// Which upstreams a pick considers. The later values apply when no upstream
@@ -105,7 +114,7 @@
           eligibility::include_draining}) {
         for (const candidate& upstream : candidates) {
             if (is_usable(upstream, allowed, now) &&
-                !is_tried(upstream, request))
+                is_permitted(upstream, request))
                 selected.add(upstream);
         }
         if (!selected.empty())
@@ -157,6 +166,8 @@
             config::default_configuration());
     /// The view that publish() makes visible to other threads.
     fleet_view next_view;
+    crossing_settings crossings;
+    mutable crossing_counters crossing_counts;
     // Read by any thread on the path of a call.
     support::rcu_cell<fleet_view> published_view{
         std::make_unique<fleet_view>()};
@@ -173,6 +184,20 @@
     candidate_span permitted_candidates(const service_view& service,
                                         const routing_limits& limits,
                                         support::time_point now) const;
+    /// The candidates of one pick, ordered by distance, and what it depends on.
+    struct distance_pick
+    {
+        const service_view& service;
+        const routing_limits& limits;
+        const pick_request& request;
+        const pick_context& context;
+    };
+    const candidate& pick_by_distance(std::span<const candidate*> usable,
+                                      const distance_pick& parameters,
+                                      support::random_engine& random) const;
+    void record_leaving(const service_state& service_of,
+                        automation_mode mode,
+                        support::time_point now) const;
     void record_reroute(const service_view& service,
                         bool own_domain_unhealthy,
                         automation_mode mode,
@@ -227,7 +252,8 @@
             continue;
         all.push_back({id, record.domain, record.slots,
                        find_or_add_upstream(record), record.link,
-                       record.domain == own_domain});
+                       crossings.distance_to(record.domain),
+                       crossings.region_of(record.domain)});
     }
     if (all.empty())
         return nullptr;
@@ -237,14 +263,20 @@
     view->strategy = find_strategy(policy ? policy->strategy : "");
     if (view->strategy == nullptr)
         view->strategy = find_strategy("");
-    view->candidates = select_subset(
+    const auto select_some =
+        crossings.enabled() ? select_near_subset : select_subset;
+    view->candidates = select_some(
         std::move(all), own_member,
         static_cast<std::size_t>(in_force->value(config::limit::subset_size)));
-    const auto first_remote = std::stable_partition(
-        view->candidates.begin(), view->candidates.end(),
-        [](const candidate& upstream) { return upstream.local; });
-    view->local_count =
-        static_cast<std::size_t>(first_remote - view->candidates.begin());
+    std::stable_sort(view->candidates.begin(), view->candidates.end(),
+                     [](const candidate& left, const candidate& right) {
+                         return left.length < right.length;
+                     });
+    view->local_count = static_cast<std::size_t>(
+        std::count_if(view->candidates.begin(), view->candidates.end(),
+                      [](const candidate& upstream) {
+                          return upstream.length == distance::same_domain;
+                      }));
     return view;
 }
 
@@ -270,6 +302,7 @@
     : state_(std::make_unique<state>())
 {
     state_->own_domain = std::move(own_domain);
+    state_->crossings.own_domain = state_->own_domain;
     state_->own_member = std::move(own_member);
     state_->next_view.limits = limits_of(*state_->in_force);
     state_->publish();
@@ -358,6 +391,51 @@
     state_->publish();
 }
 
+void router::set_crossings(crossing_settings settings)
+{
+    state_->crossings = std::move(settings);
+}
+
+const crossing_counters& router::crossings() const
+{
+    return state_->crossing_counts;
+}
+
+void router::on_bytes(const choice& chosen, std::uint64_t bytes) const
+{
+    constexpr double sample_weight = 0.05;
+    std::atomic<double>& mean = chosen.state->service->mean_call_bytes;
+    const auto sample = static_cast<double>(bytes);
+    if (mean.load(std::memory_order_relaxed) == 0)
+        mean.store(sample, std::memory_order_relaxed);
+    else
+        update_average(mean, sample, sample_weight);
+    state_->crossing_counts.bytes.at(static_cast<std::size_t>(chosen.length))
+        .fetch_add(bytes, std::memory_order_relaxed);
+}
+
+/// Records when many calls of a service begin and cease to leave their domain.
+void router::state::record_leaving(const service_state& service_of,
+                                   automation_mode mode,
+                                   support::time_point now) const
+{
+    constexpr double many = 0.2;
+    constexpr double few = 0.05;
+    auto& service = const_cast<service_state&>(service_of);
+    const double wanted = service.crossings.wanted();
+    const bool known = service.known_leaving.load(std::memory_order_relaxed);
+    const bool leaving = known ? wanted > few : wanted > many;
+    if (leaving == known || service.known_leaving.exchange(leaving) == leaving)
+        return;
+    if (decisions == nullptr)
+        return;
+    decisions->record({now, config::automation::reroute,
+                       telemetry::effect_of(mode, true), service.name,
+                       leaving ? "calls leave their failure domain, since its "
+                                 "upstreams are expected to answer late"
+                               : "calls stay in their failure domain again"});
+}
+
 void router::state::record_reroute(const service_view& service,
                                    bool own_domain_unhealthy,
                                    automation_mode mode,
@@ -396,6 +474,56 @@
     return must_stay || healthy ? local : all;
 }
 
+/// Lets the strategy pick at each distance, then decides which distance to use.
+/// Farther upstreams are looked at only if the near one may be late.
+const candidate&
+router::state::pick_by_distance(std::span<const candidate*> usable,
+                                const distance_pick& parameters,
+                                support::random_engine& random) const
+{
+    const auto& [service, limits, request, context] = parameters;
+    crossing_inputs inputs;
+    inputs.goal_ms = support::to_ms(request.in_time_until - context.now);
+    inputs.deadline_ms = support::to_ms(request.deadline - context.now);
+    inputs.bytes =
+        service.state->mean_call_bytes.load(std::memory_order_relaxed);
+    if (inputs.bytes == 0)
+        inputs.bytes = assumed_call_bytes;
+    inputs.tried = request.tried.size();
+    std::array<const candidate*, distance_count> best{};
+    const candidate* nearest = nullptr;
+    for (auto begin = usable.begin(); begin != usable.end();) {
+        const distance length = (*begin)->length;
+        const auto end =
+            std::find_if(begin, usable.end(), [&](const candidate* upstream) {
+                return upstream->length != length;
+            });
+        const std::span<const candidate*> group(begin, end);
+        const candidate* picked =
+            group[service.strategy->pick(group, context, random)];
+        const auto index = static_cast<std::size_t>(length);
+        best.at(index) = picked;
+        inputs.completion_ms.at(index) = expected_completion_ms(
+            *picked->state,
+            {context.now, context.rank, picked->slots, context.slow_start_ms});
+        if (nearest == nullptr)
+            nearest = picked;
+        if (lateness_risk(inputs.completion_ms.at(index), inputs.goal_ms) == 0)
+            break;
+        begin = end;
+    }
+    crossing_choice chosen = choose_distance(inputs, crossings);
+    if (chosen.reason != crossing_reason::gain) {
+        service.state->crossings.on_stayed();
+    } else if (!service.state->crossings.permit(
+                   limits.leave_share, support::uniform_unit(random))) {
+        chosen = {nearest->length, crossing_reason::held_back};
+    }
+    record_leaving(*service.state, limits.reroute_mode, context.now);
+    crossing_counts.count(chosen);
+    return *best.at(static_cast<std::size_t>(chosen.target));
+}
+
 std::optional<choice> router::pick(const pick_request& request,
                                    support::time_point now,
                                    support::random_engine& random) const
@@ -408,7 +536,8 @@
     const candidate_span candidates =
         state_->permitted_candidates(*service, limits, now);
     selection usable;
-    if (request.tried.empty() && !any_excluded(*service, now))
+    if (request.tried.empty() && request.regions.empty() &&
+        !any_excluded(*service, now))
         usable.add_all(candidates);
     else
         select(candidates, request, now, usable);
@@ -422,9 +551,12 @@
                                &service->state->rotation_count};
     const std::span<const candidate*> all = usable.all();
     const candidate& picked =
-        *all[service->strategy->pick(all, context, random)];
+        state_->crossings.enabled()
+            ? state_->pick_by_distance(
+                  all, {*service, limits, request, context}, random)
+            : *all[service->strategy->pick(all, context, random)];
     return choice{picked.member, picked.link_endpoint, picked.state,
-                  all.size() - 1};
+                  all.size() - 1, picked.length};
 }
 
 void router::on_sent(const choice& chosen, support::time_point now) const
