Read organisations from the base document

Cause: calls are to be told apart by the organisation whose key they carry. Change: the base document has organisations, as a third table that versions share row by row, hosts have open and regions, services have cold_calls_per_s. Errors below /organisations do not repeat values, since a key may stand there by mistake. An index of key digests belongs to each configuration; versions with the same organisations share it.

--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -15,6 +15,10 @@
 #include <string_view>
 #include <vector>
 
+namespace galenarudder::organisations {
+class key_index;
+} // namespace galenarudder::organisations
+
 namespace galenarudder::config {
 
 /// How much freedom the system has in one kind of automated decision.
@@ -220,6 +224,9 @@
     /// Sorted by name. If there are any, a call needs the key of one of them,
     /// unless its route is open.
     std::vector<std::shared_ptr<const organisation_policy>> organisations;
+    /// Finds an organisation by a key of it; null if there are none. Versions
+    /// with the same organisations share it.
+    std::shared_ptr<const organisations::key_index> organisation_keys;
     caller_limits callers;
     std::array<double, limit_count> limits{};
     std::array<limit_bounds, limit_count> bounds{};
--- a/include/galenarudder/config/shared_document.hpp
+++ b/include/galenarudder/config/shared_document.hpp
@@ -1,8 +1,8 @@
 /// \file
-/// A full document whose routes and services are shared with other versions, so
-/// that a new version costs what it changes. What a version has in common with
-/// an earlier one is recognized by its text and neither parsed, checked nor
-/// translated again.
+/// A full document whose routes, services and organisations are shared with
+/// other versions, so that a new version costs what it changes. What a version
+/// has in common with an earlier one is recognized by its text and neither
+/// parsed, checked nor translated again.
 ///
 /// These functions accept only what validate() accepts. They return nothing for
 /// a text that is invalid or unusual; document.hpp then decides and describes
@@ -38,7 +38,8 @@
 /// gives it another meaning, has another hash.
 text_hash hash_text(std::string_view text, std::uint64_t context = 0);
 
-/// One element of a table: a route of a host or a service.
+/// One element of a table: a route of a host, a service or an organisation.
+/// Only the member for its table is set.
 struct table_row
 {
     /// The stored form.
@@ -47,10 +48,9 @@
     /// Hash of the text in the operators' form from which the row was
     /// translated; equal to \c text_id if it was read in its stored form.
     text_hash source_id;
-    /// Null for a service.
     std::shared_ptr<const host_route> route;
-    /// Null for a route.
     std::shared_ptr<const service_policy> service;
+    std::shared_ptr<const organisation_policy> organisation;
 };
 
 using table_row_ptr = std::shared_ptr<const table_row>;
@@ -60,10 +60,11 @@
 enum class shared_table
 {
     hosts,
-    services
+    services,
+    organisations
 };
-inline constexpr std::array<shared_table, 2> shared_tables = {
-    shared_table::hosts, shared_table::services};
+inline constexpr std::array<shared_table, 3> shared_tables = {
+    shared_table::hosts, shared_table::services, shared_table::organisations};
 
 /// Returns the name of the table in the base document.
 const char* name_of(shared_table table);
@@ -130,7 +131,7 @@
 /// Returns the document with its tables.
 document to_document(const shared_document& shared);
 
-/// Returns the document without the routes and services.
+/// Returns the document without the rows of its shared tables.
 document head_document(const shared_document& shared);
 
 /// Returns the stored form; the same text as serialize() of the document.
--- a/lib/config/check.cpp
+++ b/lib/config/check.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -80,6 +81,7 @@
         check_ranks();
         check_services();
         check_hosts();
+        check_organisations();
         check_base_limits();
         check_base_modes();
         check_overlays();
@@ -97,6 +99,7 @@
     void check_services();
     void check_routes(const json& service, const std::string& pointer);
     void check_hosts();
+    void check_organisations();
     void check_base_limits();
     void check_base_limit(const std::string& name, const json& setting);
     void check_base_modes();
@@ -235,6 +238,47 @@
     }
 }
 
+/// Keys are not named: whoever reads the error need not know even their
+/// digests.
+void cross_document_checker::check_organisations()
+{
+    std::set<std::string_view> seen_names;
+    std::map<std::string_view, std::string_view> owners;
+    std::size_t index = 0;
+    for (const json& organisation :
+         table_of(full_document_.base, "organisations")) {
+        support::pause_point();
+        const std::string pointer = "/organisations/" + std::to_string(index++);
+        const auto& name =
+            organisation.at("name").get_ref<const std::string&>();
+        if (!seen_names.insert(name).second) {
+            report(pointer + "/name",
+                   quote_name("organisation", name) + " is defined twice",
+                   "merge the two or rename one");
+        }
+        const std::string rank = organisation.value("rank", "");
+        if (!rank.empty() && !ranks_.contains(rank)) {
+            report(pointer + "/rank",
+                   quote_name("rank", rank) + " is not in /ranks",
+                   "add the rank to /ranks, use a rank listed there or leave "
+                   "it out");
+        }
+        std::size_t key_index = 0;
+        for (const json& key : table_of(organisation, "keys")) {
+            const std::string key_pointer =
+                pointer + "/keys/" + std::to_string(key_index++);
+            const auto [owner, is_new] =
+                owners.emplace(key.get_ref<const std::string&>(), name);
+            if (is_new)
+                continue;
+            report(key_pointer,
+                   quote_name("organisation", owner->second) +
+                       " has the same key",
+                   "remove the key from all organisations but one");
+        }
+    }
+}
+
 void cross_document_checker::report_unknown_limit(const std::string& name)
 {
     report(
--- a/lib/config/document.cpp
+++ b/lib/config/document.cpp
@@ -2,6 +2,7 @@
 // overlay into the base document.
 #include "galenarudder/config/document.hpp"
 
+#include "../organisations/key_index.hpp"
 #include "document_parts.hpp"
 #include "galenarudder/config/check.hpp"
 #include "galenarudder/config/json_text.hpp"
@@ -51,6 +52,12 @@
     return route;
 }
 
+/// Reads the regions of a route or an organisation.
+std::vector<std::string> read_regions(const json& parent)
+{
+    return parent.value("regions", std::vector<std::string>());
+}
+
 } // namespace
 
 service_policy read_service(const json& service_json)
@@ -60,6 +67,7 @@
     service.strategy = service_json.value("strategy", "");
     service.probe_path = service_json.value("probe_path", "");
     service.connections = service_json.value("connections", 0U);
+    service.cold_calls_per_s = service_json.value("cold_calls_per_s", 0.0);
     for (const json& route_json : service_json.value("routes", json::array()))
         service.routes.push_back(read_route(route_json));
     return service;
@@ -81,9 +89,25 @@
         route.services.push_back(
             {service_json.at("service"), service_json.value("weight", 1.0)});
     }
+    route.open = route_json.value("open", false);
+    route.regions = read_regions(route_json);
     return route;
 }
 
+organisation_policy read_organisation(const json& organisation_json)
+{
+    organisation_policy organisation;
+    organisation.name = organisation_json.at("name").get<std::string>();
+    for (const json& key : organisation_json.value("keys", json::array()))
+        organisation.key_digests.push_back(
+            organisations::from_hex(key.get_ref<const std::string&>()));
+    organisation.rank = organisation_json.value("rank", "");
+    organisation.calls_per_s = organisation_json.value("calls_per_s", 0.0);
+    organisation.burst = organisation_json.value("burst", 0.0);
+    organisation.regions = read_regions(organisation_json);
+    return organisation;
+}
+
 namespace {
 
 void read_hosts(const json& base, configuration& merged)
@@ -109,6 +133,24 @@
         merged.services.push_back(read_service(service_json));
 }
 
+void read_organisations(const json& base, configuration& merged)
+{
+    if (!base.contains("organisations"))
+        return;
+    for (const json& organisation_json : base.at("organisations")) {
+        support::pause_point();
+        merged.organisations.push_back(
+            std::make_shared<const organisation_policy>(
+                read_organisation(organisation_json)));
+    }
+    std::sort(merged.organisations.begin(), merged.organisations.end(),
+              [](const auto& left, const auto& right) {
+                  return left->name < right->name;
+              });
+    merged.organisation_keys =
+        organisations::make_key_index(merged.organisations);
+}
+
 void read_callers(const json& base, configuration& merged)
 {
     if (!base.contains("callers"))
@@ -290,7 +332,7 @@
     };
     json rest = base.is_object() ? json::object() : base;
     std::vector<const char*> large_tables;
-    for (const char* name : {"hosts", "services"}) {
+    for (const char* name : {"hosts", "services", "organisations"}) {
         if (is_large(name))
             large_tables.push_back(name);
     }
@@ -413,6 +455,7 @@
         read_ranks(full_document.base, merged);
         read_services(full_document.base, merged);
         read_hosts(full_document.base, merged);
+        read_organisations(full_document.base, merged);
         read_callers(full_document.base, merged);
         read_limits(full_document.base, merged);
         read_modes(full_document.base, merged);
--- a/lib/config/document_parts.hpp
+++ b/lib/config/document_parts.hpp
@@ -9,9 +9,11 @@
 
 namespace galenarudder::config {
 
-/// Read an element of /hosts or /services that conforms to the schema.
+/// Read an element of /hosts, /services or /organisations that conforms to the
+/// schema.
 host_route read_host_route(const nlohmann::json& route_json);
 service_policy read_service(const nlohmann::json& service_json);
+organisation_policy read_organisation(const nlohmann::json& organisation_json);
 
 /// Reads a stored form that conforms to its schema; its parts may be invalid.
 document read_parts(nlohmann::json stored);
@@ -62,6 +64,8 @@
         "strategy": {"type": "string"},
         "probe_path": {"type": "string", "pattern": "^/", "maxLength": 256},
         "connections": {"type": "integer", "minimum": 1, "maximum": 1000000},
+        "cold_calls_per_s": {"type": "number", "minimum": 0,
+                             "maximum": 1000000000},
         "routes": {"type": "array", "minItems": 1, "items": {
           "type": "object", "additionalProperties": false,
           "required": ["rank"],
@@ -86,12 +90,27 @@
                         "maximum": 3600000},
         "goal_ms": {"type": "integer", "minimum": 0, "maximum": 3600000},
         "attempts": {"type": "integer", "minimum": 1, "maximum": 16},
+        "open": {"type": "boolean"},
+        "regions": {"$ref": "#/definitions/regions"},
         "services": {"type": "array", "minItems": 1, "items": {
           "type": "object", "additionalProperties": false,
           "required": ["service"],
           "properties": {
             "service": {"type": "string", "minLength": 1},
             "weight": {"type": "number", "minimum": 0}}}}}}},
+    "organisations": {"type": "array", "items": {
+      "type": "object", "additionalProperties": false,
+      "required": ["name"],
+      "properties": {
+        "name": {"type": "string", "maxLength": 128,
+                 "pattern": "^[^\\x00-\\x20\\x7f]([^\\x00-\\x1f\\x7f]*[^\\x00-\\x20\\x7f])?$"},
+        "keys": {"type": "array", "items": {
+          "type": "string", "pattern": "^[0-9a-f]{64}$"}},
+        "rank": {"type": "string", "minLength": 1},
+        "calls_per_s": {"type": "number", "minimum": 0,
+                        "maximum": 1000000000},
+        "burst": {"type": "number", "minimum": 0, "maximum": 1000000000},
+        "regions": {"$ref": "#/definitions/regions"}}}},
     "callers": {"type": "object", "additionalProperties": false,
       "properties": {
         "head_bytes": {"type": "integer", "minimum": 1024,
@@ -118,6 +137,7 @@
         "reroute": {"$ref": "#/definitions/mode"}}}
   },
   "definitions": {
+    "regions": {"type": "array", "items": {"type": "string", "minLength": 1}},
     "mode_name": {"enum": ["automatic", "bounded", "observe"]},
     "mode": {"anyOf": [
       {"$ref": "#/definitions/mode_name"},
--- a/lib/config/schema.cpp
+++ b/lib/config/schema.cpp
@@ -60,6 +60,9 @@
 std::string describe_value(const nlohmann::json& document,
                            const std::string& pointer)
 {
+    // A key that was written in place of its digest must not be printed.
+    if (pointer.starts_with("/organisations"))
+        return "";
     constexpr std::size_t max_printed_bytes = 60;
     try {
         const nlohmann::json::json_pointer value_pointer(
--- a/lib/config/shared_document.cpp
+++ b/lib/config/shared_document.cpp
@@ -1,6 +1,7 @@
 // Rows are recognized by hashes of their texts.
 #include "galenarudder/config/shared_document.hpp"
 
+#include "../organisations/key_index.hpp"
 #include "document_parts.hpp"
 #include "galenarudder/config/check.hpp"
 #include "galenarudder/config/json_text.hpp"
@@ -29,13 +30,39 @@
     std::size_t operator()(const text_hash& hash) const { return hash.low; }
 };
 
-void read_policy(const json& value, shared_table table, table_row& row)
+/// The name of a shared table, and how the policy of its rows is read.
+struct table_properties
 {
-    if (table == shared_table::hosts)
-        row.route = std::make_shared<const host_route>(read_host_route(value));
-    else
-        row.service =
-            std::make_shared<const service_policy>(read_service(value));
+    const char* name;
+    void (*read_policy)(const json& value, table_row& row);
+};
+
+template <auto member, auto read>
+void read_into(const json& value, table_row& row)
+{
+    row.*member = std::make_shared<std::invoke_result_t<decltype(read), json>>(
+        read(value));
+}
+
+/// In the order of shared_table.
+constexpr std::array<table_properties, table_count> table_descriptions = {{
+    {"hosts", read_into<&table_row::route, read_host_route>},
+    {"services", read_into<&table_row::service, read_service>},
+    {"organisations", read_into<&table_row::organisation, read_organisation>},
+}};
+
+const table_properties& properties_of(shared_table table)
+{
+    return table_descriptions.at(static_cast<std::size_t>(table));
+}
+
+std::optional<shared_table> table_called(std::string_view name)
+{
+    for (const shared_table table : shared_tables) {
+        if (name == name_of(table))
+            return table;
+    }
+    return std::nullopt;
 }
 
 /// Returns whether \p values, an array, conform to the schema of their table.
@@ -134,6 +161,7 @@
         if (const table_row_ptr known = by_text_.find(row.text_id)) {
             row.route = known->route;
             row.service = known->service;
+            row.organisation = known->organisation;
             rows_.back() = std::make_shared<const table_row>(std::move(row));
             return true;
         }
@@ -157,7 +185,7 @@
             return false;
         for (std::size_t index = 0; index < new_rows_.size(); ++index) {
             new_row& added = new_rows_[index];
-            read_policy(new_values_[index], table_, added.row);
+            properties_of(table_).read_policy(new_values_[index], added.row);
             rows_[added.position] =
                 std::make_shared<const table_row>(std::move(added.row));
         }
@@ -194,10 +222,8 @@
 std::optional<std::string> read_base(raw_json_reader& reader, row_texts& tables)
 {
     return read_members(reader, [&](std::string_view name) {
-        const auto table = std::find_if(
-            shared_tables.begin(), shared_tables.end(),
-            [&](shared_table candidate) { return name == name_of(candidate); });
-        if (table == shared_tables.end())
+        const auto table = table_called(name);
+        if (!table)
             return std::optional(std::string(reader.value()));
         tables.at(static_cast<std::size_t>(*table)) = read_elements(reader);
         return std::optional<std::string>("[]");
@@ -262,6 +288,12 @@
     return strategy_exists && (has_hosts || !service.routes.empty());
 }
 
+bool keeps_rules(const organisation_policy& organisation,
+                 const known_names& names)
+{
+    return organisation.rank.empty() || names.ranks.contains(organisation.rank);
+}
+
 bool has_hosts(const shared_document& shared)
 {
     return shared.head.at("base").contains(name_of(shared_table::hosts));
@@ -284,50 +316,99 @@
 }
 
 using route_ptr = std::shared_ptr<const host_route>;
+using organisation_ptr = std::shared_ptr<const organisation_policy>;
 
-bool route_precedes(const route_ptr& left, const route_ptr& right)
+bool row_precedes(const route_ptr& left, const route_ptr& right)
 {
     return precedes(*left, *right);
 }
 
-std::vector<route_ptr> sorted_routes(std::span<const table_row_ptr> rows)
+bool row_precedes(const organisation_ptr& left, const organisation_ptr& right)
 {
-    std::vector<route_ptr> routes;
-    routes.reserve(rows.size());
-    for (const table_row_ptr& row : rows)
-        routes.push_back(row->route);
-    std::sort(routes.begin(), routes.end(), route_precedes);
-    return routes;
+    return left->name < right->name;
 }
 
-bool has_duplicates(const std::vector<route_ptr>& routes)
+/// Compares policies by their order in a configuration.
+struct policy_order
 {
-    return std::adjacent_find(
-               routes.begin(), routes.end(),
-               [](const route_ptr& left, const route_ptr& right) {
-                   return !precedes(*left, *right);
-               }) != routes.end();
+    template <typename Policy>
+    bool operator()(const Policy& left, const Policy& right) const
+    {
+        return row_precedes(left, right);
+    }
+};
+
+template <typename Policy>
+std::vector<Policy> sorted_policies(std::span<const table_row_ptr> rows,
+                                    Policy table_row::*policy)
+{
+    std::vector<Policy> policies;
+    policies.reserve(rows.size());
+    for (const table_row_ptr& row : rows)
+        policies.push_back(row.get()->*policy);
+    std::sort(policies.begin(), policies.end(), policy_order());
+    return policies;
 }
 
-/// Returns the routes of \p shared in order, made from those in force.
-std::vector<route_ptr> updated_routes(const shared_document& shared,
-                                      const shared_document& earlier,
-                                      const std::vector<route_ptr>& in_force)
+template <typename Policy>
+bool has_duplicates(const std::vector<Policy>& policies)
 {
-    const row_difference difference = difference_between(
-        earlier.rows(shared_table::hosts), shared.rows(shared_table::hosts));
-    const std::vector<route_ptr> removed = sorted_routes(difference.removed);
-    const std::vector<route_ptr> added = sorted_routes(difference.added);
-    std::vector<route_ptr> kept;
+    return std::adjacent_find(policies.begin(), policies.end(),
+                              [](const Policy& left, const Policy& right) {
+                                  return !row_precedes(left, right);
+                              }) != policies.end();
+}
+
+/// Returns the policies in order, made from those in force, which have no
+/// duplicates.
+template <typename Policy>
+std::vector<Policy> updated_policies(const row_difference& difference,
+                                     Policy table_row::*policy,
+                                     const std::vector<Policy>& in_force)
+{
+    const std::vector<Policy> removed =
+        sorted_policies(difference.removed, policy);
+    const std::vector<Policy> added = sorted_policies(difference.added, policy);
+    std::vector<Policy> kept;
     kept.reserve(in_force.size());
     std::set_difference(in_force.begin(), in_force.end(), removed.begin(),
                         removed.end(), std::back_inserter(kept),
-                        route_precedes);
-    std::vector<route_ptr> routes;
-    routes.reserve(kept.size() + added.size());
+                        policy_order());
+    std::vector<Policy> policies;
+    policies.reserve(kept.size() + added.size());
     std::merge(kept.begin(), kept.end(), added.begin(), added.end(),
-               std::back_inserter(routes), route_precedes);
-    return routes;
+               std::back_inserter(policies), policy_order());
+    return policies;
+}
+
+/// Sets the organisations and their index. Returns false if two of them have a
+/// name or a key in common.
+bool set_organisations(const shared_document& shared,
+                       const shared_document* earlier,
+                       const configuration* in_force,
+                       configuration& effective)
+{
+    const table_rows& rows = shared.rows(shared_table::organisations);
+    const bool can_update = earlier != nullptr && in_force != nullptr &&
+                            !has_duplicates(in_force->organisations);
+    if (!can_update) {
+        effective.organisations =
+            sorted_policies(rows, &table_row::organisation);
+    } else {
+        const row_difference difference = difference_between(
+            earlier->rows(shared_table::organisations), rows);
+        effective.organisations = updated_policies(
+            difference, &table_row::organisation, in_force->organisations);
+    }
+    if (can_update && effective.organisations == in_force->organisations) {
+        effective.organisation_keys = in_force->organisation_keys;
+        return true;
+    }
+    effective.organisation_keys =
+        organisations::make_key_index(effective.organisations);
+    return !has_duplicates(effective.organisations) &&
+           (!effective.organisation_keys ||
+            !effective.organisation_keys->has_duplicates());
 }
 
 table_row_ptr
@@ -337,7 +418,7 @@
     row.text = std::move(text);
     row.text_id = hash_text(row.text);
     row.source_id = row.text_id;
-    read_policy(value, table, row);
+    properties_of(table).read_policy(value, row);
     return std::make_shared<const table_row>(std::move(row));
 }
 
@@ -359,10 +440,9 @@
     for (const auto& [name, value] : shared.head.at("base").items()) {
         text.append(separator).append(json(name).dump()).append(":");
         separator = ",";
-        if (name == name_of(shared_table::hosts))
-            append_rows(shared.rows(shared_table::hosts), text);
-        else if (name == name_of(shared_table::services))
-            append_rows(shared.rows(shared_table::services), text);
+        const auto table = table_called(name);
+        if (table)
+            append_rows(shared.rows(*table), text);
         else
             append_json(value, text);
     }
@@ -380,7 +460,7 @@
 
 const char* name_of(shared_table table)
 {
-    return table == shared_table::hosts ? "hosts" : "services";
+    return properties_of(table).name;
 }
 
 std::uint64_t shared_document::version() const
@@ -548,6 +628,10 @@
         if (!keeps_rules(*row->route, names))
             return false;
     }
+    for (const table_row_ptr& row : to_check(shared_table::organisations)) {
+        if (!keeps_rules(*row->organisation, names))
+            return false;
+    }
     return true;
 }
 
@@ -565,10 +649,17 @@
         effective.services.push_back(*row->service);
     const bool can_update = earlier != nullptr && in_force != nullptr &&
                             !has_duplicates(in_force->host_routes);
+    const table_rows& routes = shared.rows(shared_table::hosts);
     effective.host_routes =
-        can_update ? updated_routes(shared, *earlier, in_force->host_routes)
-                   : sorted_routes(shared.rows(shared_table::hosts));
-    if (has_duplicates(effective.host_routes))
+        can_update
+            ? updated_policies(difference_between(
+                                   earlier->rows(shared_table::hosts), routes),
+                               &table_row::route, in_force->host_routes)
+            : sorted_policies(routes, &table_row::route);
+    const bool distinct =
+        !has_duplicates(effective.host_routes) &&
+        set_organisations(shared, earlier, in_force, effective);
+    if (!distinct)
         return std::nullopt;
     return std::move(effective);
 }
--- a/unittests/config/check_test.cpp
+++ b/unittests/config/check_test.cpp
@@ -73,6 +73,18 @@
          "above the bound 1"},
         {R"([{"op":"add","path":"/ranks/-","value":{"name":"bulk"}}])", "{}",
          "/ranks/2/name"},
+        {R"([{"op":"add","path":"/organisations",
+              "value":[{"name":"a","rank":"vip"}]}])",
+         "{}", "/organisations/0/rank"},
+        {R"([{"op":"add","path":"/organisations",
+              "value":[{"name":"a"},{"name":"a"}]}])",
+         "{}", "/organisations/1/name"},
+        {R"([{"op":"add","path":"/organisations",
+              "value":[{"name":"a\u000db"}]}])",
+         "{}", "/organisations/0/name"},
+        {R"([{"op":"add","path":"/organisations",
+              "value":[{"name":"a\u0000"}]}])",
+         "{}", "/organisations/0/name"},
         {R"([{"op":"copy","from":"/services/0","path":"/services/1"}])", "{}",
          "/services/1/name"},
         {R"([{"op":"copy","from":"/services/0/routes/0",
@@ -206,3 +218,29 @@
     REQUIRE(parsed_again.value().history.size() == 1);
     CHECK(parsed_again.value().history.front().author == "ana");
 }
+
+// Guards against keys and digests in errors, which are logged.
+TEST_CASE("an error about a key names its place, not the key", "[config]")
+{
+    const std::string digest(64, 'a');
+    const json organisation = {{"name", "a"}, {"keys", {digest}}};
+    const json twice = {organisation, {{"name", "b"}, {"keys", {digest}}}};
+    const json plain = json::array({{{"name", "a"}, {"keys", {"plain-key"}}}});
+    const json misspelt = json::array({{{"name", "a"}, {"key", "plain-key"}}});
+    const auto& [organisations, place] =
+        GENERATE_COPY(table<json, std::string>({
+            {twice, "/organisations/1/keys/0"},
+            {plain, "/organisations/0/keys/0"},
+            {misspelt, "/organisations/0"},
+        }));
+    json base = valid_base();
+    base["organisations"] = organisations;
+    const auto result =
+        config::validate(document_with_overlay(std::move(base), "{}"));
+    REQUIRE_FALSE(result);
+    const std::string& message = result.error().message;
+    CAPTURE(message);
+    CHECK(message.find(place) != std::string::npos);
+    CHECK(message.find("plain-key") == std::string::npos);
+    CHECK(message.find(digest) == std::string::npos);
+}
