Translate the operators' tenants

Cause: on the platform, organisations, open routes, regions and cold limits are columns of the operators' tables. Priorities of organisations count for the ranks. The table may be absent. unknown-key has status 401, organisation-limit 429 if the call did not run.

--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -139,6 +139,57 @@
     CHECK(translated.callers.idle_time == std::chrono::seconds(15));
 }
 
+TEST_CASE("tenants become organisations whose keys are only kept as digests")
+{
+    json written = complete_configuration();
+    written["tenants"] = json::parse(R"({
+        "columns": ["name", "apiKeys", "priority", "ratePerS", "burst",
+                    "allowedRegions"],
+        "rows": [["beta", ["secret-b1", "secret-b2"], 3, 12.5, 4, ["north"]],
+                 ["alpha", ["secret-a"], null, null, null, null]]})");
+    json& routes = written["routes"];
+    routes["columns"].push_back("public");
+    routes["columns"].push_back("allowedRegions");
+    for (json& row : routes["rows"])
+        row.push_back(row[0] == "r2");
+    routes["rows"][0].push_back({"north", "south"});
+    written["services"]["columns"].push_back("coldPerS");
+    written["services"]["rows"][0].push_back(6.5);
+    const auto document = translate_configuration(written.dump());
+    REQUIRE(document);
+    CHECK(config::serialize(document.value()).find("secret") ==
+          std::string::npos);
+    const config::configuration translated = in_force(written);
+    REQUIRE(translated.organisations.size() == 2);
+    const config::organisation_policy& alpha = *translated.organisations[0];
+    CHECK(alpha.name == "alpha");
+    CHECK(alpha.rank.empty());
+    CHECK(alpha.calls_per_s == 0);
+    CHECK(alpha.regions.empty());
+    const config::organisation_policy& beta = *translated.organisations[1];
+    CHECK(beta.key_digests.size() == 2);
+    CHECK(beta.calls_per_s == 12.5);
+    CHECK(beta.burst == 4);
+    CHECK(beta.regions == std::vector<std::string>{"north"});
+    CHECK(translated.rank_index(beta.rank) == 3);
+    const auto* closed_route =
+        config::find_host_route(translated, "one.example", "/a/x");
+    CHECK_FALSE(closed_route->open);
+    CHECK(closed_route->regions.size() == 2);
+    CHECK(config::find_host_route(translated, "one.example", "/a/b/")->open);
+    CHECK(translated.find_service("s1")->cold_calls_per_s == 6.5);
+
+    for (const json& malformed :
+         {json("secret-b1"), json({"secret-b1", 5}), json({""})}) {
+        written["tenants"]["rows"][0][1] = malformed;
+        const auto refused = translate_configuration(written.dump());
+        REQUIRE_FALSE(refused);
+        const std::string& message = refused.error().message;
+        CHECK(message.find("/tenants/rows/0/apiKeys") != std::string::npos);
+        CHECK(message.find("secret") == std::string::npos);
+    }
+}
+
 TEST_CASE("a malformed configuration is refused with the path of the fault")
 {
     json malformed = complete_configuration();
@@ -181,6 +232,9 @@
         {refusal_kind::request_timeout, run_outcome::not_run, 408},
         {refusal_kind::request_timeout, run_outcome::unknown, 502},
         {refusal_kind::no_such_service, run_outcome::not_run, 404},
+        {refusal_kind::unknown_key, run_outcome::not_run, 401},
+        {refusal_kind::organisation_limit, run_outcome::not_run, 429},
+        {refusal_kind::organisation_limit, run_outcome::unknown, 502},
     };
     for (const auto& [kind, outcome, status] : rows) {
         support::refusal refusal;
--- a/unittests/platform/version_sequence_test.cpp
+++ b/unittests/platform/version_sequence_test.cpp
@@ -1,6 +1,7 @@
 // A version that is built from what it changes equals the version that is read
 // as a whole, for the store's watchers and for their peers, refused versions
 // included.
+#include "../../lib/organisations/key_index.hpp"
 #include "operator_configuration.hpp"
 
 #include "galenarudder/config/raw_json.hpp"
@@ -81,6 +82,20 @@
     void (*apply)(json& written);
 };
 
+json& tenant_rows(json& written)
+{
+    if (!written.contains("tenants")) {
+        written["tenants"] = {
+            {"columns",
+             {"name", "apiKeys", "priority", "ratePerS", "burst",
+              "allowedRegions"}},
+            {"rows",
+             {{"t0", {"key-0a", "key-0b"}, 5, 40.5, 10, {"north"}},
+              {"t1", {"key-1"}, nullptr, nullptr, nullptr, nullptr}}}};
+    }
+    return written["tenants"]["rows"];
+}
+
 const edit edits[] = {
     {"nothing", [](json&) {}},
     {"another timeout",
@@ -163,6 +178,38 @@
      [](json& written) { random_row(written, "routes")[4] = "soon"; }},
     {"a row that is no list",
      [](json& written) { random_row(written, "routes") = 7; }},
+    {"a tenant more",
+     [](json& written) {
+         const std::string number = std::to_string(2 + random_below(30));
+         tenant_rows(written).push_back(
+             {"t" + number, {"key-" + number}, 1, 5, 0, json::array()});
+     }},
+    {"a tenant less",
+     [](json& written) {
+         json& rows = tenant_rows(written);
+         if (!rows.empty())
+             rows.erase(random_below(rows.size()));
+     }},
+    {"another key",
+     [](json& written) {
+         json& rows = tenant_rows(written);
+         if (!rows.empty())
+             rows[random_below(rows.size())][1] = {
+                 "key-" + std::to_string(random_below(1000))};
+     }},
+    {"a key of two tenants",
+     [](json& written) {
+         tenant_rows(written).push_back({"t99", {"key-1", "key-1"}, 0});
+     }},
+    {"a tenant twice",
+     [](json& written) {
+         tenant_rows(written).push_back({"t1", {"key-x"}});
+     }},
+    {"a key that is no text",
+     [](json& written) {
+         tenant_rows(written).push_back({"t98", {7}});
+     }},
+    {"no tenants", [](json& written) { written.erase("tenants"); }},
     {"no limits", [](json& written) { written.erase("limits"); }},
     {"something unknown",
      [](json& written) {
@@ -188,6 +235,21 @@
             text << ' ' << target.service << '=' << target.weight;
         text << '\n';
     }
+    for (const auto& organisation : effective.organisations) {
+        text << organisation->name << ' ' << organisation->rank << ' '
+             << organisation->calls_per_s << ' ' << organisation->burst;
+        for (const std::string& digest : organisation->key_digests)
+            text << ' ' << organisations::to_hex(digest);
+        for (const std::string& region : organisation->regions)
+            text << ' ' << region;
+        text << '\n';
+    }
+    for (const char* key : {"key-0a", "key-1", "key-5", "key-x"}) {
+        const auto* found = effective.organisation_keys
+                                ? effective.organisation_keys->find(key)
+                                : nullptr;
+        text << key << '=' << (found == nullptr ? "" : found->name) << '\n';
+    }
     text << effective.callers.head_bytes << ' ' << effective.callers.body_bytes
          << ' ' << effective.callers.head_time.count() << ' '
          << effective.callers.idle_time.count();
@@ -293,6 +355,41 @@
     CHECK(second->patch.size() < 700);
 }
 
+// Guards against versions that cost all organisations when one key changes.
+TEST_CASE("a version that withdraws a key costs one row")
+{
+    json written = first_configuration(3);
+    json& rows = tenant_rows(written);
+    for (std::size_t number = 100; number < 150; ++number) {
+        const std::string text = std::to_string(number);
+        rows.push_back({"t" + text, {"key-" + text}, 1, 5, 0});
+    }
+    const built_document_ptr first =
+        build_stored(written.dump(), nullptr).value();
+    REQUIRE(first->effective->organisation_keys->find("key-120") != nullptr);
+    written["version"] = 2;
+    written["tenants"]["rows"][22][1] = json::array();
+    const built_document_ptr second =
+        build_stored(written.dump(), first).value();
+    const built_document_ptr received = build_at_peer(second, first).value();
+    for (const auto& built : {second, received}) {
+        const auto& keys = *built->effective->organisation_keys;
+        CHECK(keys.find("key-120") == nullptr);
+        CHECK(keys.find("key-121")->name == "t121");
+        CHECK(built->effective->organisations[23] ==
+              first->effective->organisations[23]);
+    }
+    CHECK(second->patch.size() < 500);
+    CHECK(first->text.find("key-1") == std::string::npos);
+    // Versions that leave the organisations alone share the index.
+    written["version"] = 3;
+    written["routes"]["rows"][1][4] = "7s";
+    const built_document_ptr third =
+        build_stored(written.dump(), second).value();
+    CHECK(third->effective->organisation_keys ==
+          second->effective->organisation_keys);
+}
+
 TEST_CASE("a text that is not plain JSON is left to the parser")
 {
     const std::string plain = first_configuration(2).dump();
