Send a call's organisation over the link

Cause: gates need to know whose call it is. Change: call_begin ends with the organisation. A peer that sends none means none; a peer of an earlier version does not read it.

--- a/lib/link/message.cpp
+++ b/lib/link/message.cpp
@@ -221,7 +221,8 @@
              head.idempotency_key, head.depth, head.method, head.target,
              encode_fields(head.fields), encode_length(head.content_length),
              msg.sequence_number, encode_bytes(msg.body), msg.body_complete,
-             head.may_hand_back, encode_milliseconds(msg.sent_at)});
+             head.may_hand_back, encode_milliseconds(msg.sent_at),
+             head.organisation});
     }
     json operator()(const body_part& msg) const
     {
@@ -307,6 +308,7 @@
 
 message decode_call_begin(const json& list)
 {
+    constexpr std::size_t organisation = 17;
     support::call_head head;
     head.id = decode_id(list.at(1));
     head.service = list.at(2);
@@ -320,6 +322,9 @@
     head.fields = decode_fields(list.at(10));
     head.content_length = decode_length(list.at(11));
     head.may_hand_back = list.at(15);
+    // Peers of earlier versions do not send it.
+    if (list.size() > organisation)
+        head.organisation = list.at(organisation);
     return call_begin{
         std::move(head), decode_number<std::uint64_t>(list.at(12)),
         decode_bytes(list.at(13)), list.at(14), decode_boot_time(list.at(16))};
--- a/unittests/link/message_test.cpp
+++ b/unittests/link/message_test.cpp
@@ -3,6 +3,7 @@
 #include "galenarudder/link/message.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace galenarudder;
 
@@ -15,6 +16,7 @@
     head.id = support::attempt_id{7};
     head.service = "reservas";
     head.rank = "urgent";
+    head.organisation = "deposit-house";
     head.remaining_time = support::milliseconds(250);
     head.may_hand_back = true;
     head.idempotency_key = "k1";
@@ -27,6 +29,7 @@
     CHECK(begin.head.id == head.id);
     CHECK(begin.head.service == head.service);
     CHECK(begin.head.rank == head.rank);
+    CHECK(begin.head.organisation == head.organisation);
     CHECK(begin.head.remaining_time == head.remaining_time);
     CHECK(begin.head.may_hand_back);
     CHECK(begin.head.idempotency_key == head.idempotency_key);
@@ -35,6 +38,26 @@
     CHECK_FALSE(begin.head.content_length);
 }
 
+// Guards against a fleet that breaks its links while it is being upgraded.
+TEST_CASE("a call head from a peer that sends no organisation has none",
+          "[link]")
+{
+    support::call_head head;
+    head.service = "reservas";
+    head.organisation = "deposit-house";
+    const std::string encoded = link::encode(link::call_begin{head});
+    auto fields = nlohmann::json::from_cbor(encoded);
+    REQUIRE(fields.back() == head.organisation);
+    fields.erase(fields.size() - 1);
+    std::string earlier_form;
+    nlohmann::json::to_cbor(fields, earlier_form);
+    const auto decoded = link::decode(earlier_form);
+    REQUIRE(decoded);
+    const auto& begin = std::get<link::call_begin>(decoded.value());
+    CHECK(begin.head.service == head.service);
+    CHECK(begin.head.organisation.empty());
+}
+
 TEST_CASE("bytes that are no link message are a malformed-message error",
           "[link]")
 {
