Admit calls by the keys of organisations

Cause: with organisations configured, only calls with a known key may pass. Change: the entry reads the key from Authorization, sets the organisation's rank and regions, removes the caller's fields and names the organisation to the upstream. Open routes and the upstream on the VM need no key. Until an upstream announced itself, the daemon's own address counts as its address. A 401 has WWW-Authenticate. Claims on idempotency keys are separate for each organisation.

--- a/include/galenarudder/proxy/entry.hpp
+++ b/include/galenarudder/proxy/entry.hpp
@@ -31,6 +31,8 @@
     support::call_head head;
     /// Largest body that the route accepts.
     std::uint64_t body_limit_bytes = 0;
+    /// Whether the route needs no key.
+    bool open = false;
 };
 
 using classification = std::variant<classified_call, support::refusal>;
@@ -51,6 +53,8 @@
     /// Determines service, route, rank and deadline of a request, or refuses
     /// it. \p head holds method, target and fields as received, \p host the
     /// value of the Host field, \p peer the address that the request came from.
+    /// If the configuration has organisations, the request needs the key of one
+    /// unless its route is open or the upstream on this VM sent it.
     /// Any caller may request a less urgent rank than the route's. Only the
     /// announced upstream may request a more urgent one, since it passes on the
     /// rank of the call that it serves.
@@ -72,6 +76,15 @@
     /// Sets the address from which the upstream on this VM announced itself.
     void set_upstream_address(const std::string& address);
 
+    /// Sets the address on which callers reach this daemon. Until an upstream
+    /// has announced itself, for example after a restart of the daemon,
+    /// requests from this address need no key, since they may be the
+    /// upstream's. To be called before the first request.
+    void set_own_address(std::string address)
+    {
+        own_address_ = std::move(address);
+    }
+
     /// To be called before the first request. Without it, calls that have an
     /// idempotency key and are not repeatable are refused.
     void set_keyed_calls(std::shared_ptr<keyed_calls> calls);
@@ -107,6 +120,14 @@
                         std::string_view host,
                         support::call_head& head,
                         classified_call& classified) const;
+    /// Sets the organisation of the call, or refuses it.
+    std::optional<support::refusal>
+    identify_caller(const config::configuration& in_force,
+                    std::string_view peer,
+                    support::call_head& head,
+                    classified_call& classified) const;
+    /// Returns whether requests from \p peer may be the upstream's.
+    bool may_lack_key(std::string_view peer) const;
     const std::string& choose_service(const config::host_route& route) const;
 
     const routing::router& router_;
@@ -115,6 +136,7 @@
     gate_lookup find_gate_;
     const http_dialect& dialect_;
     std::string own_service_;
+    std::string own_address_;
     /// Number of calls on routes that split calls among several services.
     mutable std::atomic<std::uint64_t> split_route_calls_{0};
     std::shared_ptr<keyed_calls> keyed_calls_;
--- a/include/galenarudder/proxy/http_dialect.hpp
+++ b/include/galenarudder/proxy/http_dialect.hpp
@@ -51,6 +51,11 @@
     std::string_view instance;
     /// In requests to an upstream: the service that the call comes from.
     std::string_view calling_service;
+    /// In requests: the scheme of the Authorization field that carries the key
+    /// of the caller's organisation.
+    std::string_view key_scheme;
+    /// In requests to an upstream: the name of the caller's organisation.
+    std::string_view organisation;
     /// In responses: proves that an upstream generated them.
     std::string_view signature;
     /// In refusals: all callers up the call chain must not retry the call.
--- a/include/galenarudder/proxy/http_fields.hpp
+++ b/include/galenarudder/proxy/http_fields.hpp
@@ -14,6 +14,9 @@
 inline constexpr std::string_view deadline_field = "Galenarudder-Deadline-Ms";
 inline constexpr std::string_view depth_field = "Galenarudder-Depth";
 inline constexpr std::string_view key_field = "Idempotency-Key";
+/// On a request to an upstream: the name of the caller's organisation.
+inline constexpr std::string_view organisation_field =
+    "Galenarudder-Organisation";
 /// On a refusal: all callers up the call chain must not retry the call.
 inline constexpr std::string_view no_retry_field = "Galenarudder-No-Retry";
 /// On a 503 response of an upstream: `not-run` states that the upstream shed
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -407,6 +407,7 @@
     link_manager_ = std::make_unique<link::link_manager>(
         io_, settings_.member, settings_.keys, make_link_handlers());
     entry_.set_own_service(settings_.service);
+    entry_.set_own_address(settings_.callers.address);
     gate_->on_serving_changed(
         [this](const proxy::upstream_properties* upstream) {
             std::optional<proxy::upstream_properties> facts;
--- a/lib/proxy/caller_connection.cpp
+++ b/lib/proxy/caller_connection.cpp
@@ -155,6 +155,10 @@
     response.version(framing.version);
     response.result(dialect.refusal_status(reason));
     response.set(bhttp::field::content_type, problem_media_type);
+    if (reason.kind == support::refusal_kind::unknown_key) {
+        // RFC 9110, section 15.5.2, requires the field.
+        response.set(bhttp::field::www_authenticate, dialect.key_scheme);
+    }
     if (reason.retry_after.count() > 0) {
         response.set(bhttp::field::retry_after,
                      retry_after_text(reason.retry_after,
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -1,6 +1,7 @@
 // Matches requests to services and routes of the configuration in force.
 #include "galenarudder/proxy/entry.hpp"
 
+#include "../organisations/key_index.hpp"
 #include "galenarudder/proxy/http_fields.hpp"
 
 #include <algorithm>
@@ -120,6 +121,107 @@
     });
 }
 
+constexpr std::string_view authorization_field = "Authorization";
+
+/// The detail does not repeat the field, since it may hold a key.
+refusal key_refused(std::string detail)
+{
+    return refused_before_dispatch(refusal_kind::unknown_key,
+                                   std::move(detail));
+}
+
+/// Returns the key in the value of an Authorization field; empty if the value
+/// has another scheme or no key.
+std::string_view key_in(std::string_view value, std::string_view scheme)
+{
+    const std::size_t scheme_end = value.find(' ');
+    if (scheme_end == std::string_view::npos ||
+        !same_field(value.substr(0, scheme_end), scheme))
+        return {};
+    constexpr std::string_view blanks = " \t";
+    const std::size_t begin = value.find_first_not_of(blanks, scheme_end);
+    if (begin == std::string_view::npos)
+        return {};
+    return value.substr(begin, value.find_last_not_of(blanks) + 1 - begin);
+}
+
+/// What a request states about its organisation.
+struct presented_key
+{
+    bool present = false;
+    /// Null if the key is unknown or the field malformed or repeated.
+    const config::organisation_policy* organisation = nullptr;
+};
+
+presented_key
+find_organisation(const config::configuration& in_force,
+                  const std::vector<support::header_field>& fields,
+                  const http_dialect& dialect)
+{
+    presented_key presented;
+    for (const support::header_field& field : fields) {
+        if (!same_field(field.name, authorization_field))
+            continue;
+        // With several fields it is open which one the caller means.
+        if (presented.present)
+            return {true, nullptr};
+        presented.present = true;
+        const std::string_view key = key_in(field.value, dialect.key_scheme);
+        if (!key.empty() && in_force.organisation_keys)
+            presented.organisation = in_force.organisation_keys->find(key);
+    }
+    return presented;
+}
+
+/// Returns the regions in both lists, of which an empty one stands for all;
+/// nullopt if there are none.
+std::optional<std::vector<std::string>>
+common_regions(const std::vector<std::string>& left,
+               const std::vector<std::string>& right)
+{
+    if (left.empty() || right.empty())
+        return left.empty() ? right : left;
+    std::vector<std::string> common;
+    std::copy_if(left.begin(), left.end(), std::back_inserter(common),
+                 [&](const std::string& region) {
+                     return std::find(right.begin(), right.end(), region) !=
+                            right.end();
+                 });
+    return common.empty() ? std::nullopt : std::optional(std::move(common));
+}
+
+/// Applies the rank and the regions of the organisation to the call, and
+/// replaces the caller's fields about it.
+std::optional<refusal>
+apply_organisation(const config::configuration& in_force,
+                   const config::organisation_policy* organisation,
+                   const http_dialect& dialect,
+                   call_head& head,
+                   call_properties& properties)
+{
+    std::erase_if(head.fields, [&](const support::header_field& field) {
+        return same_field(field.name, authorization_field) ||
+               same_field(field.name, dialect.organisation);
+    });
+    if (organisation == nullptr)
+        return std::nullopt;
+    head.organisation = organisation->name;
+    if (!dialect.organisation.empty())
+        head.fields.push_back(
+            {std::string(dialect.organisation), organisation->name});
+    properties.rank =
+        in_force.rank_index(organisation->rank).value_or(properties.rank);
+    auto regions = common_regions(properties.regions, organisation->regions);
+    if (!regions) {
+        return refused_before_dispatch(
+            refusal_kind::no_upstream,
+            "organisation " + organisation->name +
+                " and the route have no region in common");
+    }
+    properties.regions = std::move(*regions);
+    return std::nullopt;
+}
+
 refusal too_large(std::uint64_t limit)
 {
     return refused_before_dispatch(refusal_kind::body_too_large,
@@ -213,6 +315,8 @@
         in_force.rank_index(route->rank).value_or(in_force.ranks.size() - 1);
     classified.properties.repeatable = route->repeatable;
     classified.properties.max_runs = route->attempts;
+    classified.properties.regions = route->regions;
+    classified.open = route->open;
     head.remaining_time = route->deadline;
     return std::nullopt;
 }
@@ -247,6 +351,36 @@
     return std::nullopt;
 }
 
+bool entry::may_lack_key(std::string_view peer) const
+{
+    if (peer.empty())
+        return false;
+    const auto upstream_address = upstream_address_.read();
+    return peer ==
+           (upstream_address->empty() ? own_address_ : *upstream_address);
+}
+
+std::optional<refusal>
+entry::identify_caller(const config::configuration& in_force,
+                       std::string_view peer,
+                       call_head& head,
+                       classified_call& classified) const
+{
+    const presented_key presented =
+        find_organisation(in_force, head.fields, dialect_);
+    const bool admitted = presented.organisation != nullptr ||
+                          classified.open ||
+                          (!presented.present && may_lack_key(peer));
+    if (!admitted) {
+        return key_refused(presented.present
+                               ? "the Authorization field holds no key of an "
+                                 "organisation"
+                               : "the request has no Authorization field");
+    }
+    return apply_organisation(in_force, presented.organisation, dialect_, head,
+                              classified.properties);
+}
+
 classification entry::classify(call_head head,
                                std::string_view host,
                                support::time_point now,
@@ -262,6 +396,13 @@
             : apply_host_route(*in_force, host, head, accepted);
     if (refused)
         return std::move(*refused);
+    const bool from_upstream =
+        !peer.empty() && peer == *upstream_address_.read();
+    if (!in_force->organisations.empty()) {
+        refused = identify_caller(*in_force, peer, head, accepted);
+        if (refused)
+            return std::move(*refused);
+    }
     if (head.content_length.value_or(0) > accepted.body_limit_bytes)
         return too_large(accepted.body_limit_bytes);
     const auto depth =
@@ -271,8 +412,6 @@
                                        "the call is nested too deeply");
     }
     call_properties& properties = accepted.properties;
-    const bool from_upstream =
-        !peer.empty() && peer == *upstream_address_.read();
     properties.rank =
         rank_of_call(*in_force, properties.rank,
                      find_field(head.fields, dialect_.rank), from_upstream);
--- a/lib/proxy/http_dialect.cpp
+++ b/lib/proxy/http_dialect.cpp
@@ -47,6 +47,8 @@
     dialect.rank = rank_field;
     dialect.depth = depth_field;
     dialect.idempotency_key = key_field;
+    dialect.key_scheme = "Bearer";
+    dialect.organisation = organisation_field;
     dialect.no_retry = no_retry_field;
     dialect.states_not_run = states_not_run;
     dialect.promises_not_run = promises_not_run;
--- a/lib/proxy/keyed_calls.cpp
+++ b/lib/proxy/keyed_calls.cpp
@@ -288,6 +288,10 @@
     request.id = impl_->next_request_id();
     request.service = head.service;
     request.key = head.idempotency_key;
+    // Organisations choose their keys independently, and one must not get the
+    // recorded response of another. A field's value has no line break.
+    if (!head.organisation.empty())
+        request.key.insert(0, head.organisation + "\n");
     request.deadline = deadline;
     const asio::any_io_executor caller_executor =
         co_await asio::this_coro::executor;
