--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -357,6 +357,7 @@
         call = {"id": attempt, "path": self.path, "body": body,
                 "time_left_ms": self.headers.get("Timeout-Ms"),
                 "caller": self.headers.get("Caller-Service"),
+                "fields": self.headers.items(),
                 "received_at_s": time.monotonic(),
                 "instance": upstream.instance, "early": early, "status": None}
         upstream.received_calls.append(call)
