Render all settings of the deployment template in the platform tests

The template names quota bounds, a region and the regions of domains since the interfaces for organisations were added.

The rig now states them and renders {{name|json}}. Regions stay empty.

--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -454,7 +454,10 @@
                            "control": f"{self.ip}:8306"},
                 "portRange": [7620, 7635], "heartbeat": "300ms",
                 "localApp": f"{self.ip}:8301", "service": self.service,
-                "bounds": {"budgetSlack": 56, "grace": "6s"},
+                "bounds": {"budgetSlack": 56, "grace": "6s",
+                           "quotaWindow": "5s", "quotaOver": 0.1,
+                           "quotaSlack": 20},
+                "region": "", "zones": {},
                 "infra": {"address": self.rig.store_address}}
 
     def start(self):
@@ -484,7 +487,10 @@
 
 
 def render(template, template_values):
-    """Replace {{a}}, {{a.b}} and {{a.0}}; the content of sections is kept."""
+    """Replace {{a}}, {{a.b}}, {{a.0}} and {{a|json}}.
+
+    The content of sections is kept.
+    """
     template = re.sub(r"\{\{[#/][\w.]+\}\}", "", template)
 
     def value(match):
@@ -492,8 +498,8 @@
         for segment in match.group(1).split("."):
             node = node[int(segment)] if isinstance(node, list) \
                 else node[segment]
-        return str(node)
-    return re.sub(r"\{\{([\w.]+)\}\}", value, template)
+        return json.dumps(node) if match.group(2) else str(node)
+    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value, template)
 
 
 class Rig:
