Cancel calls whose caller left behind unread requests

Cause: a watched connection stopped reading once 64 KiB were buffered, so that the close behind these bytes was not noticed while the call ran. A later call with a body was started without asking whether its caller was still there. The watch was also absent while a large body waited for a slow upstream.

Change: has_closed() asks the kernel, which shows a close behind unread bytes. Where no read is in progress, the connection asks every 100 ms. A watched connection reads up to 1 MiB ahead, since a close is only seen once the bytes before it have left the caller; all connections share 8 MiB for this. A call with a complete body is dropped before its first attempt if its caller left.

--- a/lib/proxy/caller_connection.cpp
+++ b/lib/proxy/caller_connection.cpp
@@ -1,6 +1,7 @@
 // Parses requests with Beast. While a call is watched for its caller's
 // disconnection, bytes are read into the buffer from which the next request is
-// parsed.
+// parsed. A caller that pipelines more than may be buffered is watched by
+// polling its socket, which shows a close behind bytes that were not read.
 #include "caller_connection.hpp"
 
 #include "galenarudder/link/message.hpp"
@@ -13,11 +14,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
-#include <sys/socket.h>
+#include <poll.h>
 
 #include <algorithm>
 #include <cassert>
-#include <cerrno>
 
 namespace galenarudder::proxy {
 
@@ -42,6 +42,12 @@
 /// Limit on the bytes that are read ahead: of pipelined requests, or of a part
 /// of a body that cannot be parsed yet.
 constexpr std::size_t max_read_ahead_bytes = 64 * 1024;
+/// Limit while a call is watched and the shared budget has room. A close can be
+/// seen only once the bytes before it are read or in the kernel's buffer.
+constexpr std::size_t max_watched_bytes = 1024 * 1024;
+/// A fifth of the time within which work for a caller that left must end.
+constexpr support::duration close_poll_interval =
+    std::chrono::milliseconds(100);
 
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
@@ -198,16 +204,24 @@
 
 } // namespace
 
-caller_connection::caller_connection(tcp::socket socket,
-                                     const http_dialect& dialect)
+caller_connection::caller_connection(
+    tcp::socket socket,
+    const http_dialect& dialect,
+    std::shared_ptr<read_ahead_budget> read_ahead)
     : stream_(std::move(socket)), dialect_(dialect),
+      read_ahead_(std::move(read_ahead)),
       watch_stopped_(stream_.get_executor()),
-      read_timer_(stream_.get_executor())
+      read_timer_(stream_.get_executor()), poll_timer_(stream_.get_executor())
 {
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
 }
 
+caller_connection::~caller_connection()
+{
+    read_ahead_->give_back(read_ahead_taken_);
+}
+
 void caller_connection::start_read_timeout(support::duration timeout)
 {
     read_timed_out_ = false;
@@ -287,14 +301,10 @@
 
 bool caller_connection::has_closed()
 {
-    if (closed_by_caller_ || buffer_.size() != 0)
-        return closed_by_caller_;
-    char next = 0;
-    const ssize_t peeked = ::recv(stream_.socket().native_handle(), &next,
-                                  sizeof(next), MSG_PEEK | MSG_DONTWAIT);
-    const bool nothing_yet =
-        peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    closed_by_caller_ = peeked <= 0 && !nothing_yet;
+    if (closed_by_caller_)
+        return true;
+    pollfd state{stream_.socket().native_handle(), POLLRDHUP, 0};
+    closed_by_caller_ = ::poll(&state, 1, 0) > 0;
     return closed_by_caller_;
 }
 
@@ -306,6 +316,7 @@
     const support::time_point deadline =
         support::monotonic_clock::now() + limits_.head_time;
     head_result result;
+    give_back_read_ahead();
     while (!parser.is_header_done()) {
         boost::system::error_code failure;
         buffer_.consume(parser.put(buffer_.data(), failure));
@@ -498,10 +509,66 @@
         continue_watching();
 }
 
-void caller_connection::continue_watching()
+void caller_connection::watch_between_reads(std::function<void()> on_closed)
+{
+    on_closed_ = std::move(on_closed);
+    poll_for_close();
+}
+
+/// Returns whether further bytes may be buffered, and takes them from the
+/// budget if they are more than every connection may read.
+bool caller_connection::may_read_ahead()
+{
+    if (buffer_.size() < max_read_ahead_bytes)
+        return true;
+    if (buffer_.size() >= max_watched_bytes)
+        return false;
+    if (max_read_ahead_bytes + read_ahead_taken_ >=
+        buffer_.size() + read_buffer_bytes)
+        return true;
+    if (!read_ahead_->take(read_buffer_bytes))
+        return false;
+    read_ahead_taken_ += read_buffer_bytes;
+    return true;
+}
+
+/// Gives back what was taken for bytes that have been parsed since.
+void caller_connection::give_back_read_ahead()
 {
-    if (buffer_.size() >= max_read_ahead_bytes)
+    if (read_ahead_taken_ == 0 || buffer_.size() >= max_read_ahead_bytes)
         return;
+    read_ahead_->give_back(read_ahead_taken_);
+    read_ahead_taken_ = 0;
+    buffer_.shrink_to_fit();
+}
+
+void caller_connection::poll_for_close()
+{
+    poll_timer_.expires_after(close_poll_interval);
+    poll_timer_.async_wait(
+        [weak = weak_from_this()](boost::system::error_code canceled) {
+            const auto self = weak.lock();
+            if (!self || canceled || !self->on_closed_)
+                return;
+            if (!self->reading_ && !self->watching_ && self->has_closed())
+                self->report_close();
+            else
+                self->poll_for_close();
+        });
+}
+
+void caller_connection::report_close()
+{
+    const std::function<void()> on_closed = std::move(on_closed_);
+    on_closed_ = nullptr;
+    on_closed();
+}
+
+void caller_connection::continue_watching()
+{
+    if (!may_read_ahead())
+        return poll_for_close();
+    poll_timer_.cancel();
     assert(!reading_ && "the connection has one read at a time");
     watching_ = true;
     stream_.socket().async_read_some(
@@ -524,14 +591,13 @@
         return;
     if (!failure)
         return continue_watching();
-    const std::function<void()> on_closed = std::move(on_closed_);
-    on_closed_ = nullptr;
-    on_closed();
+    report_close();
 }
 
 asio::awaitable<void> caller_connection::stop_watching()
 {
     on_closed_ = nullptr;
+    poll_timer_.cancel();
     if (watching_)
         stop_watch_.emit(asio::cancellation_type::terminal);
     while (watching_) {
--- a/lib/proxy/caller_connection.hpp
+++ b/lib/proxy/caller_connection.hpp
@@ -3,6 +3,8 @@
 /// and detects when the caller closes the connection.
 #pragma once
 
+#include "read_ahead_budget.hpp"
+
 #include "galenarudder/config/configuration.hpp"
 #include "galenarudder/link/exchange.hpp"
 #include "galenarudder/proxy/http_dialect.hpp"
@@ -60,7 +62,11 @@
 {
 public:
     caller_connection(boost::asio::ip::tcp::socket socket,
-                      const http_dialect& dialect);
+                      const http_dialect& dialect,
+                      std::shared_ptr<read_ahead_budget> read_ahead);
+    ~caller_connection();
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
 
     /// Sets the size and time limits of the next request.
     void set_limits(const config::caller_limits& limits) { limits_ = limits; }
@@ -75,8 +81,8 @@
     void stop_waiting();
     /// Returns whether the caller closed the connection, or it failed.
     bool closed_by_caller() const { return closed_by_caller_; }
-    /// Returns whether the caller has closed the connection behind the bytes
-    /// that were read. A close that no read has reached yet is seen, too.
+    /// Returns whether the caller has closed the connection. A close that no
+    /// read has reached yet is seen, too, also behind unread bytes.
     bool has_closed();
     /// Reads the head of the request that wait_for_request found.
     boost::asio::awaitable<head_result> read_head(request_parser& parser);
@@ -104,9 +110,14 @@
                                                response_framing framing);
 
     /// Calls \p on_closed once the caller closes its connection. Bytes of
-    /// pipelined requests are buffered. No read may start until stop_watching
-    /// has returned.
+    /// pipelined requests are buffered; where they may not be, the close is
+    /// looked for every 100 ms. No read may start until stop_watching has
+    /// returned.
     void watch_for_close(std::function<void()> on_closed);
+    /// Calls \p on_closed once the caller closes its connection while no read
+    /// is in progress, which would see the close itself. Looks for it every
+    /// 100 ms, until watch_for_close or stop_watching is called.
+    void watch_between_reads(std::function<void()> on_closed);
     boost::asio::awaitable<void> stop_watching();
 
     /// Closes the connection shortly if no request is being served.
@@ -135,9 +146,16 @@
     void stop_read_timeout();
     void continue_watching();
     void on_watch_read(boost::system::error_code failure, std::size_t size);
+    bool may_read_ahead();
+    void give_back_read_ahead();
+    void poll_for_close();
+    void report_close();
 
     boost::beast::tcp_stream stream_;
     const http_dialect& dialect_;
+    std::shared_ptr<read_ahead_budget> read_ahead_;
+    /// Bytes taken from the budget.
+    std::size_t read_ahead_taken_ = 0;
     config::caller_limits limits_;
     boost::beast::flat_buffer buffer_;
     boost::asio::cancellation_signal stop_watch_;
@@ -148,6 +166,7 @@
     /// Canceled when a read of the watch has ended.
     boost::asio::steady_timer watch_stopped_;
     boost::asio::steady_timer read_timer_;
+    boost::asio::steady_timer poll_timer_;
     /// Number of the current read; a timeout of an earlier read is ignored.
     std::uint64_t read_number_ = 0;
     bool read_timed_out_ = false;
--- a/lib/proxy/caller_server.cpp
+++ b/lib/proxy/caller_server.cpp
@@ -21,6 +21,13 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+namespace {
+
+/// A twentieth of the memory of the smallest VMs, which have 160 MB.
+constexpr std::size_t read_ahead_bytes = 8 * 1024 * 1024;
+
+} // namespace
+
 struct caller_server_state
     : public std::enable_shared_from_this<caller_server_state>
 {
@@ -42,6 +49,8 @@
     entry* shared_entry;
     std::atomic<std::size_t> open_calls{0};
     std::atomic<bool> draining{false};
+    std::shared_ptr<read_ahead_budget> read_ahead =
+        std::make_shared<read_ahead_budget>(read_ahead_bytes);
 
     /// Guards the members below.
     std::mutex sessions_mutex;
@@ -66,7 +75,7 @@
     const asio::any_io_executor executor = socket.get_executor();
     auto session = std::make_shared<caller_session>(
         std::move(socket),
-        session_context{shared_entry, &draining, &open_calls});
+        session_context{shared_entry, &draining, &open_calls, read_ahead});
     {
         const std::lock_guard lock(sessions_mutex);
         sessions[session.get()] = session;
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -157,8 +157,10 @@
 caller_session::caller_session(tcp::socket socket, session_context context)
     : context_(context), entry_(*context.shared_entry),
       caller_address_(address_of(socket)),
-      connection_(std::make_shared<caller_connection>(
-          std::move(socket), context.shared_entry->dialect())),
+      connection_(
+          std::make_shared<caller_connection>(std::move(socket),
+                                              context.shared_entry->dialect(),
+                                              context.read_ahead)),
       body_stream_(connection_->executor()),
       call_ended_(connection_->executor())
 {
@@ -446,6 +448,10 @@
         co_await write_refusal(*initial.failure, *parser, false);
         co_return false;
     }
+    if (initial.complete && connection_->has_closed()) {
+        log_left_before_start(accepted);
+        co_return false;
+    }
     accepted.properties.replayable = initial.complete;
     // The bound may have been set while the body was read.
     const time_point deadline =
@@ -459,6 +465,8 @@
     exclusive_call_ = call;
     if (initial.complete)
         watch_caller(call);
+    else
+        connection_->watch_between_reads(make_close_handler(call));
     const bool call_continues = co_await claim(parser, call, deadline);
     if (!call_continues)
         co_return call->body_complete&& may_keep_alive(*parser);
@@ -706,7 +714,12 @@
 /// its response is written.
 void caller_session::watch_caller(const call_ptr& call)
 {
-    connection_->watch_for_close([weak = std::weak_ptr<open_call>(call)] {
+    connection_->watch_for_close(make_close_handler(call));
+}
+
+std::function<void()> caller_session::make_close_handler(const call_ptr& call)
+{
+    return [weak = std::weak_ptr<open_call>(call)] {
         const auto watched = weak.lock();
         if (!watched)
             return;
@@ -715,7 +728,7 @@
         if (watched->forwarded_attempt)
             watched->attempts[*watched->forwarded_attempt]
                 .exchange->response_body.abort();
-    });
+    };
 }
 
 asio::awaitable<void>
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -30,6 +30,7 @@
     /// Calls of all sessions whose request's head was read and whose response
     /// has not ended.
     std::atomic<std::size_t>* open_calls = nullptr;
+    std::shared_ptr<read_ahead_budget> read_ahead;
 };
 
 /// The call's timer expired.
@@ -182,6 +183,7 @@
     void submit_attempt(const call_ptr& call, const send_attempt& action);
     void set_call_timer(const call_ptr& call, support::time_point expiry);
     void watch_caller(const call_ptr& call);
+    static std::function<void()> make_close_handler(const call_ptr& call);
     void cancel(const open_attempt& attempt);
     boost::asio::awaitable<bool> write_refusal(const support::refusal& reason,
                                                const request_parser& parser,
