Refuse calls for another service at the gate

Cause: the gate did not compare the service of a call with that of its upstream. Entries keep services apart by their view of the fleet, which a daemon that stood still does not have up to date.

Change: a call for another service is refused as not run with no_upstream, so that the entry sends it elsewhere without a retry token. The refusal carries no load: the entry would take it for the load of the upstream that it knew. An upstream that changes its service counts as a new instance, and the fleet is told at once that the earlier service is no longer served here.

--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -35,6 +35,8 @@
 /// Interval between checks of an upstream that is not known to serve.
 constexpr support::milliseconds confirmation_interval{250};
 constexpr support::milliseconds probe_timeout{1000};
+/// The caller's daemon learns of the other service within about this time.
+constexpr support::milliseconds other_service_retry_after{1000};
 
 http::client_request probe_request(const std::string& path)
 {
@@ -100,6 +102,10 @@
     void execute(const admission::start& action);
     void execute(const admission::refuse& action);
     void execute(const admission::abort_running& action);
+    void refuse(const attempt_key& key,
+                const support::refusal& reason,
+                const support::load_report& load);
+    void refuse_other_service(const attempt_key& key);
     void query_slowdown();
     void arm_timer();
     void on_finished(const attempt_key& key,
@@ -204,8 +210,28 @@
     admission::attempt offered{key, attempt->head.rank, deadline,
                                attempt->head.repeatable,
                                attempt->head.may_hand_back};
+    const bool is_for_upstream = attempt->head.service == upstream_.service;
     attempts_[key] = {std::move(attempt), deadline, nullptr, now, {}};
-    perform(gate_.offer(offered, now));
+    // The entry may not know yet that an upstream of another service is at this
+    // address. Only the gate, the sole sender, knows for certain.
+    if (is_for_upstream || !client_)
+        perform(gate_.offer(offered, now));
+    else
+        refuse_other_service(key);
+}
+
+/// Refuses a call for a service that the upstream does not run. The refusal
+/// carries no load, since that would be taken for the load of an upstream of
+/// the call's service.
+void gate_runtime::impl::refuse_other_service(const attempt_key& key)
+{
+    const support::call_head& head = attempts_.at(key).exchange->head;
+    const support::refusal reason{
+        support::refusal_kind::no_upstream, support::run_outcome::not_run,
+        false, other_service_retry_after,
+        "the call is for service " + head.service +
+            ", but the upstream here runs " + upstream_.service};
+    refuse(key, reason, support::load_report());
 }
 
 void gate_runtime::impl::perform(const std::vector<admission::action>& actions)
@@ -362,19 +388,25 @@
     const auto found = attempts_.find(action.key);
     if (found == attempts_.end())
         return;
+    refuse(action.key, action.refusal, load_report_of(found->second));
+}
+
+void gate_runtime::impl::refuse(const attempt_key& key,
+                                const support::refusal& reason,
+                                const support::load_report& load)
+{
+    const auto found = attempts_.find(key);
     const link::exchange_ptr exchange = found->second.exchange;
-    const support::load_report load = load_report_of(found->second);
     attempts_.erase(found);
-    telemetry::log_event(
-        telemetry::log_kind::failure, "gate.refused",
-        {{"call", request_id_of(exchange->head, dialect_)},
-         {"kind", to_string(action.refusal.kind)},
-         {"outcome", to_string(action.refusal.outcome)},
-         {"detail", action.refusal.detail},
-         {"rank", exchange->head.rank},
-         {"retry_after_ms", action.refusal.retry_after.count()}});
+    telemetry::log_event(telemetry::log_kind::failure, "gate.refused",
+                         {{"call", request_id_of(exchange->head, dialect_)},
+                          {"kind", to_string(reason.kind)},
+                          {"outcome", to_string(reason.outcome)},
+                          {"detail", reason.detail},
+                          {"rank", exchange->head.rank},
+                          {"retry_after_ms", reason.retry_after.count()}});
     exchange->request_body.abort();
-    exchange->deliver(link::refused{action.refusal, load});
+    exchange->deliver(link::refused{reason, load});
 }
 
 void gate_runtime::impl::execute(const admission::abort_running& action)
@@ -479,8 +511,14 @@
 {
     const bool same_instance = client_ &&
                                upstream_.endpoint == upstream.endpoint &&
+                               upstream_.service == upstream.service &&
                                upstream_.instance == upstream.instance &&
                                upstream_.started_ms == upstream.started_ms;
+    // Until the new upstream is found to serve, the fleet must not list the
+    // service of the one that it replaces.
+    if (serving_ && upstream_.service != upstream.service &&
+        on_serving_changed_)
+        on_serving_changed_(nullptr);
     upstream_ = std::move(upstream);
     if (!same_instance) {
         client_ = std::make_shared<upstream_client>(
--- a/unittests/entry/gate_runtime_test.cpp
+++ b/unittests/entry/gate_runtime_test.cpp
@@ -43,10 +43,13 @@
     {
     }
 
-    link::exchange_ptr
-    submit(std::uint64_t id, bool repeatable, std::uint64_t link = 0)
+    link::exchange_ptr submit(std::uint64_t id,
+                              bool repeatable,
+                              std::uint64_t link = 0,
+                              std::string service = {})
     {
         support::call_head head;
+        head.service = std::move(service);
         head.id = static_cast<support::attempt_id>(id);
         head.rank = "urgent";
         head.method = "GET";
@@ -58,16 +61,17 @@
                                                          io.get_executor());
         exchange->deliver = [this, id](link::exchange_event event) {
             refusals[id] = std::get<link::refused>(event).refusal;
+            reported_limits[id] = std::get<link::refused>(event).load.limit;
         };
         gate.submit_from(link, exchange);
         return exchange;
     }
 
     template <typename Condition>
-    bool run_until(Condition condition)
+    bool run_until(Condition condition,
+                   support::duration timeout = std::chrono::seconds(10))
     {
-        const auto end =
-            support::monotonic_clock::now() + std::chrono::seconds(10);
+        const auto end = support::monotonic_clock::now() + timeout;
         while (!condition() && support::monotonic_clock::now() < end) {
             io.restart();
             io.run_one_for(std::chrono::milliseconds(5));
@@ -78,12 +82,15 @@
     asio::io_context io{1};
     silent_upstream upstream;
     std::map<std::uint64_t, support::refusal> refusals;
+    std::map<std::uint64_t, std::uint32_t> reported_limits;
     gate_runtime gate;
 };
 
-upstream_properties properties_of(const config::endpoint& endpoint)
+upstream_properties properties_of(const config::endpoint& endpoint,
+                                  std::string service = {})
 {
     upstream_properties properties;
+    properties.service = std::move(service);
     properties.endpoint = endpoint;
     properties.slots = 1;
     properties.max_connections = 10;
@@ -101,6 +108,32 @@
     CHECK(given.refusals[1].outcome == support::run_outcome::not_run);
 }
 
+// Guards against calls that an upstream of another service runs: entries learn
+// late that an address was given to it.
+TEST_CASE("a call for another service than the upstream's is refused as not "
+          "run, without a load report")
+{
+    fixture given;
+    given.gate.set_upstream(properties_of(given.upstream.endpoint(), "alpha"));
+    given.submit(1, true, 0, "alpha");
+    given.submit(2, true, 0, "alpha");
+    given.gate.set_upstream(properties_of(given.upstream.endpoint(), "gamma"));
+    for (const std::uint64_t link : {0, 7}) {
+        const std::uint64_t id = 3 + link;
+        given.submit(id, false, link, "alpha");
+        REQUIRE(given.run_until([&] { return given.refusals.count(id) != 0; }));
+        CHECK(given.refusals[id].kind == refusal_kind::no_upstream);
+        CHECK(given.refusals[id].outcome == support::run_outcome::not_run);
+        CHECK(given.reported_limits[id] == 0);
+    }
+    // The call that waited for the earlier upstream does not start either.
+    CHECK(given.refusals[2].kind == refusal_kind::no_upstream);
+    CHECK(given.refusals.count(1) == 0);
+    given.submit(20, true, 0, "gamma");
+    CHECK_FALSE(given.run_until([&] { return given.refusals.count(20) != 0; },
+                                std::chrono::milliseconds(50)));
+}
+
 TEST_CASE("a drain refuses waiting calls and ends when the running call ends")
 {
     fixture given;
