Order announcements of an upstream against another writer's

Cause: a check-in without zone or version was accepted as a later start of the upstream, after which the upstream's own check-ins, "draining" too, were acknowledged and dropped as stale. The same held for a valid check-in with a wrong start time or sequence number, and for an upstream whose start time went back with the clock of its VM. After a reload of the settings, calls still carried the earlier service in Caller-Service, and the check-in port read the service while the reload replaced it.

Change: check-ins without zone and version, and departures that cannot be read or have a mistyped start, are refused with 400. upstream_presence remembers the starts it heard of. "draining" and a departure always take effect on their start, and on the current one of the same name until that announces itself again. A start that is not the latest becomes current after two announcements in order while the current one is silent for half of the lapse time; the same restores a sequence that a wrong number broke.

The service of the settings and the upstream's address are published to other threads as one value; a reload replaces it and the entry's own service. The heartbeat of the settings is followed, too. A finding of the gate about an earlier upstream no longer announces that one's service to the fleet.

--- a/include/galenarudder/daemon/integration.hpp
+++ b/include/galenarudder/daemon/integration.hpp
@@ -33,6 +33,14 @@
     std::string probe_path;
 };
 
+/// What the settings in force say about the upstream on this VM.
+struct expected_upstream
+{
+    /// Empty if any service may run here.
+    std::string service;
+    std::optional<config::endpoint> address;
+};
+
 /// Handlers of the upstream's messages. They may be called on any thread.
 struct announcement_handlers
 {
@@ -48,6 +56,9 @@
     std::function<void()> gone;
     /// The upstream asks the daemon to drain its gate.
     std::function<void()> drain;
+    /// Returns what announcements must agree with. A reload of the settings
+    /// changes it.
+    std::function<expected_upstream()> expected;
 };
 
 /// The port where the upstream on this VM announces itself.
--- a/include/galenarudder/proxy/entry.hpp
+++ b/include/galenarudder/proxy/entry.hpp
@@ -59,11 +59,10 @@
                             support::time_point now,
                             std::string_view peer = {}) const;
 
-    /// Sets the service that runs on this VM, from which the calls come.
-    void set_own_service(std::string service)
-    {
-        own_service_ = std::move(service);
-    }
+    /// Sets the service that runs on this VM, from which the calls come. Calls
+    /// that are classified from now on carry it. Waits until no call reads the
+    /// previous name.
+    void set_own_service(const std::string& service);
 
     /// Returns the limits on requests under the configuration in force.
     config::caller_limits current_caller_limits() const;
@@ -114,7 +113,7 @@
     telemetry::metrics& metrics_;
     gate_lookup find_gate_;
     const http_dialect& dialect_;
-    std::string own_service_;
+    support::rcu_cell<std::string> own_service_;
     /// Number of calls on routes that split calls among several services.
     mutable std::atomic<std::uint64_t> split_route_calls_{0};
     std::shared_ptr<keyed_calls> keyed_calls_;
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -111,6 +111,7 @@
     bool is_ready() const;
     void wait_for_reload_signal();
     void reload();
+    void publish_own_upstream();
     // A stop runs in this order: drain() on a signal, the leave notice, the
     // drains of the gate and of the callers' connections in parallel, leave(),
     // and the end of the I/O context once outcomes are stored.
@@ -151,6 +152,8 @@
     std::unique_ptr<link::link_manager> link_manager_;
     proxy::caller_server caller_server_;
     admission::upstream_presence presence_;
+    support::rcu_cell<expected_upstream> expected_upstream_{
+        std::make_shared<const expected_upstream>()};
     std::unique_ptr<announcement_listener> announcement_listener_;
     std::unique_ptr<http::server> readiness_;
     std::unique_ptr<operator_port> operator_port_;
@@ -286,6 +289,10 @@
             self->run_on_control(
                 [](impl& runtime_impl) { runtime_impl.drain("upstream"); });
     };
+    handlers.expected = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return self ? *self->expected_upstream_.read() : expected_upstream();
+    };
     return handlers;
 }
 
@@ -356,7 +363,13 @@
                          {{"instance", upstream->instance},
                           {"service", upstream->service},
                           {"slots", upstream->slots}});
-    if (presence_.serves()) {
+    // The gate's finding may be older than the last announcement.
+    const admission::announcement* last = presence_.last_announcement();
+    const bool is_current = presence_.serves() && last != nullptr &&
+                            last->instance == upstream->instance &&
+                            last->started_ms == upstream->started_ms &&
+                            last->service == upstream->service;
+    if (is_current) {
         execute_all(node_.on_announcement(upstream->service, upstream->slots,
                                           monotonic_clock::now()));
     }
@@ -406,7 +419,7 @@
     entry_.set_keyed_calls(keyed_calls_);
     link_manager_ = std::make_unique<link::link_manager>(
         io_, settings_.member, settings_.keys, make_link_handlers());
-    entry_.set_own_service(settings_.service);
+    publish_own_upstream();
     gate_->on_serving_changed(
         [this](const proxy::upstream_properties* upstream) {
             std::optional<proxy::upstream_properties> facts;
@@ -576,6 +589,14 @@
         });
 }
 
+/// Publishes what other threads read of the settings that a reload changes.
+void runtime::impl::publish_own_upstream()
+{
+    expected_upstream_.replace(std::make_shared<const expected_upstream>(
+        expected_upstream{settings_.service, settings_.upstream}));
+    entry_.set_own_service(settings_.service);
+}
+
 /// Applies the settings that may change while the daemon runs. If they cannot
 /// be read, the old settings stay in force; changed ports need a restart.
 void runtime::impl::reload()
@@ -598,6 +619,9 @@
     settings_.stop_timeout = new_settings.stop_timeout;
     settings_.upstream = new_settings.upstream;
     settings_.service = new_settings.service;
+    settings_.heartbeat = new_settings.heartbeat;
+    presence_.set_lapse_after(max_missed_heartbeats * settings_.heartbeat);
+    publish_own_upstream();
     telemetry::log_event(log_kind::state_change, "settings.reloaded",
                          {{"ports_need_a_restart", !same_ports}});
 }
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -136,6 +136,7 @@
              const http_dialect& dialect)
     : router_(router), in_force_(in_force), metrics_(metrics),
       find_gate_(std::move(find_gate)), dialect_(dialect),
+      own_service_(std::make_unique<const std::string>()),
       upstream_address_(std::make_unique<const std::string>())
 {
 }
@@ -147,6 +148,13 @@
     upstream_address_.replace(std::make_unique<const std::string>(address));
 }
 
+void entry::set_own_service(const std::string& service)
+{
+    if (*own_service_.read() == service)
+        return;
+    own_service_.replace(std::make_unique<const std::string>(service));
+}
+
 void entry::set_keyed_calls(std::shared_ptr<keyed_calls> calls)
 {
     keyed_calls_ = std::move(calls);
@@ -294,7 +302,7 @@
     remove_unforwarded_fields(head.fields, dialect_);
     if (!dialect_.calling_service.empty())
         head.fields.push_back(
-            {std::string(dialect_.calling_service), own_service_});
+            {std::string(dialect_.calling_service), *own_service_.read()});
     accepted.head = std::move(head);
     return accepted;
 }
--- a/unittests/admission/upstream_presence_test.cpp
+++ b/unittests/admission/upstream_presence_test.cpp
@@ -32,6 +32,8 @@
     return announced;
 }
 
+constexpr std::uint64_t huge = UINT64_MAX;
+
 } // namespace
 
 TEST_CASE("a late announcement does not bring back an instance that leaves")
@@ -80,6 +82,93 @@
     CHECK(presence.last_announcement()->started_ms == 9);
 }
 
+// Announcements of another writer with this VM's address. None of them may keep
+// the upstream's own "leaving" from taking effect, or the upstream out of use.
+TEST_CASE("announcements of another writer do not hide the upstream's own")
+{
+    const auto [name, forged] = GENERATE(table<const char*, announcement>(
+        {{"a later start", announce("a", 9, 1)},
+         {"a later start that leaves", leaving(announce("a", 9, 1))},
+         {"the last start", announce("a", huge, huge)},
+         {"a forged sequence number", announce("a", 5, huge)},
+         {"an earlier start", announce("a", 3, huge)}}));
+    const bool leaves_at_once = GENERATE(true, false);
+    INFO(name);
+    constexpr milliseconds heartbeat = lapse_after / 4;
+    upstream_presence presence(lapse_after);
+    time_point now = start;
+    std::uint64_t sequence = 0;
+    for (; sequence < 3; now += heartbeat)
+        presence.on_announcement(announce("a", 5, ++sequence), now);
+    presence.on_announcement(forged, now);
+    const time_point forged_at = now;
+    for (; !leaves_at_once && now < forged_at + lapse_after; now += heartbeat) {
+        presence.on_announcement(announce("a", 5, ++sequence), now);
+        presence.on_tick(now);
+    }
+    CHECK((leaves_at_once || presence.serves()));
+    const bool numbered = GENERATE(true, false);
+    presence.on_announcement(leaving(announce("a", 5, ++sequence)), now);
+    CHECK_FALSE(presence.serves());
+    if (!numbered)
+        presence.on_leave("a", 5, now);
+    for (int beats = 0; beats < 8; ++beats, now += heartbeat) {
+        presence.on_announcement(announce("a", 5, ++sequence), now);
+        CHECK_FALSE(presence.serves());
+    }
+}
+
+TEST_CASE("an instance that left is gone even if another writer repeats a "
+          "later start of it")
+{
+    upstream_presence presence(lapse_after);
+    time_point now = start;
+    for (std::uint64_t number = 1; number < 6; ++number) {
+        presence.on_announcement(announce("a", 5, number), now);
+        presence.on_announcement(announce("a", 9, number), now);
+        now += lapse_after / 4;
+    }
+    CHECK(presence.on_announcement(leaving(announce("a", 5, 6)), now) ==
+          presence_change::left);
+    presence.on_announcement(announce("a", 9, 6), now);
+    CHECK_FALSE(presence.serves());
+}
+
+// The clock of a VM may step back between two starts of its upstream.
+TEST_CASE("an instance whose start time went back serves once the earlier one "
+          "is silent")
+{
+    upstream_presence presence(lapse_after);
+    presence.on_announcement(announce("a", 9, 7), start);
+    time_point now = start;
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        now += lapse_after / 4;
+        presence.on_announcement(announce("a", 5, number), now);
+    }
+    CHECK(presence.last_announcement()->started_ms == 5);
+    CHECK(presence.serves());
+    CHECK(presence.on_announcement(leaving(announce("a", 5, 4)), now) ==
+          presence_change::left);
+}
+
+TEST_CASE("a late end of an earlier start suspends the current one until its "
+          "next announcement")
+{
+    const bool by_leave = GENERATE(true, false);
+    upstream_presence presence(lapse_after);
+    presence.on_announcement(announce("a", 5, 7), start);
+    presence.on_announcement(announce("a", 9, 1), start);
+    const auto change =
+        by_leave
+            ? presence.on_leave("a", 5, start)
+            : presence.on_announcement(leaving(announce("a", 5, 8)), start);
+    CHECK(change == presence_change::left);
+    CHECK(presence.on_announcement(leaving(announce("a", 5, 9)), start) ==
+          presence_change::stale);
+    CHECK(presence.on_announcement(announce("a", 9, 2), start) ==
+          presence_change::arrived);
+}
+
 TEST_CASE("an upstream lapses without announcements and returns with the next")
 {
     upstream_presence presence(lapse_after);
--- a/unittests/entry/entry_test.cpp
+++ b/unittests/entry/entry_test.cpp
@@ -32,9 +32,12 @@
     fixture()
         : in_force(
               std::make_unique<const config::configuration>(two_services())),
-          tested_entry(router, in_force, metrics, [](const routing::choice&) {
-              return nullptr;
-          })
+          tested_entry(
+              router,
+              in_force,
+              metrics,
+              [](const routing::choice&) { return nullptr; },
+              dialect)
     {
     }
 
@@ -52,6 +55,7 @@
         return tested_entry.classify(std::move(head), host, now, peer);
     }
 
+    http_dialect dialect = product_dialect();
     support::time_point now{std::chrono::hours(1)};
     routing::router router{"bilbao"};
     support::rcu_cell<config::configuration> in_force;
@@ -66,6 +70,20 @@
 
 } // namespace
 
+// Guards against calls that carry the service of the settings at the start.
+TEST_CASE("calls carry the calling service that the settings name now")
+{
+    fixture given;
+    given.dialect.calling_service = "Caller-Service";
+    for (const char* service : {"alpha", "gamma", "gamma"}) {
+        given.tested_entry.set_own_service(service);
+        const auto classified = given.classify(
+            "POST", "/", "kitcheck", {field("caller-service", "forged")});
+        const auto& fields = std::get<classified_call>(classified).head.fields;
+        CHECK(find_field(fields, "Caller-Service") == service);
+    }
+}
+
 TEST_CASE("the Host field, else the first path segment, names the service")
 {
     struct row
--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -88,12 +88,20 @@
 TEST_CASE("a check-in with a missing or malformed field is refused")
 {
     const std::pair<const char*, json> malformed_fields[] = {
-        {"service", 7},           {"service", ""},
-        {"address", "nowhere"},   {"slots", 0},
-        {"slots", "9"},           {"slots", -1},
-        {"state", "asleep"},      {"seq", 1.5},
-        {"born", "soon"},         {"born", -5},
-        {"coldLeft", "a moment"}, {"coldLeft", 3}};
+        {"service", 7},
+        {"service", ""},
+        {"address", "nowhere"},
+        {"slots", 0},
+        {"slots", "9"},
+        {"slots", -1},
+        {"state", "asleep"},
+        {"seq", 1.5},
+        {"born", "soon"},
+        {"born", -5},
+        {"coldLeft", "a moment"},
+        {"coldLeft", 3},
+        {"zone", 7},
+        {"version", nullptr}};
     for (const auto& [field, value] : malformed_fields) {
         INFO(field << " is " << value);
         json check_in = complete_check_in();
@@ -108,6 +116,16 @@
         CHECK_FALSE(parse_check_in("i-1", body));
 }
 
+TEST_CASE("a departure states the start of its instance, or nothing")
+{
+    CHECK(parse_departure(R"({"born": 17})").value() == 17U);
+    for (const char* body : {"", "{}"})
+        CHECK(parse_departure(body).value() == std::nullopt);
+    for (const char* body : {"[]", "{", R"({"born": "x"})", R"({"born": -1})",
+                             R"({"born": null})"})
+        CHECK_FALSE(parse_departure(body));
+}
+
 TEST_CASE("the operators' configuration is translated into the product's")
 {
     const config::configuration translated = in_force(complete_configuration());
