Limit the calls of an organisation over the fleet, as a state machine

Cause: the calls of an organisation enter at any daemon, and its limit must hold over all of them whatever the network does.

Change: lib/organisations holds the state machine without I/O. A limit is divided into shares, each used at any time by one daemon: its holder, or the owner to which the holder leased it. The owner issues tokens at the sum of the shares it has; entries hold about 100 ms of tokens. The automation organisation_limit is named in the configuration; nothing uses it yet.

--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -36,9 +36,11 @@
     hedge,
     retry,
     adapt_limit,
-    reroute
+    reroute,
+    /// Refuses calls of organisations above their rate limits.
+    organisation_limit
 };
-inline constexpr std::size_t automation_count = 6;
+inline constexpr std::size_t automation_count = 7;
 
 /// The numeric limits that operators can change.
 enum class limit
--- a/lib/config/configuration.cpp
+++ b/lib/config/configuration.cpp
@@ -33,7 +33,13 @@
 }};
 
 constexpr std::array<std::string_view, automation_count> automation_names = {
-    "eject", "shed", "hedge", "retry", "adapt_limit", "reroute"};
+    "eject",
+    "shed",
+    "hedge",
+    "retry",
+    "adapt_limit",
+    "reroute",
+    "organisation_limit"};
 
 constexpr std::array<std::string_view, 3> mode_names = {"automatic", "bounded",
                                                         "observe"};
--- a/lib/config/document_parts.hpp
+++ b/lib/config/document_parts.hpp
@@ -115,7 +115,8 @@
         "hedge": {"$ref": "#/definitions/mode"},
         "retry": {"$ref": "#/definitions/mode"},
         "adapt_limit": {"$ref": "#/definitions/mode"},
-        "reroute": {"$ref": "#/definitions/mode"}}}
+        "reroute": {"$ref": "#/definitions/mode"},
+        "organisation_limit": {"$ref": "#/definitions/mode"}}}
   },
   "definitions": {
     "mode_name": {"enum": ["automatic", "bounded", "observe"]},
@@ -146,7 +147,8 @@
         "hedge": {"enum": ["automatic", "bounded", "observe"]},
         "retry": {"enum": ["automatic", "bounded", "observe"]},
         "adapt_limit": {"enum": ["automatic", "bounded", "observe"]},
-        "reroute": {"enum": ["automatic", "bounded", "observe"]}}}
+        "reroute": {"enum": ["automatic", "bounded", "observe"]},
+        "organisation_limit": {"enum": ["automatic", "bounded", "observe"]}}}
   }
 })";
 
--- a/lib/daemon/collect_metrics.cpp
+++ b/lib/daemon/collect_metrics.cpp
@@ -31,9 +31,13 @@
 };
 
 constexpr config::automation automations[] = {
-    config::automation::eject,       config::automation::shed,
-    config::automation::hedge,       config::automation::retry,
-    config::automation::adapt_limit, config::automation::reroute};
+    config::automation::eject,
+    config::automation::shed,
+    config::automation::hedge,
+    config::automation::retry,
+    config::automation::adapt_limit,
+    config::automation::reroute,
+    config::automation::organisation_limit};
 
 constexpr telemetry::decision_effect effects[] = {
     telemetry::decision_effect::acted, telemetry::decision_effect::limited,
--- /dev/null
+++ b/unittests/organisations/limiter_test.cpp
@@ -0,0 +1,198 @@
+// The limit of an organisation over a fleet, with and without faults.
+#include "fake_fleet.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <numeric>
+
+namespace galenarudder::organisations {
+
+namespace {
+
+const tolerance platform_tolerance{5s, 0.1, 20};
+
+std::vector<std::size_t> first_members(std::size_t count)
+{
+    std::vector<std::size_t> indices(count);
+    std::iota(indices.begin(), indices.end(), std::size_t{0});
+    return indices;
+}
+
+double bound(const organisation_rate& rate)
+{
+    return (rate.calls_per_s * 5 + rate.burst) * 1.1 + 20;
+}
+
+/// Cuts links at random: in two, around one member, between two groups that a
+/// third one reaches, or each link by itself.
+fake_fleet::link_test random_cut(support::random_engine& random)
+{
+    const std::uint64_t salt = random();
+    const auto group = [salt](std::size_t member, std::size_t count) {
+        return hash_of(std::to_string(member ^ salt)) % count;
+    };
+    switch (random() % 5) {
+    case 0:
+        return [=](std::size_t from, std::size_t to) {
+            return group(from, 2) == group(to, 2);
+        };
+    case 1:
+        return [=](std::size_t from, std::size_t to) {
+            return from != salt % 20 && to != salt % 20;
+        };
+    case 2:
+        return [=](std::size_t from, std::size_t to) {
+            return group(from, 3) + group(to, 3) != 1;
+        };
+    case 3:
+        return [=](std::size_t from, std::size_t to) {
+            return group(from * 64 + to, 3) != 0;
+        };
+    default:
+        return [](std::size_t, std::size_t) { return true; };
+    }
+}
+
+} // namespace
+
+// Guards against any daemon using a share of the limit that another one uses
+// too, whatever the network does.
+TEST_CASE("no schedule of faults lets more calls pass than the limit allows")
+{
+    CHECK(rc::check([] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        support::random_engine random(seed);
+        const std::size_t count = 20 + random() % 41;
+        constexpr double rates[] = {0.5, 5, 30, 100, 400};
+        const organisation_rate rate{"large", rates[random() % 5],
+                                     static_cast<double>(random() % 3 * 20)};
+        fake_fleet fleet(rate, platform_tolerance, seed);
+        for (std::size_t index = 0; index < count; ++index)
+            fleet.start(index);
+        fleet.indirect_probes = random() % 2 == 0;
+        fleet.loss = random() % 2 == 0 ? 0 : 0.1;
+        fleet.duplicates = random() % 2 == 0 ? 0 : 0.1;
+        fleet.max_delay_ms = random() % 3 == 0 ? 60 : 6;
+        const auto entries = first_members(1 + random() % count);
+        fleet.at(4s, [&] { fleet.demand(rate.calls_per_s * 3, entries, 40s); });
+        for (auto time = 6s; time < 40s; time += 1s + random() % 4 * 1s) {
+            fleet.at(time, [&] {
+                const std::size_t subject = random() % fleet.members.size();
+                auto& member = fleet.members[subject];
+                switch (random() % 6) {
+                case 0:
+                case 1:
+                case 2:
+                    fleet.connected = random_cut(random);
+                    break;
+                case 3:
+                    member.running = false;
+                    break;
+                case 4:
+                    if (!member.left)
+                        fleet.forget_views(subject);
+                    fleet.start(subject);
+                    break;
+                default:
+                    if (random() % 2 == 0) {
+                        member.running = false;
+                        member.left = true;
+                        break;
+                    }
+                    for (std::size_t joins = random() % 12; joins > 0; --joins)
+                        fleet.start(fleet.members.size());
+                }
+            });
+        }
+        fleet.run_until(40s);
+        RC_LOG() << "seed " << seed << ": " << count << " members, rate "
+                 << rate.calls_per_s << ", burst " << rate.burst << ", passed "
+                 << fleet.most_in_window << " of " << bound(rate) << "\n";
+        RC_ASSERT(static_cast<double>(fleet.most_in_window) <= bound(rate));
+    }));
+}
+
+struct load_row
+{
+    double calls_per_s;
+    double burst;
+    std::size_t entries;
+};
+
+constexpr load_row load_rows[] = {
+    {2, 5, 1},    {2, 5, 20},   {30, 10, 3},   {30, 10, 40},
+    {100, 20, 1}, {100, 0, 40}, {500, 50, 40}, {500, 50, 2},
+};
+
+// Guards against refusals for lack of tokens that lie unused elsewhere.
+TEST_CASE("below the limit and without faults no call is refused")
+{
+    for (const load_row& row : load_rows) {
+        INFO(row.calls_per_s << " calls per s at " << row.entries);
+        fake_fleet fleet({"one", row.calls_per_s, row.burst},
+                         platform_tolerance, 7);
+        for (std::size_t index = 0; index < 40; ++index)
+            fleet.start(index);
+        const auto entries = first_members(row.entries);
+        fleet.at(5s,
+                 [&] { fleet.demand(row.calls_per_s * 0.6, entries, 40s); });
+        fleet.run_until(41s);
+        CHECK(fleet.refused == 0);
+        CHECK(static_cast<double>(fleet.admitted) > row.calls_per_s * 15);
+    }
+}
+
+// Guards against entries that wait or hold tokens while the limit has room.
+TEST_CASE("far above the limit most of it is served")
+{
+    for (const load_row& row : load_rows) {
+        INFO(row.calls_per_s << " calls per s at " << row.entries);
+        fake_fleet fleet({"one", row.calls_per_s, row.burst},
+                         platform_tolerance, 7);
+        for (std::size_t index = 0; index < 40; ++index)
+            fleet.start(index);
+        const auto entries = first_members(row.entries);
+        fleet.at(5s, [&] { fleet.demand(row.calls_per_s * 7, entries, 45s); });
+        fleet.run_until(45s);
+        CHECK(static_cast<double>(fleet.admitted) >=
+              0.9 * row.calls_per_s * 40);
+        CHECK(static_cast<double>(fleet.most_in_window) <= bound(fleet.rate));
+        CHECK(fleet.messages < 40'000);
+    }
+}
+
+// Guards against tokens of the higher limit that pass after it was lowered.
+TEST_CASE("a lowered limit binds within one window")
+{
+    fake_fleet fleet({"one", 400, 100}, platform_tolerance, 3);
+    for (std::size_t index = 0; index < 40; ++index)
+        fleet.start(index);
+    const auto entries = first_members(40);
+    fleet.at(5s, [&] { fleet.demand(1000, entries, 40s); });
+    fleet.run_until(15s);
+    fleet.set_rate(20);
+    fleet.run_until(20s);
+    fleet.most_in_window = 0;
+    fleet.run_until(30s);
+    CHECK(static_cast<double>(fleet.most_in_window) <= bound(fleet.rate));
+}
+
+// Guards against malformed datagrams being taken for messages.
+TEST_CASE("messages are decoded as encoded, and malformed ones refused")
+{
+    const message sent{
+        message_kind::grant, 60, 7, {{1, 2, 3}, {~0ULL, ~0U, 0}}};
+    const std::string bytes = encode(sent);
+    CHECK(decode(bytes) == sent);
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        CHECK_FALSE(decode(std::string_view(bytes).substr(0, size)));
+    CHECK_FALSE(decode(bytes + "x"));
+    for (const std::size_t position : {0, 1, 2}) {
+        std::string broken = bytes;
+        broken[position] = '\x7f';
+        CHECK_FALSE(decode(broken));
+    }
+}
+
+} // namespace galenarudder::organisations
