Ask for a token of the caller's organisation before the first attempt

Cause: the limits of organisations were computed by nothing that serves calls.

Sessions await it before a claim and the first attempt, and return the token of a call that did not run. The daemon passes ticks, members, configurations and messages of the topic org. Requests without reply are sent again after 20 ms.

--- a/include/galenarudder/daemon/node.hpp
+++ b/include/galenarudder/daemon/node.hpp
@@ -118,6 +118,9 @@
     }
     const membership::member& member() const { return member_; }
     const rollout::rollout& rollout() const { return rollout_; }
+    /// Returns a number that grows when the state or the service of a member
+    /// changes.
+    std::uint64_t member_changes() const { return member_changes_; }
     telemetry::decision_log& decisions() { return decisions_; }
     const telemetry::decision_log& decisions() const { return decisions_; }
 
@@ -139,6 +142,7 @@
     membership::member member_;
     rollout::rollout rollout_;
     std::map<std::string, extension_handler, std::less<>> extension_handlers_;
+    std::uint64_t member_changes_ = 0;
 };
 
 } // namespace galenarudder::daemon
--- a/include/galenarudder/organisations/limit.hpp
+++ b/include/galenarudder/organisations/limit.hpp
@@ -34,6 +34,8 @@
 inline constexpr support::duration lease_time = std::chrono::milliseconds(1500);
 /// Time for which an entry's call waits for the owner's reply.
 inline constexpr support::duration reply_time = std::chrono::milliseconds(40);
+/// A request whose reply has not come after this time is sent again.
+inline constexpr support::duration resend_time = std::chrono::milliseconds(20);
 
 /// The limit of one organisation.
 struct limit
--- a/include/galenarudder/organisations/limit_client.hpp
+++ b/include/galenarudder/organisations/limit_client.hpp
@@ -27,7 +27,8 @@
 {
     admitted,
     refused,
-    /// Wait for reply_time, then call on_wait_over.
+    /// Call on_reply_late after resend_time and on_wait_over after reply_time,
+    /// if the call was not decided before.
     waiting
 };
 
@@ -69,6 +70,8 @@
     /// Decides on a call of an organisation with a limit. Takes constant time
     /// while tokens are in stock.
     admission admit(organisation_hash organisation, support::time_point now);
+    /// No reply came for a waiting call within resend_time; asks again.
+    void on_reply_late(organisation_hash organisation, call_number call);
     /// No reply came for a waiting call in time. Returns waiting if the call
     /// was decided in the meantime.
     admission on_wait_over(organisation_hash organisation,
--- a/include/galenarudder/organisations/limiter.hpp
+++ b/include/galenarudder/organisations/limiter.hpp
@@ -74,6 +74,11 @@
     {
         return client_.admit(organisation, now);
     }
+    /// flush() must be called afterwards.
+    void on_reply_late(organisation_hash organisation, call_number call)
+    {
+        client_.on_reply_late(organisation, call);
+    }
     admission on_wait_over(organisation_hash organisation,
                            call_number call,
                            support::time_point now)
--- a/include/galenarudder/proxy/entry.hpp
+++ b/include/galenarudder/proxy/entry.hpp
@@ -8,6 +8,7 @@
 #include "galenarudder/proxy/call_flow.hpp"
 #include "galenarudder/proxy/http_dialect.hpp"
 #include "galenarudder/proxy/keyed_calls.hpp"
+#include "galenarudder/proxy/organisation_limits.hpp"
 #include "galenarudder/routing/router.hpp"
 #include "galenarudder/support/call.hpp"
 #include "galenarudder/support/rcu_cell.hpp"
@@ -80,6 +81,17 @@
     boost::asio::awaitable<claim_result>
     claim(const support::call_head& head, support::time_point deadline) const;
 
+    /// To be called before the first request. Without it, organisations have no
+    /// limits.
+    void set_organisation_limits(std::shared_ptr<organisation_limits> limits);
+    /// Waits until the limit of the caller's organisation leaves room for the
+    /// call, before it is claimed and dispatched, or refuses it. Returns at
+    /// once for a call without organisation.
+    boost::asio::awaitable<limit_result>
+    admit(const support::call_head& head) const;
+    /// Takes back the token of a call that certainly did not run.
+    void give_back(const organisations::token& unused) const;
+
     /// Makes every call that is classified from now on end by \p deadline.
     void set_latest_deadline(support::time_point deadline)
     {
@@ -118,6 +130,7 @@
     /// Number of calls on routes that split calls among several services.
     mutable std::atomic<std::uint64_t> split_route_calls_{0};
     std::shared_ptr<keyed_calls> keyed_calls_;
+    std::shared_ptr<organisation_limits> organisation_limits_;
     support::rcu_cell<std::string> upstream_address_;
     std::atomic<std::uint64_t> last_attempt_id_{0};
     std::atomic<support::time_point> latest_deadline_{
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -99,6 +99,7 @@
         const auto& changed = std::get<membership::record_changed>(action);
         if (!changed.only_version) {
             log_change(changed.record);
+            ++member_changes_;
             changed_records.push_back(changed.record);
         }
         rollout_.on_member(changed.record, now);
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -16,6 +16,7 @@
 #include "galenarudder/proxy/caller_server.hpp"
 #include "galenarudder/proxy/entry.hpp"
 #include "galenarudder/proxy/gate_runtime.hpp"
+#include "galenarudder/proxy/organisation_limits.hpp"
 #include "galenarudder/telemetry/log.hpp"
 #include "galenarudder/telemetry/metrics.hpp"
 #include "galenarudder/telemetry/turn_monitor.hpp"
@@ -123,6 +124,8 @@
     void leave();
     void stop_when_outcomes_stored(unsigned checks_left);
     void collect_metrics();
+    void open_organisation_limits();
+    void tick_organisation_limits();
     std::shared_ptr<link::gate_interface>
     gate_of(const routing::choice& target);
     link::link_handlers make_link_handlers();
@@ -157,6 +160,9 @@
     std::unique_ptr<store::platform_store> store_;
     store_call_report store_calls_;
     std::shared_ptr<proxy::keyed_calls> keyed_calls_;
+    std::shared_ptr<proxy::organisation_limits> organisation_limits_;
+    /// The value of node::member_changes that the limits have seen.
+    std::uint64_t seen_member_changes_ = 0;
     rollout_runtime rollout_runtime_;
     introducer_runtime introducer_runtime_;
     udp::socket gossip_;
@@ -404,6 +410,7 @@
         control_, *store_, metrics_,
         settings_.member + "-" + unique_start_id());
     entry_.set_keyed_calls(keyed_calls_);
+    open_organisation_limits();
     link_manager_ = std::make_unique<link::link_manager>(
         io_, settings_.member, settings_.keys, make_link_handlers());
     entry_.set_own_service(settings_.service);
@@ -456,6 +463,47 @@
     return boost::outcome_v2::success();
 }
 
+void runtime::impl::open_organisation_limits()
+{
+    using proxy::organisation_limits;
+    proxy::limits_context context;
+    context.control = control_;
+    context.in_force = &node_.configuration();
+    context.metrics = &metrics_;
+    context.decisions = &node_.decisions();
+    context.send = [this](const support::member_id& to, std::string payload) {
+        execute_all(node_.send_extension(to, organisation_limits::topic,
+                                         std::move(payload),
+                                         monotonic_clock::now()));
+    };
+    std::random_device random;
+    const std::uint64_t seed = (std::uint64_t{random()} << 32) | random();
+    organisation_limits_ = std::make_shared<organisation_limits>(
+        std::move(context), settings_.member, !settings_.introducers.empty(),
+        organisations::tolerance{settings_.organisation_window,
+                                 settings_.organisation_overrun_share,
+                                 settings_.organisation_overrun_calls},
+        seed);
+    entry_.set_organisation_limits(organisation_limits_);
+    node_.set_extension_handler(
+        organisation_limits::topic,
+        [limits = organisation_limits_](
+            const support::member_id& peer, const std::string& payload,
+            support::time_point) -> std::vector<node_action> {
+            limits->on_message(peer, payload);
+            return {};
+        });
+}
+
+void runtime::impl::tick_organisation_limits()
+{
+    if (seen_member_changes_ != node_.member_changes()) {
+        seen_member_changes_ = node_.member_changes();
+        organisation_limits_->on_members(node_.member().records());
+    }
+    organisation_limits_->on_tick();
+}
+
 support::result<void> runtime::impl::open_readiness()
 {
     if (!settings_.readiness)
@@ -523,6 +571,7 @@
     on_presence_change(presence_.on_tick(monotonic_clock::now()),
                        "no announcement was received in time");
     store_calls_.on_tick(store_->counters().by_purpose, monotonic_clock::now());
+    tick_organisation_limits();
     telemetry::flush_log();
     timer_.expires_after(membership::member::tick_interval);
     timer_.async_wait(
@@ -560,6 +609,7 @@
                           {"services", in_force->services.size()},
                           {"host_routes", in_force->host_routes.size()}});
     gate_->configure(in_force);
+    organisation_limits_->configure(*in_force);
     keyed_calls_->set_retention(
         support::from_ms(in_force->value(config::limit::claim_retention_ms)));
 }
@@ -721,6 +771,7 @@
     collect(node_, metrics_);
     collect(link_manager_->counters(), metrics_);
     turns_.collect(metrics_);
+    organisation_limits_->collect_metrics();
     metrics_.set_gauge("galenarudder_open_calls",
                        "Calls read and not yet answered",
                        static_cast<double>(caller_server_.open_calls()));
--- a/lib/organisations/limit_client.cpp
+++ b/lib/organisations/limit_client.cpp
@@ -41,7 +41,7 @@
 {
     std::uint32_t sum = 0;
     for (const sent_request& request : held.sent) {
-        if (request.open && now - request.sent_at < reply_time)
+        if (request.open && now - request.sent_at < resend_time)
             sum += request.tokens;
     }
     return sum;
@@ -130,6 +130,18 @@
     return {verdict::waiting, {}, {}, last_call_};
 }
 
+void limit_client::on_reply_late(organisation_hash organisation,
+                                 call_number call)
+{
+    const auto position = stocks_.find(organisation);
+    if (position == stocks_.end())
+        return;
+    stock& held = position->second;
+    if (std::find(held.waiting.begin(), held.waiting.end(), call) !=
+        held.waiting.end())
+        ask(organisation, held);
+}
+
 admission limit_client::on_wait_over(organisation_hash organisation,
                                      call_number call,
                                      support::time_point now)
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -333,7 +333,14 @@
 asio::awaitable<void> caller_session::serve_concurrent(parser_ptr parser,
                                                        call_ptr call)
 {
-    co_await run_attempts(parser, body_size_counter(), call);
+    if (!call->head.organisation.empty())
+        co_await apply_organisation_limit(call);
+    if (call->disconnected && call->token) {
+        give_back_token(call);
+        call->abandoned = true;
+    }
+    if (!call->refusal && !call->abandoned)
+        co_await run_attempts(parser, body_size_counter(), call);
     call->timer.cancel();
     while (concurrent_calls_.front() != call)
         co_await call_ended_.async_wait(use_nothrow_awaitable);
@@ -459,9 +466,15 @@
     exclusive_call_ = call;
     if (initial.complete)
         watch_caller(call);
-    const bool call_continues = co_await claim(parser, call, deadline);
-    if (!call_continues)
+    if (!call->head.organisation.empty())
+        co_await apply_organisation_limit(call);
+    // A refused call makes no claim: claims cost writes to the store.
+    const bool call_continues =
+        call->refusal || co_await claim(parser, call, deadline);
+    if (!call_continues) {
+        give_back_token(call);
         co_return call->body_complete&& may_keep_alive(*parser);
+    }
     if (!call->refusal)
         co_await run_attempts(parser, size_counter, call);
     call->timer.cancel();
@@ -482,6 +495,24 @@
     stream_target_ = nullptr;
 }
 
+/// Takes a token for the call, or refuses it.
+asio::awaitable<void> caller_session::apply_organisation_limit(call_ptr call)
+{
+    limit_result result = co_await entry_.admit(call->head);
+    if (const auto* reason = std::get_if<refusal>(&result))
+        call->refusal = *reason;
+    if (const auto* taken = std::get_if<organisations::token>(&result))
+        call->token = *taken;
+}
+
+/// Returns the token of a call that certainly did not run.
+void caller_session::give_back_token(const call_ptr& call)
+{
+    if (call->token)
+        entry_.give_back(*call->token);
+    call->token.reset();
+}
+
 /// Claims the call's idempotency key. Returns false if the call has ended: the
 /// recorded response was written, or the caller disconnected before the call
 /// was sent to an upstream.
@@ -533,6 +564,8 @@
         log_refusal(*call);
         if (call->claim)
             call->claim->on_refusal(*call->refusal);
+        if (call->refusal->outcome == run_outcome::not_run)
+            give_back_token(call);
         entry_.metrics().record_refusal(head.service, head.rank,
                                         *call->refusal);
         const bool keep_alive = may_keep_alive(*parser) && call->body_complete;
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -114,6 +114,8 @@
         /// be written unless a refusal is set.
         bool abandoned = false;
         std::shared_ptr<held_claim> claim;
+        /// Counts against the limit of the caller's organisation.
+        std::optional<organisations::token> token;
         std::optional<support::refusal> refusal;
         std::optional<std::size_t> forwarded_attempt;
         link::answered response;
@@ -168,6 +170,8 @@
                                              call_ptr call,
                                              link::exchange_ptr exchange);
     boost::asio::awaitable<void> stop_body_stream();
+    boost::asio::awaitable<void> apply_organisation_limit(call_ptr call);
+    void give_back_token(const call_ptr& call);
     boost::asio::awaitable<void> run_attempts(parser_ptr parser,
                                               body_size_counter size_counter,
                                               call_ptr call);
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -162,6 +162,24 @@
     co_return co_await keyed_calls_->claim(head, deadline);
 }
 
+void entry::set_organisation_limits(std::shared_ptr<organisation_limits> limits)
+{
+    organisation_limits_ = std::move(limits);
+}
+
+boost::asio::awaitable<limit_result> entry::admit(const call_head& head) const
+{
+    if (head.organisation.empty() || !organisation_limits_)
+        co_return limit_result();
+    co_return co_await organisation_limits_->admit(head);
+}
+
+void entry::give_back(const organisations::token& unused) const
+{
+    if (organisation_limits_)
+        organisation_limits_->give_back(unused);
+}
+
 support::attempt_id entry::next_attempt_id()
 {
     return static_cast<support::attempt_id>(++last_attempt_id_);
--- a/unittests/organisations/fake_fleet.hpp
+++ b/unittests/organisations/fake_fleet.hpp
@@ -116,6 +116,12 @@
         execute(entry, machine.flush(local(entry)));
         if (decision.result != verdict::waiting)
             return;
+        at(now + resend_time, [=, this, waited = &machine] {
+            if (members[entry].machine.get() != waited)
+                return;
+            waited->on_reply_late(hash, decision.call);
+            execute(entry, waited->flush(local(entry)));
+        });
         at(now + reply_time, [=, this, waited = &machine] {
             // The member may have been restarted.
             if (members[entry].machine.get() == waited)
--- a/unittests/organisations/limiter_test.cpp
+++ b/unittests/organisations/limiter_test.cpp
@@ -75,7 +75,12 @@
         fleet.duplicates = random() % 2 == 0 ? 0 : 0.1;
         fleet.max_delay_ms = random() % 3 == 0 ? 60 : 6;
         const auto entries = first_members(1 + random() % count);
-        fleet.at(4s, [&] { fleet.demand(rate.calls_per_s * 3, entries, 40s); });
+        // The buckets fill between the waves.
+        for (auto wave = 4s; wave < 40s; wave += 3s + random() % 6 * 1s) {
+            fleet.at(wave, [&, wave] {
+                fleet.demand(rate.calls_per_s * 6, entries, wave + 3s);
+            });
+        }
         for (auto time = 6s; time < 40s; time += 1s + random() % 4 * 1s) {
             fleet.at(time, [&] {
                 const std::size_t subject = random() % fleet.members.size();
@@ -178,6 +183,26 @@
     CHECK(static_cast<double>(fleet.most_in_window) <= bound(fleet.rate));
 }
 
+// Guards against tokens of calls that did not run being lost, or being used
+// after their time.
+TEST_CASE("a token that is given back serves a call before it expires")
+{
+    const support::time_point start(100s);
+    limiter alone("one", false, platform_tolerance, 1);
+    const organisation_rate rate{"one", 1, 0};
+    alone.configure({&rate, 1}, start);
+    alone.on_members({}, start);
+    alone.on_tick(start + 3s);
+    const auto now = start + 40s;
+    const organisation_hash hash = hash_of("one");
+    alone.admit(hash, now);
+    REQUIRE(alone.flush(now).size() == 1);
+    alone.give_back({hash, now + token_lifetime}, now + 100ms);
+    CHECK(alone.admit(hash, now + 150ms).result == verdict::admitted);
+    alone.give_back({hash, now + token_lifetime}, now + 150ms);
+    CHECK(alone.admit(hash, now + token_lifetime).result == verdict::waiting);
+}
+
 // Guards against malformed datagrams being taken for messages.
 TEST_CASE("messages are decoded as encoded, and malformed ones refused")
 {
