--- a/lib/config/document_parts.hpp
+++ b/lib/config/document_parts.hpp
@@ -134,7 +134,8 @@
         "hedge": {"$ref": "#/definitions/mode"},
         "retry": {"$ref": "#/definitions/mode"},
         "adapt_limit": {"$ref": "#/definitions/mode"},
-        "reroute": {"$ref": "#/definitions/mode"}}}
+        "reroute": {"$ref": "#/definitions/mode"},
+        "organisation_limit": {"$ref": "#/definitions/mode"}}}
   },
   "definitions": {
     "regions": {"type": "array", "items": {"type": "string", "minLength": 1}},
@@ -166,7 +167,8 @@
         "hedge": {"enum": ["automatic", "bounded", "observe"]},
         "retry": {"enum": ["automatic", "bounded", "observe"]},
         "adapt_limit": {"enum": ["automatic", "bounded", "observe"]},
-        "reroute": {"enum": ["automatic", "bounded", "observe"]}}}
+        "reroute": {"enum": ["automatic", "bounded", "observe"]},
+        "organisation_limit": {"enum": ["automatic", "bounded", "observe"]}}}
   }
 })";
 
