Report emptied domains from the watch of the configuration

Cause: operators empty failure domains by keys of the store, and each call of the store is billed.

Change: platform_store::observe_domains. Calls for it have the purpose emptied_domains.

--- a/include/galenarudder/store/call_purpose.hpp
+++ b/include/galenarudder/store/call_purpose.hpp
@@ -31,10 +31,12 @@
     /// Grant, renew or revoke the lease of a slot.
     lease,
     /// Claims of idempotency keys.
-    claims
+    claims,
+    /// Read which failure domains operators have emptied.
+    emptied_domains
 };
 
-inline constexpr std::size_t call_purpose_count = 7;
+inline constexpr std::size_t call_purpose_count = 8;
 
 std::string_view to_string(call_purpose purpose);
 
--- a/include/galenarudder/store/platform_store.hpp
+++ b/include/galenarudder/store/platform_store.hpp
@@ -31,6 +31,27 @@
     indexed_value item;
 };
 
+/// A domain that operators have emptied, and the change that emptied it.
+struct emptied_domain_key
+{
+    std::string domain;
+    change_index index;
+};
+
+/// Receives what the store states about emptied domains. Numbers of indexes
+/// rise with each change of the store within an era.
+struct domain_observer
+{
+    /// All emptied domains as of \p read_at.
+    std::function<void(std::vector<emptied_domain_key> emptied,
+                       const change_index& read_at)>
+        on_reading;
+    /// A domain was emptied or taken back.
+    std::function<void(
+        const std::string& domain, bool emptied, const change_index& index)>
+        on_change;
+};
+
 /// How new the answer to a read must be.
 enum class read_freshness
 {
@@ -108,6 +129,13 @@
                        support::duration wait,
                        callback<indexed_value> done) = 0;
 
+    /// From now on, reads of configuration_key also read which domains
+    /// operators have emptied, and watches of it report changes of these
+    /// domains. That costs one more call for each read that sets the point from
+    /// which a watch follows, and none for the watch itself. A store whose
+    /// operators cannot empty domains does nothing.
+    virtual void observe_domains(domain_observer) {}
+
     /// Grants a lease that lapses \p ttl after its last renewal.
     virtual void grant_lease(support::duration ttl,
                              support::duration timeout,
--- a/lib/daemon/store_call_report.cpp
+++ b/lib/daemon/store_call_report.cpp
@@ -55,7 +55,8 @@
              {"configuration_restore",
               sent_since(call_purpose::configuration_restore)},
              {"lease", sent_since(call_purpose::lease)},
-             {"claims", sent_since(call_purpose::claims)}});
+             {"claims", sent_since(call_purpose::claims)},
+             {"emptied_domains", sent_since(call_purpose::emptied_domains)}});
     }
     reported_ = counts;
 }
--- a/lib/store/call_purpose.cpp
+++ b/lib/store/call_purpose.cpp
@@ -14,7 +14,8 @@
     "configuration_watch",
     "configuration_restore",
     "lease",
-    "claims"};
+    "claims",
+    "emptied_domains"};
 
 constexpr std::string_view introducer_keys = "galenarudder/introducers/";
 
