Treat an upstream that resets connections under load as full

Cause: upstreams of one customer reset the connection when they are full. Each such reset counted as a failure of the upstream and could eject it.

Change: a reset before any byte of the response, while at least two calls and three quarters of the limit run, lowers the concurrency limit as a shed call does and does not count towards an ejection. The outcome of the call stays unknown.

--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -78,7 +78,9 @@
         return attempt_result::canceled;
     const bool unreachable = reason.kind == refusal_kind::link_broken ||
                              reason.kind == refusal_kind::no_upstream;
-    return unreachable || reason.outcome == run_outcome::unknown
+    // A full upstream resets connections, so that the outcome is unknown.
+    const bool full = reason.kind == refusal_kind::upstream_shed;
+    return unreachable || (reason.outcome == run_outcome::unknown && !full)
                ? attempt_result::failed
                : attempt_result::refused;
 }
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -167,6 +167,29 @@
             shed_retry_after, "the upstream shed the call"};
 }
 
+bool is_reset(const boost::system::error_code& failure)
+{
+    return failure == asio::error::connection_reset ||
+           failure == asio::error::broken_pipe;
+}
+
+/// Returns whether so many calls run that a reset connection means that the
+/// upstream is full. A single call never does.
+bool is_near_limit(const support::load_report& load)
+{
+    constexpr double near_limit = 0.75;
+    return load.running > 1 && load.running >= near_limit * load.limit;
+}
+
+/// A full upstream resets connections. It may have run the call before, so the
+/// outcome is unknown.
+refusal full_upstream()
+{
+    return {refusal_kind::upstream_shed, run_outcome::unknown, false,
+            shed_retry_after,
+            "the upstream reset the connection while it was full"};
+}
+
 /// The call did not run; the entry sends it to another upstream.
 refusal not_available(std::string detail)
 {
@@ -244,6 +267,14 @@
         attempt_->deliver(link::refused{std::move(reason), get_load_()});
         return result;
     }
+    upstream_result refuse_without_response()
+    {
+        const support::load_report load = get_load_();
+        if (!aborted_ && is_reset(read_failure_) && !parser_->got_some() &&
+            is_near_limit(load))
+            return refuse(full_upstream(), upstream_result::shed);
+        return refuse(no_response(read_failure_), upstream_result::failed);
+    }
     upstream_result refuse_not_run(unsigned status)
     {
         if (status == status_misdirected)
@@ -375,7 +406,7 @@
     });
     support::response_head head;
     if (!co_await read_matching_head(head))
-        co_return refuse(no_response(read_failure_), upstream_result::failed);
+        co_return refuse_without_response();
     connection_->idle_timeout = idle_timeout_of(*parser_);
     stated_load_ = dialect_.read_load(head);
     if (on_demand_ && head.status != status_misdirected)
--- a/unittests/entry/upstream_client_test.cpp
+++ b/unittests/entry/upstream_client_test.cpp
@@ -62,6 +62,8 @@
     void release_responses() { holding_ = false; }
     /// Reads no more from a connection after it was sent a response.
     void read_one_request_each() { reads_one_request_ = true; }
+    /// Resets connections instead of closing them in order.
+    void reset_connections() { resets_ = true; }
     /// Closes the connections that are open.
     void close_all()
     {
@@ -127,6 +129,8 @@
             while (reads_one_request_)
                 co_await wait_briefly(socket);
         }
+        if (resets_)
+            socket->set_option(asio::socket_base::linger(true, 0));
         socket->close();
         --open;
     }
@@ -136,6 +140,7 @@
     std::vector<std::string> first_responses_;
     bool holding_ = false;
     bool reads_one_request_ = false;
+    bool resets_ = false;
     std::vector<std::shared_ptr<tcp::socket>> sockets_;
 };
 
@@ -196,7 +201,7 @@
             asio::detached);
         call->running_call = client.run(
             call->exchange, monotonic_clock::now() + time_left,
-            [] { return support::load_report(); },
+            [this] { return gate_load; },
             [call](upstream_result result, support::duration,
                    const std::optional<upstream_load>&) {
                 call->result = result;
@@ -227,6 +232,8 @@
     asio::io_context io{1};
     scripted_upstream upstream;
     upstream_client client;
+    /// Load of the gate as the client sees it.
+    support::load_report gate_load;
 };
 
 const support::refusal& refusal_of(const call_ptr& call)
@@ -469,4 +476,34 @@
     CHECK(given.upstream.requests == 0);
 }
 
+TEST_CASE("a reset without a response means full only while many calls run")
+{
+    struct row
+    {
+        std::uint32_t running;
+        bool resets;
+        refusal_kind kind;
+        upstream_result result;
+    };
+    const auto [running, resets, kind, result] = GENERATE(
+        row{6, true, refusal_kind::upstream_shed, upstream_result::shed},
+        row{5, true, refusal_kind::upstream_shed, upstream_result::shed},
+        row{4, true, refusal_kind::upstream_failed, upstream_result::failed},
+        row{1, true, refusal_kind::upstream_failed, upstream_result::failed},
+        row{6, false, refusal_kind::upstream_failed, upstream_result::failed});
+    CAPTURE(running, resets);
+    fixture env("");
+    if (resets)
+        env.upstream.reset_connections();
+    env.gate_load.running = running;
+    env.gate_load.limit = 6;
+    const call_ptr call = env.send("POST");
+    env.wait_until_ended(call);
+    const auto& refused = std::get<link::refused>(*call->event);
+    CHECK(refused.refusal.kind == kind);
+    // The upstream may have run the call before it reset the connection.
+    CHECK(refused.refusal.outcome == run_outcome::unknown);
+    CHECK(call->result == result);
+}
+
 } // namespace galenarudder::proxy
