Empty failure domains and limit cold upstreams

Cause: operators of two customers empty domains by a key of the store, and their upstreams crash when they get more than a few calls a second while cold.

Change, emptied domains: membership::domain_states merges the state of the store and of peers by revision. The gate of an emptied domain refuses calls as draining, its member record shows no service, routers leave its upstreams out. Messages between daemons carry it, so that a daemon that restarts without the store learns it. Setting empty_domains; GET /v1/domains; galenarudderctl status.

Change, cold upstreams: admission::cold_limit spaces starts while the upstream is cold and counts the second before. Announcements and the health path's Cold-Ms state the time; the gate queries it only when it sends more than a cold upstream takes.

The render function of the platform's test rig leaves out sections without a value and knows |json, as the settings template needs it.

--- a/include/galenarudder/admission/gate.hpp
+++ b/include/galenarudder/admission/gate.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "galenarudder/admission/attempt.hpp"
+#include "galenarudder/admission/cold_limit.hpp"
 #include "galenarudder/admission/probe_budget.hpp"
 #include "galenarudder/config/configuration.hpp"
 #include "galenarudder/support/call.hpp"
@@ -69,6 +70,11 @@
     /// Refused because the limit that the upstream states leaves no room before
     /// their deadline.
     std::uint64_t refused_limit = 0;
+    /// Of these and of \c handed_back, the calls that were turned away while
+    /// the upstream was cold.
+    std::uint64_t turned_away_cold = 0;
+    /// Queries whether the upstream has become cold.
+    std::uint64_t cold_queries = 0;
     /// Admitted although automation `shed` would have refused them, since it
     /// is in mode observe.
     std::uint64_t shed_observed = 0;
@@ -133,6 +139,29 @@
     /// Holds until the next call of this function.
     std::vector<action> on_limit_stated(std::optional<double> calls_per_s,
                                         support::time_point now);
+    /// Sets how many calls the upstream takes per second while it is cold; 0
+    /// for no limit.
+    std::vector<action> set_cold_rate(double calls_per_s,
+                                      support::time_point now);
+    /// The upstream stated that it is cold for \p remaining; 0 if it is not.
+    /// Each source counts on its own, so that a late announcement does not end
+    /// what a newer response stated.
+    std::vector<action> on_cold_stated(cold_source source,
+                                       support::milliseconds remaining,
+                                       support::time_point now);
+    /// Another instance replaces the upstream: what the earlier one stated
+    /// about being cold does not count, nor do the calls sent to it.
+    void on_new_instance();
+    /// Returns how long the upstream is still cold.
+    support::duration cold_remaining(support::time_point now) const;
+    /// Returns whether the owner of the gate has to query whether the upstream
+    /// has become cold, since calls start faster than a cold one takes them.
+    /// Each \c true stands for one query.
+    bool take_cold_query(support::time_point now);
+    /// Operators emptied the failure domain of the upstream or took it back.
+    /// While it is emptied, all calls are refused as not run and running calls
+    /// complete.
+    std::vector<action> set_emptied(bool emptied, support::time_point now);
     /// Returns the limit that the upstream states, in calls per second.
     std::optional<double> stated_limit() const;
     /// Returns whether the owner of the gate has to query the upstream's
@@ -167,6 +196,8 @@
     bool draining() const;
     /// Returns whether any attempt is running.
     bool has_running() const;
+    /// Returns the number of attempts that are running.
+    std::size_t running() const;
     /// Returns the load report that is sent to entries.
     support::load_report report(support::time_point now) const;
     const gate_counters& counters() const;
--- a/include/galenarudder/config/settings.hpp
+++ b/include/galenarudder/config/settings.hpp
@@ -102,6 +102,8 @@
     support::milliseconds organisation_window{5000};
     double organisation_overrun_share = 0;
     double organisation_overrun_calls = 0;
+    /// Whether operators may empty failure domains by keys of the store.
+    bool empty_domains = false;
 };
 
 /// Parses and validates settings. Errors name \p file as the source, except
--- a/include/galenarudder/daemon/node.hpp
+++ b/include/galenarudder/daemon/node.hpp
@@ -7,6 +7,7 @@
 #include "galenarudder/admission/gate.hpp"
 #include "galenarudder/config/configuration.hpp"
 #include "galenarudder/config/settings.hpp"
+#include "galenarudder/membership/domain_states.hpp"
 #include "galenarudder/membership/member.hpp"
 #include "galenarudder/rollout/rollout.hpp"
 #include "galenarudder/routing/router.hpp"
@@ -33,6 +34,13 @@
     std::shared_ptr<const config::configuration> in_force;
 };
 
+/// Stop or resume sending calls to the upstream, since operators emptied this
+/// daemon's failure domain or took it back.
+struct set_gate_emptied
+{
+    bool emptied = false;
+};
+
 using node_action = std::variant<membership::send_datagram,
                                  rollout::build_document,
                                  rollout::release_document,
@@ -41,7 +49,8 @@
                                  rollout::restore_store,
                                  rollout::push_to_peer,
                                  rollout::pull_from_peer,
-                                 configure_gate>;
+                                 configure_gate,
+                                 set_gate_emptied>;
 
 /// The daemon's control state machines, composed without I/O: membership,
 /// rollout and routing. All events must come from one thread; any thread may
@@ -92,6 +101,17 @@
                                              support::time_point now);
     /// The upstream has left, or its heartbeat timed out.
     std::vector<node_action> on_upstream_gone(support::time_point now);
+    /// The store was read: see membership::domain_states::on_reading.
+    std::vector<node_action>
+    on_domains_read(std::span<const membership::emptied_domain> emptied,
+                    membership::store_revision read_at,
+                    support::time_point now);
+    /// The store reported that a domain was emptied or taken back.
+    std::vector<node_action>
+    on_domain_changed(std::string_view domain,
+                      bool emptied,
+                      membership::store_revision revision,
+                      support::time_point now);
     /// A signal asked this daemon to stop, once its calls are served.
     std::vector<node_action> on_stopping(support::time_point now);
     /// The introducers in the store were listed.
@@ -118,6 +138,7 @@
     }
     const membership::member& member() const { return member_; }
     const rollout::rollout& rollout() const { return rollout_; }
+    const membership::domain_states& domains() const { return domains_; }
     telemetry::decision_log& decisions() { return decisions_; }
     const telemetry::decision_log& decisions() const { return decisions_; }
 
@@ -133,12 +154,33 @@
     update_own_record(const membership::member_record& self,
                       support::time_point now);
 
+    /// Carries out what changed in domains_ and sends what is due.
+    std::vector<node_action> apply_domains(support::time_point now);
+    std::vector<node_action>
+    send_domain_messages(std::vector<membership::domain_message> messages,
+                         support::time_point now);
+    std::vector<std::string> random_live_peers(std::size_t count);
+    std::vector<node_action> publish_upstream(support::time_point now);
+
     telemetry::decision_log decisions_;
     routing::router router_;
     support::rcu_cell<config::configuration> configuration_;
     membership::member member_;
     rollout::rollout rollout_;
     std::map<std::string, extension_handler, std::less<>> extension_handlers_;
+    /// Whether settings allow operators to empty domains.
+    bool empties_domains_ = false;
+    std::string own_domain_;
+    membership::domain_states domains_;
+    support::random_engine random_;
+    /// The domains whose upstreams the router excludes.
+    std::vector<std::string> excluded_domains_;
+    /// Whether the gate sends no calls since the own domain is emptied.
+    bool gate_emptied_ = false;
+    /// What the upstream announced; the member record shows it unless the own
+    /// domain is emptied.
+    std::string announced_service_;
+    std::uint32_t announced_slots_ = 0;
 };
 
 } // namespace galenarudder::daemon
--- a/include/galenarudder/daemon/operator_port.hpp
+++ b/include/galenarudder/daemon/operator_port.hpp
@@ -31,6 +31,8 @@
     const daemon::node* node = nullptr;
     const config::daemon_settings* settings = nullptr;
     std::function<void()> drain;
+    /// Returns the number of calls that run at the upstream of this daemon.
+    std::function<std::size_t()> running_calls;
     /// Receives an authenticated configuration transfer from a peer or from an
     /// operator's tool; \c sender is the peer's id, or empty for the tool.
     std::function<void(const std::string& encoded, const std::string& sender)>
--- a/include/galenarudder/proxy/gate_runtime.hpp
+++ b/include/galenarudder/proxy/gate_runtime.hpp
@@ -35,6 +35,8 @@
     std::uint64_t started_ms = 0;
     /// Whether connections are opened before calls need them.
     bool warm_connections = true;
+    /// How long the instance is still cold, counted from the announcement.
+    support::milliseconds cold{0};
 };
 
 /// Called with the upstream once calls may be sent to it, and with null when an
@@ -78,6 +80,10 @@
                    telemetry::decision_log& decisions);
     /// The upstream left, or its heartbeat lapsed.
     void upstream_gone();
+    /// Operators emptied the failure domain or took it back.
+    void set_emptied(bool emptied);
+    /// Returns the number of calls that run at the upstream.
+    std::size_t running() const;
     /// Refuses new attempts; \p on_drained is called once no attempt runs.
     void drain(std::function<void()> on_drained);
 
--- a/include/galenarudder/proxy/http_dialect.hpp
+++ b/include/galenarudder/proxy/http_dialect.hpp
@@ -19,6 +19,8 @@
     unsigned slots = 0;
     /// Present duration of the upstream's work divided by the usual duration.
     double slowdown = 1;
+    /// How long the upstream is still cold, if it states that.
+    std::optional<support::milliseconds> cold;
 };
 
 /// What an upstream states in a response about the calls that it takes.
--- a/include/galenarudder/routing/router.hpp
+++ b/include/galenarudder/routing/router.hpp
@@ -102,6 +102,10 @@
     /// other threads use the router.
     void set_decision_log(telemetry::decision_log& log);
 
+    /// Excludes the upstreams of \p domains, which operators have emptied.
+    /// Control thread only.
+    void set_emptied_domains(std::vector<std::string> domains);
+
     /// Limits the unspent tokens for retries and hedges that all entries
     /// together accumulate per service; with 0 only the limit of each entry
     /// applies. Must be called before other threads use the router.
--- /dev/null
+++ b/lib/admission/cold_limit.cpp
@@ -0,0 +1,93 @@
+// Two rules bind: an even spacing, so that calls do not start together, and the
+// number of starts in the last second, which includes those from before the
+// upstream was known to be cold.
+#include "galenarudder/admission/cold_limit.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenarudder::admission {
+
+namespace {
+
+constexpr std::chrono::seconds window{1};
+
+} // namespace
+
+void cold_limit::set_rate(double calls_per_s)
+{
+    calls_per_s_ = calls_per_s;
+    if (calls_per_s_ <= 0)
+        starts_.clear();
+}
+
+void cold_limit::on_stated(cold_source source,
+                           support::milliseconds remaining,
+                           support::time_point now)
+{
+    cold_until_.at(static_cast<std::size_t>(source)) = now + remaining;
+}
+
+void cold_limit::on_new_instance()
+{
+    cold_until_ = {};
+    starts_.clear();
+    next_start_ = {};
+}
+
+support::duration cold_limit::remaining(support::time_point now) const
+{
+    const support::time_point until =
+        *std::max_element(cold_until_.begin(), cold_until_.end());
+    return until > now ? until - now : support::duration(0);
+}
+
+support::duration cold_limit::interval() const
+{
+    constexpr double ms_per_s = 1000;
+    return support::from_ms(ms_per_s / calls_per_s_);
+}
+
+std::size_t cold_limit::started_in_last_second(support::time_point now) const
+{
+    const auto first =
+        std::upper_bound(starts_.begin(), starts_.end(), now - window);
+    return static_cast<std::size_t>(starts_.end() - first);
+}
+
+support::duration cold_limit::wait(std::size_t ahead,
+                                   support::time_point now) const
+{
+    if (!applies(now))
+        return support::duration(0);
+    const auto permitted =
+        std::max<std::size_t>(1, static_cast<std::size_t>(calls_per_s_));
+    support::time_point first = std::max(next_start_, now);
+    if (started_in_last_second(now) >= permitted)
+        first = std::max(first, starts_[starts_.size() - permitted] + window);
+    const support::duration wait =
+        first - now + static_cast<std::int64_t>(ahead) * interval();
+    return std::min(wait, remaining(now));
+}
+
+void cold_limit::on_start(support::time_point now)
+{
+    if (calls_per_s_ <= 0)
+        return;
+    while (!starts_.empty() && starts_.front() <= now - window)
+        starts_.pop_front();
+    starts_.push_back(now);
+    // A start that was late by up to half an interval, since timers are coarse,
+    // does not delay the next.
+    next_start_ = std::max(next_start_, now - interval() / 2) + interval();
+    next_start_ = std::min(next_start_, now + interval());
+}
+
+bool cold_limit::needs_query(support::time_point now) const
+{
+    return calls_per_s_ > 0 && !applies(now) &&
+           now - queried_at_ >= query_interval &&
+           static_cast<double>(started_in_last_second(now)) > calls_per_s_;
+}
+
+} // namespace galenarudder::admission
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -76,6 +76,7 @@
     service_estimate service_times;
     slowdown_monitor slowdowns;
     rate_limit stated_limit;
+    cold_limit cold;
     probe_budget probes{0};
     probe_estimate idle_estimate;
     support::time_point probe_started_at;
@@ -86,12 +87,17 @@
     shed_tally sheds_observed;
     bool upstream_present = false;
     bool draining = false;
+    /// Operators have emptied the failure domain.
+    bool emptied = false;
     support::time_point serving_since;
 
     void configure(std::shared_ptr<const config::configuration> next);
     bool may_start(std::size_t rank) const;
     support::duration expected_service_time(const attempt& call) const;
-    std::uint32_t usable_slots() const;
+    std::optional<double> start_rate(support::time_point now) const;
+    support::duration start_wait(std::size_t ahead,
+                                 support::time_point now) const;
+    std::uint32_t usable_slots(support::time_point now) const;
     support::duration expected_wait(std::size_t rank) const;
     bool misses_deadline(const attempt& call,
                          support::duration wait,
@@ -99,8 +105,11 @@
     bool try_shed(support::time_point now);
     support::milliseconds retry_after() const;
     refuse refuse_for_deadline(const attempt& call, std::string detail);
-    refuse hand_back(const attempt& call, refusal_kind kind);
-    void hand_back_waiting(refusal_kind kind, std::vector<action>& actions);
+    refuse
+    hand_back(const attempt& call, refusal_kind kind, support::time_point now);
+    void hand_back_waiting(refusal_kind kind,
+                           support::time_point now,
+                           std::vector<action>& actions);
     refuse refuse_for_limit(const attempt& call, support::time_point now);
     void refuse_beyond_limit(support::time_point now,
                              std::vector<action>& actions);
@@ -155,17 +164,35 @@
     return support::from_ms(service_times.mean_ms(call.rank));
 }
 
-/// Returns how many calls can run at once under the limit that the upstream
-/// states, by which entries compare upstreams.
-std::uint32_t gate::state::usable_slots() const
+/// Returns how many calls may start per second: the smaller of the limit that
+/// the upstream states and of what it takes while it is cold.
+std::optional<double> gate::state::start_rate(support::time_point now) const
+{
+    const std::optional<double> stated = stated_limit.calls_per_s();
+    if (!cold.applies(now))
+        return stated;
+    return std::min(cold.calls_per_s(), stated.value_or(cold.calls_per_s()));
+}
+
+/// Returns how long the call that starts after \p ahead others must wait under
+/// both limits.
+support::duration gate::state::start_wait(std::size_t ahead,
+                                          support::time_point now) const
+{
+    return std::max(stated_limit.wait(ahead, now), cold.wait(ahead, now));
+}
+
+/// Returns how many calls can run at once under the limits on starts, by which
+/// entries compare upstreams.
+std::uint32_t gate::state::usable_slots(support::time_point now) const
 {
     const std::uint32_t slots = concurrency.current();
     const double mean_ms = service_times.mean_ms();
-    if (!stated_limit.calls_per_s() || slots == 0 || mean_ms <= 0)
+    const std::optional<double> calls_per_s = start_rate(now);
+    if (!calls_per_s || slots == 0 || mean_ms <= 0)
         return slots;
     constexpr double ms_per_s = 1000;
-    const double usable =
-        std::ceil(*stated_limit.calls_per_s() * mean_ms / ms_per_s);
+    const double usable = std::ceil(*calls_per_s * mean_ms / ms_per_s);
     return static_cast<std::uint32_t>(
         std::clamp<double>(usable, 1, static_cast<double>(slots)));
 }
@@ -233,9 +260,13 @@
 
 /// Refuses the call as handed back, since its entry can send it to another
 /// upstream.
-refuse gate::state::hand_back(const attempt& call, refusal_kind kind)
+refuse gate::state::hand_back(const attempt& call,
+                              refusal_kind kind,
+                              support::time_point now)
 {
     ++counts.handed_back;
+    if (kind == refusal_kind::rate_limited && cold.applies(now))
+        ++counts.turned_away_cold;
     return {call.key, not_run(kind, min_retry_after,
                               kind == refusal_kind::slow_spell
                                   ? "the upstream is temporarily slow"
@@ -243,21 +274,24 @@
 }
 
 void gate::state::hand_back_waiting(refusal_kind kind,
+                                    support::time_point now,
                                     std::vector<action>& actions)
 {
     const auto may_hand_back = [](const attempt& queued) {
         return queued.may_hand_back;
     };
     for (const attempt& queued : queue.remove_if(may_hand_back))
-        actions.emplace_back(hand_back(queued, kind));
+        actions.emplace_back(hand_back(queued, kind, now));
 }
 
 refuse gate::state::refuse_for_limit(const attempt& call,
                                      support::time_point now)
 {
     ++counts.refused_limit;
-    const auto wait = std::chrono::ceil<support::milliseconds>(
-        stated_limit.wait(queue.size(), now));
+    if (cold.applies(now))
+        ++counts.turned_away_cold;
+    const auto wait =
+        std::chrono::ceil<support::milliseconds>(start_wait(queue.size(), now));
     return {call.key,
             not_run(refusal_kind::rate_limited,
                     std::clamp(wait, min_retry_after, max_retry_after),
@@ -269,12 +303,12 @@
 void gate::state::refuse_beyond_limit(support::time_point now,
                                       std::vector<action>& actions)
 {
-    if (!stated_limit.calls_per_s() || queue.size() == 0 ||
+    if (!start_rate(now) || queue.size() == 0 ||
         in_force->mode(automation::shed) == automation_mode::observe)
         return;
     std::size_t ahead = 0;
     const auto has_no_room = [&](const attempt& queued) {
-        const support::duration wait = stated_limit.wait(ahead, now);
+        const support::duration wait = start_wait(ahead, now);
         const bool late =
             wait > support::duration(0) &&
             now + wait + expected_service_time(queued) > queued.deadline;
@@ -297,8 +331,7 @@
     if (!slowdown_report_allows_start(now))
         return;
     const auto eligible = [this, now](std::size_t rank) {
-        return may_start(rank) &&
-               stated_limit.wait(0, now) == support::duration(0);
+        return may_start(rank) && start_wait(0, now) == support::duration(0);
     };
     while (std::optional<attempt> next = queue.pop(eligible)) {
         if (next->deadline <= now) {
@@ -315,6 +348,7 @@
         const double cost_ms = service_times.mean_ms(next->rank);
         queue.charge(next->rank, cost_ms, concurrency.current());
         stated_limit.on_start(now);
+        cold.on_start(now);
         ++counts.started;
         actions.emplace_back(start{next->key});
         const attempt_key key = next->key;
@@ -417,6 +451,10 @@
         return {refuse_unavailable(call, refusal_kind::draining,
                                    "the upstream is draining")};
     }
+    if (state_->emptied) {
+        return {refuse_unavailable(call, refusal_kind::draining,
+                                   "operators emptied the failure domain")};
+    }
     if (!state_->upstream_present) {
         return {refuse_unavailable(call, refusal_kind::no_upstream,
                                    "no upstream is announced")};
@@ -424,14 +462,14 @@
     if (call.deadline <= now)
         return {state_->refuse_for_deadline(call, "the deadline has passed")};
     if (call.may_hand_back && state_->slowdowns.is_slow_by_fresh_report(now))
-        return {state_->hand_back(call, refusal_kind::slow_spell)};
+        return {state_->hand_back(call, refusal_kind::slow_spell, now)};
     const std::size_t ahead =
         state_->queue.waiting_at_or_before(state_->queue.rank_of(call.rank));
     // A shorter wait is about what the entry expected when it chose this gate.
-    const bool waits_long = state_->stated_limit.wait(ahead, now) >
-                            state_->expected_service_time(call);
+    const bool waits_long =
+        state_->start_wait(ahead, now) > state_->expected_service_time(call);
     if (call.may_hand_back && waits_long)
-        return {state_->hand_back(call, refusal_kind::rate_limited)};
+        return {state_->hand_back(call, refusal_kind::rate_limited, now)};
     const std::size_t rank = state_->queue.rank_of(call.rank);
     const support::duration wait = state_->expected_wait(rank);
     if (state_->misses_deadline(call, wait, now) && state_->try_shed(now)) {
@@ -486,7 +524,7 @@
         state_->slowdowns.on_query_failed(now);
     std::vector<action> actions;
     if (state_->slowdowns.is_slow(now))
-        state_->hand_back_waiting(refusal_kind::slow_spell, actions);
+        state_->hand_back_waiting(refusal_kind::slow_spell, now, actions);
     state_->start_waiting(now, actions);
     return actions;
 }
@@ -498,12 +536,66 @@
     const bool is_new = calls_per_s && !state_->stated_limit.calls_per_s();
     state_->stated_limit.set(calls_per_s, now);
     if (is_new)
-        state_->hand_back_waiting(refusal_kind::rate_limited, actions);
+        state_->hand_back_waiting(refusal_kind::rate_limited, now, actions);
+    state_->start_waiting(now, actions);
+    state_->refuse_beyond_limit(now, actions);
+    return actions;
+}
+
+std::vector<action> gate::set_cold_rate(double calls_per_s,
+                                        support::time_point now)
+{
+    state_->cold.set_rate(calls_per_s);
+    std::vector<action> actions;
+    state_->start_waiting(now, actions);
+    state_->refuse_beyond_limit(now, actions);
+    return actions;
+}
+
+std::vector<action> gate::on_cold_stated(cold_source source,
+                                         support::milliseconds remaining,
+                                         support::time_point now)
+{
+    std::vector<action> actions;
+    const bool was_cold = state_->cold.applies(now);
+    state_->cold.on_stated(source, remaining, now);
+    if (!was_cold && state_->cold.applies(now))
+        state_->hand_back_waiting(refusal_kind::rate_limited, now, actions);
     state_->start_waiting(now, actions);
     state_->refuse_beyond_limit(now, actions);
     return actions;
 }
 
+void gate::on_new_instance()
+{
+    state_->cold.on_new_instance();
+}
+
+support::duration gate::cold_remaining(support::time_point now) const
+{
+    return state_->cold.remaining(now);
+}
+
+bool gate::take_cold_query(support::time_point now)
+{
+    if (!state_->upstream_present || !state_->cold.needs_query(now))
+        return false;
+    state_->cold.on_query_sent(now);
+    ++state_->counts.cold_queries;
+    return true;
+}
+
+std::vector<action> gate::set_emptied(bool emptied, support::time_point)
+{
+    std::vector<action> actions;
+    state_->emptied = emptied;
+    if (emptied) {
+        state_->refuse_waiting(refusal_kind::draining,
+                               "operators emptied the failure domain", actions);
+    }
+    return actions;
+}
+
 std::optional<double> gate::stated_limit() const
 {
     return state_->stated_limit.calls_per_s();
@@ -514,7 +606,7 @@
     const bool can_start =
         state_->queue.size() != 0 &&
         state_->queue.running() < state_->concurrency.current() &&
-        state_->stated_limit.wait(0, now) == support::duration(0);
+        state_->start_wait(0, now) == support::duration(0);
     if (!can_start || !state_->slowdowns.needs_query(now))
         return false;
     state_->slowdowns.on_query_sent(now);
@@ -591,7 +683,7 @@
 
 std::optional<support::duration> gate::start_probe(support::time_point now)
 {
-    if (!state_->upstream_present || state_->draining ||
+    if (!state_->upstream_present || state_->draining || state_->emptied ||
         !state_->idle_estimate.idle(now))
         return std::nullopt;
     const std::optional<support::duration> allowed = state_->probes.start(now);
@@ -623,21 +715,26 @@
     return !state_->running.empty();
 }
 
+std::size_t gate::running() const
+{
+    return state_->running.size();
+}
+
 support::load_report gate::report(support::time_point now) const
 {
     support::load_report report;
     report.running = static_cast<std::uint32_t>(state_->queue.running());
     report.waiting = static_cast<std::uint32_t>(state_->queue.size());
-    report.limit = state_->usable_slots();
+    report.limit = state_->usable_slots(now);
     report.service_ms =
         state_->service_times.mean_ms() * state_->idle_estimate.slowdown(now);
     for (std::size_t rank = 0; rank < state_->in_force->ranks.size(); ++rank) {
         report.waiting_by_rank.push_back(
             static_cast<std::uint32_t>(state_->queue.waiting(rank)));
     }
-    report.start_delay_ms = support::to_ms(
-        std::max(state_->slowdowns.remaining(now),
-                 state_->stated_limit.wait(state_->queue.size(), now)));
+    report.start_delay_ms =
+        support::to_ms(std::max(state_->slowdowns.remaining(now),
+                                state_->start_wait(state_->queue.size(), now)));
     if (state_->upstream_present)
         report.age_ms = support::to_ms(now - state_->serving_since);
     return report;
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -50,6 +50,7 @@
     "organisation_overrun_share": {"type": "number", "minimum": 0,
                                    "maximum": 1},
     "organisation_overrun_calls": {"type": "number", "minimum": 0},
+    "empty_domains": {"type": "boolean"},
     "keys": {"type": "array", "minItems": 1, "items": {
       "type": "object", "additionalProperties": false,
       "required": ["id", "secret"],
@@ -201,6 +202,8 @@
         "organisation_overrun_share", settings.organisation_overrun_share);
     settings.organisation_overrun_calls = document.value(
         "organisation_overrun_calls", settings.organisation_overrun_calls);
+    settings.empty_domains =
+        document.value("empty_domains", settings.empty_domains);
     return boost::outcome_v2::success();
 }
 
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -4,6 +4,8 @@
 
 #include "galenarudder/telemetry/log.hpp"
 
+#include <algorithm>
+
 namespace galenarudder::daemon {
 
 namespace {
@@ -43,6 +45,8 @@
         actions.push_back(std::move(action));
 }
 
+constexpr const char* domain_topic = "domains";
+
 void log_change(const membership::member_record& record)
 {
     telemetry::log_event(telemetry::log_kind::state_change, "member.changed",
@@ -53,6 +57,28 @@
                           {"slots", record.slots}});
 }
 
+void log_domain_changes(const std::vector<std::string>& before,
+                        const std::vector<std::string>& after,
+                        const membership::domain_states& domains)
+{
+    const auto log_missing = [&](const char* event,
+                                 const std::vector<std::string>& from,
+                                 const std::vector<std::string>& in) {
+        for (const std::string& domain : from) {
+            if (std::find(in.begin(), in.end(), domain) != in.end())
+                continue;
+            const membership::store_revision& revision =
+                domains.states().find(domain)->second.revision;
+            telemetry::log_event(telemetry::log_kind::state_change, event,
+                                 {{"domain", domain},
+                                  {"era", revision.era},
+                                  {"revision", revision.number}});
+        }
+    };
+    log_missing("domain.emptied", after, before);
+    log_missing("domain.restored", before, after);
+}
+
 } // namespace
 
 node::node(const config::daemon_settings& settings,
@@ -70,8 +96,24 @@
                settings.domain,
                seed,
                settings.store_watchers,
-               read_stored)
+               read_stored),
+      empties_domains_(settings.empty_domains), own_domain_(settings.domain),
+      domains_(seed), random_(seed)
 {
+    // Until this daemon knows whether its domain is emptied, it must not send
+    // calls to its upstream.
+    gate_emptied_ = empties_domains_;
+    if (empties_domains_) {
+        set_extension_handler(
+            domain_topic,
+            [this](const support::member_id& peer, const std::string& payload,
+                   support::time_point now) {
+                auto replies = domains_.on_message(peer, payload, now);
+                auto actions = send_domain_messages(std::move(replies), now);
+                append_all(actions, apply_domains(now));
+                return actions;
+            });
+    }
     router_.set_decision_log(decisions_);
     router_.set_fleet_saved_extra_attempts(settings.saved_extra_attempts);
 }
@@ -140,6 +182,7 @@
 {
     std::vector<node_action> actions = apply_actions(member_.on_tick(now), now);
     append_all(actions, apply_actions(rollout_.on_tick(now), now));
+    append_all(actions, apply_domains(now));
     return actions;
 }
 
@@ -183,24 +226,102 @@
 std::vector<node_action> node::on_announcement(const std::string& service,
                                                std::uint32_t slots,
                                                support::time_point now)
+{
+    announced_service_ = service;
+    announced_slots_ = slots;
+    return publish_upstream(now);
+}
+
+std::vector<node_action> node::on_upstream_gone(support::time_point now)
+{
+    announced_service_.clear();
+    announced_slots_ = 0;
+    return publish_upstream(now);
+}
+
+/// Shows the announced upstream in the own record. While the own domain is
+/// emptied, the record shows none.
+std::vector<node_action> node::publish_upstream(support::time_point now)
 {
     membership::member_record self = member_.self();
-    const bool unchanged = self.service == service && self.slots == slots;
-    if (unchanged)
+    const std::string service = gate_emptied_ ? "" : announced_service_;
+    const std::uint32_t slots = gate_emptied_ ? 0 : announced_slots_;
+    if (self.service == service && (service.empty() || self.slots == slots))
         return {};
     self.service = service;
     self.slots = slots;
     return update_own_record(self, now);
 }
 
-std::vector<node_action> node::on_upstream_gone(support::time_point now)
+std::vector<node_action>
+node::on_domains_read(std::span<const membership::emptied_domain> emptied,
+                      membership::store_revision read_at,
+                      support::time_point now)
 {
-    membership::member_record self = member_.self();
-    if (self.service.empty())
+    domains_.on_reading(emptied, read_at, now);
+    return apply_domains(now);
+}
+
+std::vector<node_action>
+node::on_domain_changed(std::string_view domain,
+                        bool emptied,
+                        membership::store_revision revision,
+                        support::time_point now)
+{
+    domains_.on_change(domain, emptied, revision, now);
+    return apply_domains(now);
+}
+
+std::vector<std::string> node::random_live_peers(std::size_t count)
+{
+    std::vector<std::string> peers;
+    for (const membership::member_record& record : member_.records()) {
+        const bool reachable = record.state != membership::member_state::left &&
+                               record.state != membership::member_state::dead &&
+                               record.id != member_.self().id;
+        if (reachable)
+            peers.push_back(record.id);
+    }
+    std::shuffle(peers.begin(), peers.end(), random_);
+    peers.resize(std::min(peers.size(), count));
+    return peers;
+}
+
+std::vector<node_action>
+node::send_domain_messages(std::vector<membership::domain_message> messages,
+                           support::time_point now)
+{
+    std::vector<node_action> actions;
+    for (membership::domain_message& message : messages) {
+        append_all(actions, send_extension(message.peer, domain_topic,
+                                           std::move(message.payload), now));
+    }
+    return actions;
+}
+
+std::vector<node_action> node::apply_domains(support::time_point now)
+{
+    if (!empties_domains_)
         return {};
-    self.service.clear();
-    self.slots = 0;
-    return update_own_record(self, now);
+    std::vector<node_action> actions = send_domain_messages(
+        domains_.on_tick(
+            [this](std::size_t count) { return random_live_peers(count); },
+            now),
+        now);
+    const std::vector<std::string> emptied = domains_.emptied();
+    if (emptied != excluded_domains_) {
+        log_domain_changes(excluded_domains_, emptied, domains_);
+        excluded_domains_ = emptied;
+        router_.set_emptied_domains(emptied);
+    }
+    const bool gate_emptied =
+        domains_.must_wait(now) || domains_.is_emptied(own_domain_);
+    if (gate_emptied == gate_emptied_)
+        return actions;
+    gate_emptied_ = gate_emptied;
+    actions.emplace_back(set_gate_emptied{gate_emptied});
+    append_all(actions, publish_upstream(now));
+    return actions;
 }
 
 std::vector<node_action> node::on_stopping(support::time_point now)
--- a/lib/daemon/operator_port.cpp
+++ b/lib/daemon/operator_port.cpp
@@ -138,6 +138,7 @@
     http::response health(const http::request&);
     http::response status(const http::request&);
     http::response members(const http::request&);
+    http::response domains(const http::request&);
     http::response full_configuration();
     std::string transfer_to(const http::request& http_request) const;
     http::response drain(const http::request&);
@@ -153,6 +154,7 @@
     {"GET", "/v1/health", &impl::on_executor<&impl::health>},
     {"GET", "/v1/status", &impl::on_executor<&impl::status>},
     {"GET", "/v1/members", &impl::on_executor<&impl::members>},
+    {"GET", "/v1/domains", &impl::on_executor<&impl::domains>},
     {"GET", "/v1/configuration", &impl::configuration},
     {"PUT", "/v1/configuration", &impl::accept_transfer},
     {"POST", "/v1/drain", &impl::on_executor<&impl::drain>},
@@ -217,6 +219,25 @@
     return {status_ok, json_type, members_json.dump(), {}};
 }
 
+/// Responds with the emptied domains and the calls that run here.
+http::response operator_port::impl::domains(const http::request&)
+{
+    const support::time_point now = support::monotonic_clock::now();
+    json emptied = json::array();
+    for (const auto& [domain, state] : handlers_.node->domains().states()) {
+        if (!state.emptied)
+            continue;
+        emptied.push_back({{"domain", domain},
+                           {"for_ms", support::to_ms(now - state.since)},
+                           {"revision", state.revision.number}});
+    }
+    const json body = {
+        {"domain", handlers_.settings->domain},
+        {"emptied", std::move(emptied)},
+        {"running", handlers_.running_calls ? handlers_.running_calls() : 0}};
+    return {status_ok, json_type, body.dump(), {}};
+}
+
 http::response operator_port::impl::full_configuration()
 {
     const rollout::built_document_ptr& current =
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -103,6 +103,7 @@
         rollout_runtime_.execute(action);
     }
     void execute(const configure_gate& action);
+    void execute(const set_gate_emptied& action);
     void on_announcement(const upstream_announcement& received);
     void on_presence_change(admission::presence_change change,
                             const std::string& cause);
@@ -127,6 +128,7 @@
     gate_of(const routing::choice& target);
     link::link_handlers make_link_handlers();
     announcement_handlers make_announcement_handlers();
+    store::domain_observer make_domain_observer();
     rollout_runtime::action_executor make_action_executor();
     operator_handlers make_operator_handlers();
     template <typename Task>
@@ -309,6 +311,7 @@
     upstream.instance = received.content.instance;
     upstream.started_ms = received.content.started_ms;
     upstream.warm_connections = deployment_.warm_connections;
+    upstream.cold = received.content.warm_up_remaining;
     entry_.set_upstream_address(received.content.address.address);
     gate_->set_upstream(std::move(upstream));
 }
@@ -387,6 +390,7 @@
     handlers.node = &node_;
     handlers.settings = &settings_;
     handlers.drain = [this] { drain("operator"); };
+    handlers.running_calls = [gate = gate_] { return gate->running(); };
     handlers.transfer = [this](const std::string& encoded,
                                const std::string& sender) {
         const turn measured(turns_, "transfer");
@@ -400,6 +404,11 @@
 support::result<void> runtime::impl::start()
 {
     gate_->report_to(metrics_, node_.decisions());
+    if (settings_.empty_domains) {
+        // Until the node knows which domains are emptied.
+        gate_->set_emptied(true);
+        store_->observe_domains(make_domain_observer());
+    }
     keyed_calls_ = std::make_shared<proxy::keyed_calls>(
         control_, *store_, metrics_,
         settings_.member + "-" + unique_start_id());
@@ -564,6 +573,43 @@
         support::from_ms(in_force->value(config::limit::claim_retention_ms)));
 }
 
+void runtime::impl::execute(const set_gate_emptied& action)
+{
+    gate_->set_emptied(action.emptied);
+}
+
+/// Forwards what the store states about emptied domains to the node.
+store::domain_observer runtime::impl::make_domain_observer()
+{
+    const auto to_revision = [](const store::change_index& index) {
+        return membership::store_revision{index.era, index.number};
+    };
+    store::domain_observer observer;
+    observer.on_reading =
+        [weak = weak_from_this(),
+         to_revision](const std::vector<store::emptied_domain_key>& keys,
+                      const store::change_index& read_at) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            std::vector<membership::emptied_domain> emptied;
+            for (const store::emptied_domain_key& key : keys)
+                emptied.push_back({key.domain, to_revision(key.index)});
+            self->execute_all(self->node_.on_domains_read(
+                emptied, to_revision(read_at), monotonic_clock::now()));
+        };
+    observer.on_change = [weak = weak_from_this(),
+                          to_revision](const std::string& domain, bool emptied,
+                                       const store::change_index& index) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->execute_all(self->node_.on_domain_changed(
+            domain, emptied, to_revision(index), monotonic_clock::now()));
+    };
+    return observer;
+}
+
 void runtime::impl::wait_for_reload_signal()
 {
     reload_signal_.async_wait(
@@ -721,6 +767,9 @@
     collect(node_, metrics_);
     collect(link_manager_->counters(), metrics_);
     turns_.collect(metrics_);
+    metrics_.set_gauge("galenarudder_emptied_domains",
+                       "Failure domains that operators have emptied",
+                       static_cast<double>(node_.domains().emptied().size()));
     metrics_.set_gauge("galenarudder_open_calls",
                        "Calls read and not yet answered",
                        static_cast<double>(caller_server_.open_calls()));
--- a/lib/operators/commands.cpp
+++ b/lib/operators/commands.cpp
@@ -97,6 +97,55 @@
     return sites_json;
 }
 
+/// Returns the number of calls that run at the upstreams of \p domain, as each
+/// daemon there reports it, and counts the daemons that did not answer.
+json collect_running(const json& members,
+                     const std::string& domain,
+                     const options& flags)
+{
+    std::uint64_t running = 0;
+    std::vector<std::string> silent;
+    for (const json& member : members) {
+        if (!is_present(member) || member.value("domain", "") != domain)
+            continue;
+        options of_member = flags;
+        of_member.daemon = member.value("operators", "");
+        const auto response = request_json(of_member, "GET", "/v1/domains");
+        if (response && response.value().is_object())
+            running += response.value().value("running", 0ULL);
+        else
+            silent.push_back(member.value("id", ""));
+    }
+    return {{"running", running}, {"silent", silent}};
+}
+
+/// Returns the emptied domains that the daemon knows, with what still runs in
+/// them. A daemon of an older version knows none.
+json collect_emptied(const json& members, const options& flags)
+{
+    const auto response = request_json(flags, "GET", "/v1/domains");
+    if (!response || !response.value().is_object())
+        return json::array();
+    json emptied = response.value().value("emptied", json::array());
+    for (json& domain : emptied)
+        domain.update(
+            collect_running(members, domain.value("domain", ""), flags));
+    return emptied;
+}
+
+void print_emptied(const json& domain, const console& output)
+{
+    constexpr double ms_per_s = 1000;
+    output.out << "domain " << domain.value("domain", "") << ": emptied for "
+               << static_cast<long long>(domain.value("for_ms", 0.0) / ms_per_s)
+               << " s, " << domain.value("running", 0ULL)
+               << " calls still run there";
+    const json silent = domain.value("silent", json::array());
+    if (!silent.empty())
+        output.out << " (" << silent.size() << " daemons did not answer)";
+    output.out << "\n";
+}
+
 exit_code status(const options& flags, const console& output)
 {
     const auto response = request_json(flags, "GET", "/v1/members");
@@ -104,15 +153,20 @@
         return report_error(response.error(), output);
     const auto sites = collect_sites(response.value());
     const std::uint64_t newest = newest_version(response.value());
+    const json emptied = collect_emptied(response.value(), flags);
     if (flags.json) {
-        output.out << json{{"version", newest}, {"sites", encode(sites)}}.dump(
-                          2)
+        output.out << json{{"version", newest},
+                           {"sites", encode(sites)},
+                           {"emptied", emptied}}
+                          .dump(2)
                    << "\n";
         return exit_code::done;
     }
     output.out << "configuration version " << newest << "\n";
     for (const auto& [name, site] : sites)
         print_site(name, site, output);
+    for (const json& domain : emptied)
+        print_emptied(domain, output);
     return exit_code::done;
 }
 
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/strand.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 
 namespace galenarudder::proxy {
@@ -70,6 +71,11 @@
     void confirm_serving();
     void upstream_leaving();
     void upstream_gone();
+    void set_emptied(bool emptied);
+    std::size_t running() const
+    {
+        return running_.load(std::memory_order_relaxed);
+    }
     void report_to(telemetry::metrics& metrics,
                    telemetry::decision_log& decisions);
     void drain(std::function<void()> on_drained);
@@ -101,6 +107,11 @@
     void execute(const admission::refuse& action);
     void execute(const admission::abort_running& action);
     void query_slowdown();
+    void query_cold();
+    void on_cold_stated(const std::optional<upstream_load>& stated_load);
+    void apply_cold(admission::cold_source source,
+                    support::milliseconds remaining);
+    void apply_cold_rate();
     void arm_timer();
     void on_finished(const attempt_key& key,
                      upstream_result result,
@@ -140,6 +151,10 @@
     /// Earliest time of the next check that the upstream serves: {} for at
     /// once, max() for never.
     support::time_point next_confirmation_{};
+    /// Whether operators emptied the failure domain.
+    bool emptied_ = false;
+    /// Calls that run at the upstream, for readers on other threads.
+    std::atomic<std::size_t> running_ = 0;
     std::shared_ptr<upstream_client> client_;
     std::map<attempt_key, open_attempt> attempts_;
     std::function<void()> on_drained_;
@@ -190,11 +205,56 @@
             std::optional<double> slowdown;
             if (stated_load)
                 slowdown = stated_load->slowdown;
+            self->on_cold_stated(stated_load);
             self->perform(self->gate_.on_slowdown_report(
                 slowdown, monotonic_clock::now()));
         });
 }
 
+/// Asks the upstream whether it has become cold since its last check-in.
+void gate_runtime::impl::query_cold()
+{
+    if (!client_ || probe_path().empty())
+        return;
+    client_->query_load(
+        probe_path(), load_query_timeout,
+        [weak = weak_from_this(), generation = instance_generation_](
+            const std::optional<upstream_load>& stated_load) {
+            const auto self = weak.lock();
+            if (self && self->instance_generation_ == generation)
+                self->on_cold_stated(stated_load);
+        });
+}
+
+void gate_runtime::impl::on_cold_stated(
+    const std::optional<upstream_load>& stated_load)
+{
+    if (stated_load && stated_load->cold)
+        apply_cold(admission::cold_source::response, *stated_load->cold);
+}
+
+void gate_runtime::impl::apply_cold(admission::cold_source source,
+                                    support::milliseconds remaining)
+{
+    const support::time_point now = monotonic_clock::now();
+    const bool was_cold = gate_.cold_remaining(now) > support::duration(0);
+    perform(gate_.on_cold_stated(source, remaining, now));
+    if (was_cold || remaining <= support::milliseconds(0))
+        return;
+    telemetry::log_event(telemetry::log_kind::state_change, "upstream.cold",
+                         {{"instance", upstream_.instance},
+                          {"remaining_ms", remaining.count()}});
+}
+
+/// Sets the limit that the configuration states for the upstream's service.
+void gate_runtime::impl::apply_cold_rate()
+{
+    const config::service_policy* service =
+        in_force_->find_service(upstream_.service);
+    perform(gate_.set_cold_rate(service ? service->cold_calls_per_s : 0,
+                                monotonic_clock::now()));
+}
+
 void gate_runtime::impl::submit(std::uint64_t link, link::exchange_ptr attempt)
 {
     const support::time_point now = monotonic_clock::now();
@@ -215,6 +275,9 @@
                    next_action);
     if (gate_.take_slowdown_query(monotonic_clock::now()))
         query_slowdown();
+    if (gate_.take_cold_query(monotonic_clock::now()))
+        query_cold();
+    running_.store(gate_.running(), std::memory_order_relaxed);
     if (!ticks_often_ && gate_.has_waiting())
         arm_timer();
     check_drained();
@@ -222,6 +285,8 @@
 
 void gate_runtime::impl::probe_if_due(support::time_point now)
 {
+    if (emptied_)
+        return;
     if (!serving_ && instance_generation_ != 0 && now >= next_confirmation_)
         return confirm_serving();
     if (probe_path().empty() || !serving_)
@@ -300,6 +365,15 @@
     add("galenarudder_gate_refused_limit_total",
         "Calls refused because the upstream's limit leaves no room",
         counts.refused_limit, published_.refused_limit);
+    add("galenarudder_gate_turned_away_cold_total",
+        "Calls handed back or refused while the upstream was cold",
+        counts.turned_away_cold, published_.turned_away_cold);
+    add("galenarudder_cold_queries_total",
+        "Queries whether the upstream has become cold", counts.cold_queries,
+        published_.cold_queries);
+    metrics_->set_gauge("galenarudder_upstream_cold_seconds",
+                        "Time for which the upstream is still cold",
+                        support::to_ms(gate_.cold_remaining(now)) / 1000);
     add("galenarudder_gate_shed_observed_total",
         "Calls that shedding in mode observe let through", counts.shed_observed,
         published_.shed_observed);
@@ -427,6 +501,7 @@
     if (stated_load)
         perform(gate_.on_slowdown_report(stated_load->slowdown,
                                          monotonic_clock::now()));
+    on_cold_stated(stated_load);
     if (result == upstream_result::unreachable)
         stop_serving("no connection could be opened");
     if (result == upstream_result::replaced)
@@ -463,6 +538,7 @@
 {
     in_force_ = std::move(in_force);
     gate_.on_configuration(in_force_, monotonic_clock::now());
+    apply_cold_rate();
 }
 
 /// Returns the probe path of the configuration, else that of the announcement.
@@ -490,7 +566,10 @@
         announcement_count_ = 0;
         perform(gate_.on_upstream_gone(monotonic_clock::now()));
         perform(gate_.on_limit_stated(std::nullopt, monotonic_clock::now()));
+        gate_.on_new_instance();
+        apply_cold_rate();
     }
+    apply_cold(admission::cold_source::announcement, upstream_.cold);
     ++announcement_count_;
     next_confirmation_ = {};
     if (serving_)
@@ -510,7 +589,7 @@
     const bool has_instance_ids = !dialect_.instance.empty();
     if (!has_instance_ids || announcement_count_ >= trusted_announcements)
         return apply_announcement();
-    if (confirming_ || probe_path().empty())
+    if (confirming_ || emptied_ || probe_path().empty())
         return;
     confirming_ = true;
     next_confirmation_ = monotonic_clock::now() + confirmation_interval;
@@ -596,6 +675,14 @@
     perform(gate_.on_upstream_gone(monotonic_clock::now()));
 }
 
+/// While the domain is emptied, the upstream is neither probed nor checked. Its
+/// announcements count, so that it serves at once when it is taken back.
+void gate_runtime::impl::set_emptied(bool emptied)
+{
+    emptied_ = emptied;
+    perform(gate_.set_emptied(emptied, monotonic_clock::now()));
+}
+
 void gate_runtime::impl::drain(std::function<void()> on_drained)
 {
     on_drained_ = std::move(on_drained);
@@ -702,6 +789,16 @@
     impl_->on_strand([](impl& self) { self.upstream_gone(); });
 }
 
+void gate_runtime::set_emptied(bool emptied)
+{
+    impl_->on_strand([emptied](impl& self) { self.set_emptied(emptied); });
+}
+
+std::size_t gate_runtime::running() const
+{
+    return impl_->running();
+}
+
 void gate_runtime::drain(std::function<void()> on_drained)
 {
     impl_->on_strand([on_drained = std::move(on_drained)](impl& self) mutable {
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -152,6 +152,8 @@
     // By "SERVICE/DOMAIN".
     std::map<std::string, std::shared_ptr<link_delay>> link_delays;
     double fleet_saved_extra_attempts = 0;
+    /// Domains whose upstreams get no calls.
+    std::vector<std::string> emptied_domains;
     std::shared_ptr<const config::configuration> in_force =
         std::make_shared<const config::configuration>(
             config::default_configuration());
@@ -223,7 +225,10 @@
     std::vector<candidate> all;
     for (const support::member_id& id : members_by_service[name]) {
         const member_record& record = records.at(id);
-        if (!membership::serves_calls(record))
+        const bool emptied =
+            std::find(emptied_domains.begin(), emptied_domains.end(),
+                      record.domain) != emptied_domains.end();
+        if (emptied || !membership::serves_calls(record))
             continue;
         all.push_back({id, record.domain, record.slots,
                        find_or_add_upstream(record), record.link,
@@ -358,6 +363,14 @@
     state_->publish();
 }
 
+void router::set_emptied_domains(std::vector<std::string> domains)
+{
+    state_->emptied_domains = std::move(domains);
+    for (const auto& [service, members] : state_->members_by_service)
+        state_->rebuild_service(service);
+    state_->publish();
+}
+
 void router::state::record_reroute(const service_view& service,
                                    bool own_domain_unhealthy,
                                    automation_mode mode,
--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -292,6 +292,11 @@
         self.body_delay_s = 0
         # Calls per second that answers name as the limit; None for no limit.
         self.limit_per_s = None
+        # End of the time for which it is cold, on the clock of the test.
+        self.cold_until_s = 0
+        # Whether check-ins state the cold time.
+        self.announces_cold = True
+        self.probes = 0
         # Whether answers state that the upstream leaves.
         self.states_leaving = False
         # Size to which the bodies of answers are padded.
@@ -317,7 +322,11 @@
             sequence = self.sequence
         return {"service": self.service, "address": self.endpoint,
                 "zone": "east", "version": "v1", "slots": 4, "state": state,
-                "coldLeft": "0ms", "seq": sequence, "born": self.started_ms}
+                "coldLeft": f"{self.cold_ms() if self.announces_cold else 0}ms",
+                "seq": sequence, "born": self.started_ms}
+
+    def cold_ms(self):
+        return max(0, int(1000 * (self.cold_until_s - time.monotonic())))
 
     def check_in(self, body, method="PUT"):
         return request(self.control, method,
@@ -348,6 +357,8 @@
         load = [("Backend-Load", "0,0,4,100"),
                 ("Instance-Id", upstream.instance)]
         if self.path == "/healthz":
+            upstream.probes += 1
+            load.append(("Cold-Ms", str(upstream.cold_ms())))
             return self.answer(503 if upstream.is_draining else 200, b"", load)
         expected = self.headers.get("Expect-Instance", upstream.instance)
         attempt = self.headers.get("Attempt-Id", "")
@@ -454,7 +465,7 @@
                            "control": f"{self.ip}:8306"},
                 "portRange": [7620, 7635], "heartbeat": "300ms",
                 "localApp": f"{self.ip}:8301", "service": self.service,
-                "bounds": {"budgetSlack": 56, "grace": "6s"},
+                "region": "", "zones": {}, "bounds": self.rig.bounds,
                 "infra": {"address": self.rig.store_address}}
 
     def start(self):
@@ -484,16 +495,29 @@
 
 
 def render(template, template_values):
-    """Replace {{a}}, {{a.b}} and {{a.0}}; the content of sections is kept."""
-    template = re.sub(r"\{\{[#/][\w.]+\}\}", "", template)
+    """Replace {{a}}, {{a.b}}, {{a.0}} and {{a|json}}.
 
-    def value(match):
+    A section {{#a}}...{{/a}} is kept if its value exists.
+    """
+    def find(path):
         node = template_values
-        for segment in match.group(1).split("."):
+        for segment in path.split("."):
             node = node[int(segment)] if isinstance(node, list) \
                 else node[segment]
-        return str(node)
-    return re.sub(r"\{\{([\w.]+)\}\}", value, template)
+        return node
+
+    def section(match):
+        try:
+            find(match.group(1))
+        except KeyError:
+            return ""
+        return match.group(2)
+
+    def value(match):
+        found = find(match.group(1))
+        return json.dumps(found) if match.group(2) else str(found)
+    template = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template)
+    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value, template)
 
 
 class Rig:
@@ -502,8 +526,9 @@
     Rigs with different `network`s can run at the same time.
     """
 
-    def __init__(self, build, services, network="127.7"):
+    def __init__(self, build, services, network="127.7", bounds=None):
         self.network = network
+        self.bounds = {"budgetSlack": 56, "grace": "6s", **(bounds or {})}
         self.store_address = f"{network}.1.1:8309"
         self.build = pathlib.Path(build).resolve()
         self.temporary = tempfile.TemporaryDirectory(prefix="galenarudder-")
--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -202,6 +202,17 @@
     CHECK_FALSE(read("3,1"));
     CHECK_FALSE(read("a lot"));
     CHECK_FALSE(dialect().read_load(answer(200)));
+    const auto cold = [](std::string_view text) {
+        const auto load =
+            dialect().read_load(answer(200, {{"Backend-Load", "0,0,4,100"},
+                                             {"Cold-Ms", std::string(text)}}));
+        return load->cold;
+    };
+    CHECK(cold("1250") == support::milliseconds(1250));
+    CHECK(cold("0") == support::milliseconds(0));
+    CHECK_FALSE(cold(""));
+    CHECK_FALSE(cold("soon"));
+    CHECK_FALSE(cold("12 s"));
 }
 
 TEST_CASE("a limit and a departure are read from answers")
--- a/unittests/routing/router_test.cpp
+++ b/unittests/routing/router_test.cpp
@@ -104,6 +104,50 @@
     CHECK_FALSE(env.pick(start, {"bilbao-0", "bilbao-1", "bilbao-2"}));
 }
 
+TEST_CASE("upstreams of emptied domains are not picked", "[routing]")
+{
+    fixture env;
+    env.add(3, "bilbao");
+    env.add(2, "vigo");
+    env.router.set_emptied_domains({"bilbao"});
+    CHECK(env.pick_counts(200, start).size() == 2);
+    // A member that announces itself meanwhile is not picked either.
+    env.router.on_record(upstream("bilbao-7"), start);
+    CHECK_FALSE(env.pick(start, {"vigo-0", "vigo-1"}));
+    env.router.set_emptied_domains({"bilbao", "vigo"});
+    CHECK_FALSE(env.pick(start));
+    env.router.set_emptied_domains({});
+    CHECK(env.pick(start)->member.starts_with("bilbao"));
+}
+
+TEST_CASE("a domain whose upstreams are all cold sends calls elsewhere",
+          "[routing]")
+{
+    fixture env;
+    env.add(3, "bilbao");
+    env.add(3, "vigo");
+    support::load_report cold;
+    cold.limit = 1;
+    cold.service_ms = 20;
+    cold.start_delay_ms = 800;
+    support::load_report warm;
+    warm.limit = 9;
+    warm.service_ms = 20;
+    for (int round = 0; round < 60; ++round) {
+        const auto chosen = env.pick(start);
+        env.router.on_sent(*chosen, start);
+        env.router.on_report(*chosen,
+                             chosen->member.starts_with("bilbao") ? cold : warm,
+                             milliseconds(3), start);
+        env.router.on_ended(*chosen, attempt_result::refused, start);
+    }
+    // In mode automatic, calls leave the domain for a warm one.
+    int stayed = 0;
+    for (const auto& [member, count] : env.pick_counts(200, start))
+        stayed += member.starts_with("bilbao") ? count : 0;
+    CHECK(stayed < 20);
+}
+
 TEST_CASE("members that serve no calls are not picked", "[routing]")
 {
     const auto state = GENERATE(member_state::draining, member_state::left,
