--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -161,6 +161,8 @@
     // By "SERVICE/DOMAIN".
     std::map<std::string, std::shared_ptr<link_delay>> link_delays;
     double fleet_saved_extra_attempts = 0;
+    /// Domains whose upstreams get no calls.
+    std::vector<std::string> emptied_domains;
     std::shared_ptr<const config::configuration> in_force =
         std::make_shared<const config::configuration>(
             config::default_configuration());
@@ -195,7 +197,7 @@
     const candidate& pick_by_distance(std::span<const candidate*> usable,
                                       const distance_pick& parameters,
                                       support::random_engine& random) const;
-    void record_leaving(const service_state& service_of,
+    void record_leaving(service_state& service,
                         automation_mode mode,
                         support::time_point now) const;
     void record_reroute(const service_view& service,
@@ -248,7 +250,10 @@
     std::vector<candidate> all;
     for (const support::member_id& id : members_by_service[name]) {
         const member_record& record = records.at(id);
-        if (!membership::serves_calls(record))
+        const bool emptied =
+            std::find(emptied_domains.begin(), emptied_domains.end(),
+                      record.domain) != emptied_domains.end();
+        if (emptied || !membership::serves_calls(record))
             continue;
         all.push_back({id, record.domain, record.slots,
                        find_or_add_upstream(record), record.link,
@@ -415,13 +420,12 @@
 }
 
 /// Records when many calls of a service begin and cease to leave their domain.
-void router::state::record_leaving(const service_state& service_of,
+void router::state::record_leaving(service_state& service,
                                    automation_mode mode,
                                    support::time_point now) const
 {
     constexpr double many = 0.2;
     constexpr double few = 0.05;
-    auto& service = const_cast<service_state&>(service_of);
     const double wanted = service.crossings.wanted();
     const bool known = service.known_leaving.load(std::memory_order_relaxed);
     const bool leaving = known ? wanted > few : wanted > many;
@@ -436,6 +440,14 @@
                                : "calls stay in their failure domain again"});
 }
 
+void router::set_emptied_domains(std::vector<std::string> domains)
+{
+    state_->emptied_domains = std::move(domains);
+    for (const auto& [service, members] : state_->members_by_service)
+        state_->rebuild_service(service);
+    state_->publish();
+}
+
 void router::state::record_reroute(const service_view& service,
                                    bool own_domain_unhealthy,
                                    automation_mode mode,
