Keep the slots of an upstream that sheds while it has room

Cause: each shed call lowered the concurrency limit by one, and it rose again only after 200 answers and 2 s a step.

Change: a shed call lowers the limit only if at least half of the slots are in use; the limit rises by one each 500 ms afterwards. A call that was shed by an upstream with free slots may be retried after 50 ms instead of 1 s.

--- a/include/galenarudder/admission/concurrency_limit.hpp
+++ b/include/galenarudder/admission/concurrency_limit.hpp
@@ -85,6 +85,8 @@
     config::automation_mode mode_ = config::automation_mode::automatic;
     interval interval_;
     bool in_trial_ = false;
+    /// Whether the limit is below the slots since the upstream shed calls.
+    bool lowered_by_shed_ = false;
     std::uint32_t limit_before_trial_ = 0;
     double rate_before_trial_ = 0;
     support::time_point no_lowering_before_;
--- a/lib/admission/concurrency_limit.cpp
+++ b/lib/admission/concurrency_limit.cpp
@@ -27,6 +27,9 @@
 constexpr support::milliseconds pause_after_failed_trial{10'000};
 constexpr support::milliseconds pause_before_raising{2'000};
 constexpr support::milliseconds pause_after_shed{100};
+/// After the upstream has shed, the limit rises by one in this time, however
+/// few answers there are: a lowered limit itself makes them few.
+constexpr support::milliseconds pause_before_raising_after_shed{500};
 
 } // namespace
 
@@ -63,6 +66,7 @@
     slots_ = slots;
     limit_ = slots;
     in_trial_ = false;
+    lowered_by_shed_ = false;
     interval_ = {now};
     no_lowering_before_ = now;
     no_raising_before_ = now;
@@ -72,6 +76,11 @@
 concurrency_limit::on_answered(const answer_sample& sample,
                                support::time_point now)
 {
+    if (lowered_by_shed_ && now >= no_raising_before_) {
+        no_raising_before_ = now + pause_before_raising_after_shed;
+        lowered_by_shed_ = limit_ + 1 < slots_;
+        return change_limit(limit_ + 1, "the upstream sheds no more calls");
+    }
     ++interval_.answers;
     interval_.answers_at_limit += sample.at_limit ? 1 : 0;
     interval_.inflation_sum += sample.inflation;
@@ -89,7 +98,8 @@
         return std::nullopt;
     in_trial_ = false;
     no_lowering_before_ = now + pause_after_shed;
-    no_raising_before_ = now + pause_before_raising;
+    no_raising_before_ = now + pause_before_raising_after_shed;
+    lowered_by_shed_ = mode_ != config::automation_mode::observe;
     return change_limit(limit_ - 1, "the upstream sheds calls");
 }
 
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -508,7 +508,11 @@
         state_->record(
             state_->concurrency.on_answered({inflation, at_limit}, now), now);
     }
-    if (result == run_result::shed)
+    // An upstream with free slots does not shed for lack of room, so that fewer
+    // calls at once would only leave slots idle.
+    const bool is_loaded = 2 * (state_->queue.running() + 1) >=
+                           std::size_t{state_->concurrency.slots()};
+    if (result == run_result::shed && is_loaded)
         state_->record(state_->concurrency.on_shed(now), now);
     std::vector<action> actions;
     state_->start_waiting(now, actions);
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -59,6 +59,7 @@
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_multiple_choices = 300;
 constexpr support::milliseconds shed_retry_after{1000};
+constexpr support::milliseconds shed_retry_after_if_idle{50};
 
 /// A repeatable call uses any connection that should still be open.
 constexpr support::duration any_idle_time = support::duration::max();
@@ -161,10 +162,14 @@
             "the deadline passed before the call was sent"};
 }
 
-refusal shed_by_upstream()
+/// An upstream that sheds while it has free slots does so for another reason
+/// than load, and may serve the next call.
+refusal shed_by_upstream(const support::load_report& load)
 {
+    const bool has_free_slots = 2 * load.running < load.limit;
     return {refusal_kind::upstream_shed, run_outcome::not_run, false,
-            shed_retry_after, "the upstream shed the call"};
+            has_free_slots ? shed_retry_after_if_idle : shed_retry_after,
+            "the upstream shed the call"};
 }
 
 bool is_reset(const boost::system::error_code& failure)
@@ -280,7 +285,7 @@
         if (status == status_misdirected)
             return refuse(not_available("another upstream has the address"),
                           upstream_result::replaced);
-        return refuse(shed_by_upstream(), upstream_result::shed);
+        return refuse(shed_by_upstream(get_load_()), upstream_result::shed);
     }
 
     std::shared_ptr<connection_pool> pool_;
--- a/unittests/admission/concurrency_limit_test.cpp
+++ b/unittests/admission/concurrency_limit_test.cpp
@@ -114,6 +114,24 @@
     CHECK(limit.current() == 5);
 }
 
+TEST_CASE("the limit rises after an upstream shed, however few calls there are")
+{
+    // Guards against a limit that stays low at a few answers a second, for long
+    // after the upstream has recovered.
+    concurrency_limit limit = make_limit(automation_mode::automatic);
+    support::time_point now;
+    for (int count = 0; count < 10; ++count) {
+        limit.on_shed(now);
+        now += support::milliseconds(100);
+    }
+    REQUIRE(limit.current() < slots);
+    for (int count = 0; count < 60; ++count) {
+        limit.on_answered({1, false}, now);
+        now += support::milliseconds(100);
+    }
+    CHECK(limit.current() == slots);
+}
+
 TEST_CASE("the limit stays between its minimum and the number of slots")
 {
     CHECK(rc::check([] {
--- a/unittests/admission/gate_test.cpp
+++ b/unittests/admission/gate_test.cpp
@@ -95,6 +95,19 @@
 
 } // namespace
 
+TEST_CASE("only an upstream that sheds under load loses slots")
+{
+    // Guards against idle slots at an upstream that sheds part of its calls at
+    // random: 55 of 100 calls shed, two at a time, on ten slots.
+    const auto [running, expected_limit] =
+        GENERATE(table<std::uint64_t, std::uint32_t>({{2, 10}, {10, 9}}));
+    gate_fixture gate(10);
+    for (std::uint64_t id = 1; id <= running; ++id)
+        gate.offer(id, "urgent");
+    gate.end_call(1, 4, run_result::shed);
+    CHECK(gate.under_test.report(gate.now).limit == expected_limit);
+}
+
 TEST_CASE("calls start up to the limit, then in order of urgency")
 {
     gate_fixture gate(2);
