Render the settings template's sections in the test rig

Cause: the template has optional sections and a JSON value since, which the rig could not render, so every test on it ended with KeyError 'quotaWindow'. Change: the rig drops the sections of absent values, renders {{a|json}} and gives a region and zones. Calls of the test of organisations have an id, since the rig's upstream answers one without an id with an empty Attempt-Id.

--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -455,6 +455,8 @@
                            "control": f"{self.ip}:8306"},
                 "portRange": [7620, 7635], "heartbeat": "300ms",
                 "localApp": f"{self.ip}:8301", "service": self.service,
+                "region": "inland",
+                "zones": {"east": "inland", "west": "inland"},
                 "bounds": {"budgetSlack": 56, "grace": "6s"},
                 "infra": {"address": self.rig.store_address}}
 
@@ -485,16 +487,29 @@
 
 
 def render(template, template_values):
-    """Replace {{a}}, {{a.b}} and {{a.0}}; the content of sections is kept."""
-    template = re.sub(r"\{\{[#/][\w.]+\}\}", "", template)
+    """Replace {{a}}, {{a.b}}, {{a.0}} and {{a|json}}.
 
-    def value(match):
+    The content of a section {{#a.b}}...{{/a.b}} is kept if the value exists.
+    """
+    def find(path):
         node = template_values
-        for segment in match.group(1).split("."):
+        for segment in path.split("."):
             node = node[int(segment)] if isinstance(node, list) \
                 else node[segment]
-        return str(node)
-    return re.sub(r"\{\{([\w.]+)\}\}", value, template)
+        return node
+
+    def section(match):
+        try:
+            find(match.group(1))
+        except KeyError:
+            return ""
+        return match.group(2)
+
+    def value(match):
+        found = find(match.group(1))
+        return json.dumps(found) if match.group(2) else str(found)
+    template = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template)
+    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value, template)
 
 
 class Rig:
--- a/test/process/test_organisations.py
+++ b/test/process/test_organisations.py
@@ -34,7 +34,8 @@
             source_address=(source, 0) if source else None)
 
     def status(self, key=None, path="/a/x", fields=()):
-        sent = {"Host": HOST, "Timeout-Ms": "2000", **dict(fields)}
+        sent = {"Host": HOST, "Timeout-Ms": "2000", "Attempt-Id": "call",
+                **dict(fields)}
         if key:
             sent["Authorization"] = f"Token {key}"
         self.connection.request("GET", path, headers=sent)
