--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -466,7 +466,9 @@
                            "control": f"{self.ip}:8306"},
                 "portRange": [7620, 7635], "heartbeat": "300ms",
                 "localApp": f"{self.ip}:8301", "service": self.service,
-                "region": "", "zones": {}, "bounds": self.rig.bounds,
+                "region": "inland",
+                "zones": {"east": "inland", "west": "inland"},
+                "bounds": self.rig.bounds,
                 "infra": {"address": self.rig.store_address}}
 
     def start(self):
