Let organisations take turns at the gate

Cause: within a rank the gate served calls in the order of arrival. One organisation beyond its usual load filled the queue, and the others' calls were refused or late. A nested call waited behind new ones while its parent held a slot.

Change: fair_queue holds the calls of one rank; organisations take turns by slot time. A full queue removes the newest call of the organisation with the most waiting calls of the rank. The estimate of the wait counts the calls that start before by turns. Where the configuration has organisations, nested calls go first in their rank; an entry counts calls of the upstream on its VM as nested. Without organisations the order is the same as before.

--- a/benchmarks/bench_admission.cpp
+++ b/benchmarks/bench_admission.cpp
@@ -42,19 +42,23 @@
               << "\n";
 }
 
-admission::attempt make_call(std::uint64_t id, time_point now)
+admission::attempt
+make_call(std::uint64_t id, time_point now, std::uint64_t organisations)
 {
     static constexpr const char* ranks[] = {"urgent", "normal", "bulk"};
     admission::attempt call;
     call.key.id = static_cast<support::attempt_id>(id);
     call.rank = ranks[id % 3];
     call.deadline = now + std::chrono::seconds(10);
+    if (organisations != 0)
+        call.organisation =
+            "organisation-" + std::to_string(id * 7919 % organisations);
     return call;
 }
 
-/// Returns the p99 duration of an offer while the queue is full. After every
-/// tenth offer a running call ends.
-double offer_p99_us()
+/// Returns the p99 duration of an offer while the queue is full of calls of
+/// \p organisations organisations. After every tenth offer a running call ends.
+double offer_p99_us(std::uint64_t organisations)
 {
     admission::gate gate(config::default_configuration());
     time_point now{std::chrono::hours(1)};
@@ -64,7 +68,8 @@
     latencies_us.reserve(decisions);
     for (int index = 0; index < decisions; ++index) {
         now += std::chrono::microseconds(20);
-        const auto call = make_call(static_cast<std::uint64_t>(index), now);
+        const auto call =
+            make_call(static_cast<std::uint64_t>(index), now, organisations);
         const auto offer_start = support::monotonic_clock::now();
         const auto actions = gate.offer(call, now);
         const duration latency = support::monotonic_clock::now() - offer_start;
@@ -135,7 +140,7 @@
             running_probe.reset();
         }
         while (next_call <= now) {
-            const auto call = make_call(++last_id, now);
+            const auto call = make_call(++last_id, now, 0);
             gate.offer(call, now);
             gate.on_ended(call.key, admission::run_result::answered,
                           support::from_ms(service_ms), now);
@@ -159,7 +164,12 @@
 {
     using namespace galenarudder::bench;
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    print("admission.offer_p99", offer_p99_us(), "us", added_latency_us);
+    print("admission.offer_p99", offer_p99_us(0), "us", added_latency_us);
+    for (const std::uint64_t organisations : {1UL, 72UL, 10'000UL}) {
+        print("admission.offer_p99_organisations_" +
+                  std::to_string(organisations),
+              offer_p99_us(organisations), "us", added_latency_us);
+    }
     for (const std::size_t entries : {3UL, 300UL}) {
         std::uint64_t probe_count = 0;
         const double share = probe_share(entries, probe_count);
--- a/include/galenarudder/admission/attempt.hpp
+++ b/include/galenarudder/admission/attempt.hpp
@@ -34,6 +34,11 @@
     /// Whether the gate may hand it back, because its entry can send it to
     /// another upstream.
     bool may_hand_back = false;
+    /// Name of the caller's organisation; empty if it has none.
+    std::string organisation;
+    /// Whether it goes before the calls of its rank that are not nested, since
+    /// its parent holds a slot until it ends.
+    bool nested = false;
 };
 
 } // namespace galenarudder::admission
--- a/include/galenarudder/admission/rank_queue.hpp
+++ b/include/galenarudder/admission/rank_queue.hpp
@@ -4,12 +4,12 @@
 #pragma once
 
 #include "galenarudder/admission/attempt.hpp"
+#include "galenarudder/admission/fair_queue.hpp"
 #include "galenarudder/config/configuration.hpp"
 #include "galenarudder/support/time.hpp"
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -31,6 +31,8 @@
 /// idle rank earns no credit and loses the credit it has, so that other ranks
 /// use its share meanwhile. A rank that exceeds its share owes at most the cost
 /// of one call. Credit is limited to the rank's share of one window.
+///
+/// Within a rank, fair_queue determines the order of the calls.
 class rank_queue
 {
 public:
@@ -53,45 +55,46 @@
     }
     /// Returns the number of waiting calls of \p rank and more urgent ranks.
     std::size_t waiting_at_or_before(std::size_t rank) const;
+    /// Returns how many waiting calls are expected to start before \p call if
+    /// it is added now and the calls of its rank take \p cost_ms each.
+    std::size_t waiting_before(const attempt& call, double cost_ms) const;
 
     void push(attempt call);
     /// Removes and returns one call if the queue exceeds its capacity: the
     /// newest call of the least urgent rank that occupies more places than are
-    /// reserved for it.
+    /// reserved for it. Among organisations, it is of the one with the most
+    /// waiting calls of that rank.
     std::optional<attempt> drop_overflow();
     /// Removes and returns the call to start next, among the ranks for which
     /// \p eligible holds.
     std::optional<attempt> pop(const rank_predicate& eligible);
-    /// Charges \p rank_name for a started call that is expected to occupy one
-    /// slot for \p cost_ms. \p limit is the number of calls that may run at
-    /// once; it bounds the credit of each rank.
-    void
-    charge(const std::string& rank_name, double cost_ms, std::uint32_t limit);
-    /// Accounts for the end of a started call of \p rank_name. It was
-    /// charged \p charged_ms and took \p took_ms; the difference is charged or
-    /// refunded.
+    /// Charges \p rank_name and \p organisation for a started call that is
+    /// expected to occupy one slot for \p cost_ms. \p limit is the number of
+    /// calls that may run at once; it bounds the credit of each rank.
+    void charge(const std::string& rank_name,
+                double cost_ms,
+                std::uint32_t limit,
+                std::string_view organisation = {});
+    /// Accounts for the end of a started call of \p rank_name and
+    /// \p organisation. It was charged \p charged_ms and took \p took_ms; the
+    /// difference is charged or refunded.
     void release(const std::string& rank_name,
                  double charged_ms,
                  double took_ms,
-                 std::uint32_t limit);
+                 std::uint32_t limit,
+                 std::string_view organisation = {});
     std::size_t running(std::size_t rank) const { return lanes_[rank].running; }
     std::size_t running() const;
 
     using attempt_predicate = std::function<bool(const attempt&)>;
     /// Removes and returns the waiting calls for which \p matches holds. The
     /// calls are visited once each, from the most to the least urgent rank and
-    /// in order of arrival within a rank.
+    /// in the expected order of their starts within a rank.
     std::vector<attempt> remove_in_order(const attempt_predicate& matches);
     /// Removes and returns the waiting calls for which \p matches holds.
     std::vector<attempt> remove_if(const attempt_predicate& matches);
 
 private:
-    struct queued_call
-    {
-        attempt call;
-        /// Order of arrival.
-        std::uint64_t sequence = 0;
-    };
     /// The calls of one rank.
     struct lane
     {
@@ -100,15 +103,12 @@
         std::size_t reserved_places = 0;
         double credit_ms = 0;
         std::size_t running = 0;
-        std::deque<queued_call> waiting;
+        fair_queue waiting;
 
         bool idle() const { return waiting.empty() && running == 0; }
     };
 
     void insert(queued_call queued);
-    static void remove_from(lane& rank_lane,
-                            const attempt_predicate& matches,
-                            std::vector<attempt>& removed);
     void
     charge_and_credit(std::size_t rank, double cost_ms, std::uint32_t limit);
     std::optional<std::size_t>
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -92,7 +92,7 @@
     bool may_start(std::size_t rank) const;
     support::duration expected_service_time(const attempt& call) const;
     std::uint32_t usable_slots() const;
-    support::duration expected_wait(std::size_t rank) const;
+    support::duration expected_wait(std::size_t calls_ahead) const;
     bool misses_deadline(const attempt& call,
                          support::duration wait,
                          support::time_point now) const;
@@ -170,15 +170,15 @@
         std::clamp<double>(usable, 1, static_cast<double>(slots)));
 }
 
-/// Returns the estimated time until a new call of \p rank starts.
-support::duration gate::state::expected_wait(std::size_t rank) const
+/// Returns the estimated time until a new call starts that has \p calls_ahead
+/// waiting calls before it.
+support::duration gate::state::expected_wait(std::size_t calls_ahead) const
 {
     const std::size_t current_limit = concurrency.current();
     if (current_limit == 0 || queue.running() < current_limit)
         return support::duration(0);
-    const auto calls_ahead =
-        static_cast<double>(queue.waiting_at_or_before(rank) + 1);
-    return support::from_ms(calls_ahead * service_times.mean_ms() /
+    const auto starts = static_cast<double>(calls_ahead + 1);
+    return support::from_ms(starts * service_times.mean_ms() /
                             static_cast<double>(current_limit));
 }
 
@@ -210,7 +210,7 @@
 
 support::milliseconds gate::state::retry_after() const
 {
-    const support::duration backlog = expected_wait(queue.rank_count() - 1);
+    const support::duration backlog = expected_wait(queue.size());
     return std::clamp(
         std::chrono::duration_cast<support::milliseconds>(2 * backlog),
         min_retry_after, max_retry_after);
@@ -313,7 +313,8 @@
             continue;
         }
         const double cost_ms = service_times.mean_ms(next->rank);
-        queue.charge(next->rank, cost_ms, concurrency.current());
+        queue.charge(next->rank, cost_ms, concurrency.current(),
+                     next->organisation);
         stated_limit.on_start(now);
         ++counts.started;
         actions.emplace_back(start{next->key});
@@ -425,15 +426,14 @@
         return {state_->refuse_for_deadline(call, "the deadline has passed")};
     if (call.may_hand_back && state_->slowdowns.is_slow_by_fresh_report(now))
         return {state_->hand_back(call, refusal_kind::slow_spell)};
-    const std::size_t ahead =
-        state_->queue.waiting_at_or_before(state_->queue.rank_of(call.rank));
+    const std::size_t ahead = state_->queue.waiting_before(
+        call, state_->service_times.mean_ms(call.rank));
     // A shorter wait is about what the entry expected when it chose this gate.
     const bool waits_long = state_->stated_limit.wait(ahead, now) >
                             state_->expected_service_time(call);
     if (call.may_hand_back && waits_long)
         return {state_->hand_back(call, refusal_kind::rate_limited)};
-    const std::size_t rank = state_->queue.rank_of(call.rank);
-    const support::duration wait = state_->expected_wait(rank);
+    const support::duration wait = state_->expected_wait(ahead);
     if (state_->misses_deadline(call, wait, now) && state_->try_shed(now)) {
         return {state_->refuse_for_deadline(
             call, "the queue leaves too little time before the deadline")};
@@ -460,9 +460,9 @@
     const running_call ended_call = std::move(found->second);
     const std::string& rank = ended_call.call.rank;
     state_->running.erase(found);
-    state_->queue.release(rank, ended_call.charged_ms,
-                          support::to_ms(service_time),
-                          state_->concurrency.current());
+    state_->queue.release(
+        rank, ended_call.charged_ms, support::to_ms(service_time),
+        state_->concurrency.current(), ended_call.call.organisation);
     if (result == run_result::answered) {
         state_->idle_estimate.on_call_answered(now);
         const double inflation =
--- a/lib/admission/rank_queue.cpp
+++ b/lib/admission/rank_queue.cpp
@@ -44,7 +44,8 @@
     for (lane& previous_lane : previous_lanes) {
         lane& new_lane = lanes_[rank_of(previous_lane.name)];
         new_lane.credit_ms = previous_lane.credit_ms;
-        for (queued_call& queued : previous_lane.waiting)
+        new_lane.waiting.take_excess(previous_lane.waiting);
+        for (queued_call& queued : previous_lane.waiting.take_all())
             insert(std::move(queued));
     }
     for (const auto& [name, count] : running_by_name_)
@@ -73,16 +74,19 @@
     return count;
 }
 
+std::size_t rank_queue::waiting_before(const attempt& call,
+                                       double cost_ms) const
+{
+    const std::size_t rank = rank_of(call.rank);
+    const std::size_t more_urgent =
+        rank == 0 ? 0 : waiting_at_or_before(rank - 1);
+    return more_urgent + lanes_[rank].waiting.ahead_of(call, cost_ms);
+}
+
 void rank_queue::insert(queued_call queued)
 {
-    std::deque<queued_call>& waiting =
-        lanes_[rank_of(queued.call.rank)].waiting;
-    const auto insert_position = std::upper_bound(
-        waiting.begin(), waiting.end(), queued.sequence,
-        [](std::uint64_t sequence, const queued_call& existing) {
-            return sequence < existing.sequence;
-        });
-    waiting.insert(insert_position, std::move(queued));
+    fair_queue& waiting = lanes_[rank_of(queued.call.rank)].waiting;
+    waiting.insert(std::move(queued));
 }
 
 void rank_queue::push(attempt call)
@@ -107,8 +111,7 @@
             victim_rank = from_end;
     }
     lane& victim = lanes_[victim_rank];
-    attempt dropped = std::move(victim.waiting.back().call);
-    victim.waiting.pop_back();
+    attempt dropped = victim.waiting.drop_newest();
     clear_credit_if_idle(victim);
     return dropped;
 }
@@ -134,18 +137,17 @@
     const std::optional<std::size_t> rank = choose_rank(eligible);
     if (!rank)
         return std::nullopt;
-    lane& next_lane = lanes_[*rank];
-    attempt next = std::move(next_lane.waiting.front().call);
-    next_lane.waiting.pop_front();
-    return next;
+    return lanes_[*rank].waiting.pop();
 }
 
 void rank_queue::charge(const std::string& rank_name,
                         double cost_ms,
-                        std::uint32_t limit)
+                        std::uint32_t limit,
+                        std::string_view organisation)
 {
     const std::size_t rank = rank_of(rank_name);
     charge_and_credit(rank, cost_ms, limit);
+    lanes_[rank].waiting.charge(organisation, cost_ms);
     lane& charged_lane = lanes_[rank];
     charged_lane.credit_ms = std::max(charged_lane.credit_ms, -cost_ms);
     ++charged_lane.running;
@@ -176,13 +178,10 @@
 {
     std::vector<attempt> removed;
     for (lane& rank_lane : lanes_) {
-        const auto call_matches = [&](const queued_call& queued) {
-            return matches(queued.call);
-        };
-        if (std::none_of(rank_lane.waiting.begin(), rank_lane.waiting.end(),
-                         call_matches))
+        if (!rank_lane.waiting.any_of(matches))
             continue;
-        remove_from(rank_lane, matches, removed);
+        rank_lane.waiting.remove_if(matches, removed);
+        clear_credit_if_idle(rank_lane);
     }
     return removed;
 }
@@ -191,30 +190,18 @@
 rank_queue::remove_in_order(const attempt_predicate& matches)
 {
     std::vector<attempt> removed;
-    for (lane& rank_lane : lanes_)
-        remove_from(rank_lane, matches, removed);
-    return removed;
-}
-
-void rank_queue::remove_from(lane& rank_lane,
-                             const attempt_predicate& matches,
-                             std::vector<attempt>& removed)
-{
-    std::deque<queued_call> remaining;
-    for (queued_call& queued : rank_lane.waiting) {
-        if (matches(queued.call))
-            removed.push_back(std::move(queued.call));
-        else
-            remaining.push_back(std::move(queued));
+    for (lane& rank_lane : lanes_) {
+        rank_lane.waiting.remove_if(matches, removed);
+        clear_credit_if_idle(rank_lane);
     }
-    rank_lane.waiting = std::move(remaining);
-    clear_credit_if_idle(rank_lane);
+    return removed;
 }
 
 void rank_queue::release(const std::string& rank_name,
                          double charged_ms,
                          double took_ms,
-                         std::uint32_t limit)
+                         std::uint32_t limit,
+                         std::string_view organisation)
 {
     const std::size_t rank = rank_of(rank_name);
     lane& call_lane = lanes_[rank];
@@ -224,6 +211,7 @@
     if (--running_calls->second == 0)
         running_by_name_.erase(running_calls);
     charge_and_credit(rank, took_ms - charged_ms, limit);
+    call_lane.waiting.charge(organisation, took_ms - charged_ms);
     call_lane.credit_ms = std::max(call_lane.credit_ms, -took_ms);
     --call_lane.running;
     clear_credit_if_idle(call_lane);
@@ -239,8 +227,10 @@
 
 void rank_queue::clear_credit_if_idle(lane& rank_lane)
 {
-    if (rank_lane.idle())
-        rank_lane.credit_ms = std::min(rank_lane.credit_ms, 0.0);
+    if (!rank_lane.idle())
+        return;
+    rank_lane.credit_ms = std::min(rank_lane.credit_ms, 0.0);
+    rank_lane.waiting.reset();
 }
 
 } // namespace galenarudder::admission
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Depth from which gates take a call for nested; see gate_runtime.
+constexpr unsigned first_nested_depth = 2;
+
 refusal refused_before_dispatch(refusal_kind kind, std::string detail)
 {
     return {kind, run_outcome::not_run, true, support::milliseconds(0),
@@ -299,6 +302,10 @@
     head.idempotency_key =
         std::string(find_field(head.fields, dialect_.idempotency_key));
     head.depth = static_cast<unsigned>(depth) + 1;
+    // Gates let nested calls go first where there are organisations. Upstreams
+    // of such deployments do not all state the depth of their calls.
+    if (from_upstream && !in_force->organisations.empty())
+        head.depth = std::max(head.depth, first_nested_depth);
     remove_unforwarded_fields(head.fields, dialect_);
     if (!dialect_.calling_service.empty())
         head.fields.push_back(
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -106,6 +106,7 @@
                 const support::refusal& reason,
                 const support::load_report& load);
     void refuse_other_service(const attempt_key& key);
+    bool is_nested(const support::call_head& head) const;
     void query_slowdown();
     void arm_timer();
     void on_finished(const attempt_key& key,
@@ -207,9 +208,13 @@
     const attempt_key key{link, attempt->head.id};
     const support::time_point deadline =
         std::min(attempt->deadline, now + attempt->head.remaining_time);
-    admission::attempt offered{key, attempt->head.rank, deadline,
+    admission::attempt offered{key,
+                               attempt->head.rank,
+                               deadline,
                                attempt->head.repeatable,
-                               attempt->head.may_hand_back};
+                               attempt->head.may_hand_back,
+                               attempt->head.organisation,
+                               is_nested(attempt->head)};
     const bool is_for_upstream = attempt->head.service == upstream_.service;
     attempts_[key] = {std::move(attempt), deadline, nullptr, now, {}};
     // The entry may not know yet that an upstream of another service is at this
@@ -220,6 +225,15 @@
         refuse_other_service(key);
 }
 
+/// Returns whether the call takes precedence as a nested one. Deployments
+/// without organisations are served in the order of arrival.
+bool gate_runtime::impl::is_nested(const support::call_head& head) const
+{
+    constexpr unsigned first_nested_depth = 2;
+    return head.depth >= first_nested_depth &&
+           !in_force_->organisations.empty();
+}
+
 /// Refuses a call for a service that the upstream does not run. The refusal
 /// carries no load, since that would be taken for the load of an upstream of
 /// the call's service.
--- a/unittests/entry/entry_test.cpp
+++ b/unittests/entry/entry_test.cpp
@@ -84,6 +84,26 @@
     }
 }
 
+TEST_CASE("calls of the upstream on this VM count as nested if there are "
+          "organisations")
+{
+    fixture given;
+    given.tested_entry.set_upstream_address("10.1.0.8");
+    const auto depth_of_call = [&](const char* peer) {
+        const auto classified =
+            given.classify("POST", "/", "kitcheck", {}, peer);
+        return std::get<classified_call>(classified).head.depth;
+    };
+    CHECK(depth_of_call("10.1.0.8") == 1);
+    config::configuration with_organisations = two_services();
+    with_organisations.organisations.push_back(
+        std::make_shared<const config::organisation_policy>());
+    given.in_force.replace(
+        std::make_shared<const config::configuration>(with_organisations));
+    CHECK(depth_of_call("10.1.0.8") == 2);
+    CHECK(depth_of_call("10.1.0.9") == 1);
+}
+
 TEST_CASE("the Host field, else the first path segment, names the service")
 {
     struct row
--- a/unittests/entry/gate_runtime_test.cpp
+++ b/unittests/entry/gate_runtime_test.cpp
@@ -46,9 +46,11 @@
     link::exchange_ptr submit(std::uint64_t id,
                               bool repeatable,
                               std::uint64_t link = 0,
-                              std::string service = {})
+                              std::string service = {},
+                              unsigned depth = 1)
     {
         support::call_head head;
+        head.depth = depth;
         head.service = std::move(service);
         head.id = static_cast<support::attempt_id>(id);
         head.rank = "urgent";
@@ -134,6 +136,37 @@
                                 std::chrono::milliseconds(50)));
 }
 
+// Guards against parents that hold slots while their nested calls wait behind
+// new ones, and against another order where there are no organisations.
+TEST_CASE("a nested call starts before an earlier new one if there are "
+          "organisations")
+{
+    const bool has_organisations = GENERATE(true, false);
+    config::configuration in_force = config::default_configuration();
+    if (has_organisations) {
+        in_force.organisations.push_back(
+            std::make_shared<const config::organisation_policy>());
+    }
+    fixture given;
+    given.gate.configure(
+        std::make_shared<const config::configuration>(in_force));
+    given.gate.set_upstream(properties_of(given.upstream.endpoint()));
+    const auto first = given.submit(1, true);
+    const auto fresh = given.submit(2, true);
+    const auto nested = given.submit(3, true, 0, {}, 2);
+    given.gate.cancel(first);
+    REQUIRE(given.run_until([&] { return given.refusals.count(1) != 0; }));
+    given.gate.cancel(fresh);
+    given.gate.cancel(nested);
+    REQUIRE(given.run_until([&] { return given.refusals.size() == 3; }));
+    const bool nested_started =
+        given.refusals[3].outcome == support::run_outcome::unknown;
+    const bool fresh_started =
+        given.refusals[2].outcome == support::run_outcome::unknown;
+    CHECK(nested_started == has_organisations);
+    CHECK(fresh_started == !has_organisations);
+}
+
 TEST_CASE("a drain refuses waiting calls and ends when the running call ends")
 {
     fixture given;
