--- a/lib/organisations/limiter.cpp
+++ b/lib/organisations/limiter.cpp
@@ -113,7 +113,8 @@
 /// but have shares.
 void limiter::ask_for_known_count(support::time_point now)
 {
-    if (members_.has_share() || now - last_greeting_ < greeting_interval)
+    if (limits_.empty() || members_.has_share() ||
+        now - last_greeting_ < greeting_interval)
         return;
     last_greeting_ = now;
     const std::vector<member_hash> peers = members_.live_peers();
