Expect the counts of seven automations

Cause: test_configuration expects one count for each automation and effect; organisation_limit is the seventh automation.

Change: 21 instead of 18 counts.

--- a/test/process/test_configuration.py
+++ b/test/process/test_configuration.py
@@ -132,7 +132,7 @@
     expect(replayed.returncode == 0, replayed.stderr)
     decisions = json.loads(fleet.ctl_on_files("decisions", "--output",
                                               "json").stdout)
-    expect(len(decisions["counts"]) == 18, decisions)
+    expect(len(decisions["counts"]) == 21, decisions)
 
 
 def unsigned_documents_are_refused(fleet):
