Test the gate with an upstream that becomes cold between check-ins

Guards against an upstream that is overrun until its next check-in, and against probes that are billed for nothing.

--- /dev/null
+++ b/unittests/entry/cold_upstream_test.cpp
@@ -0,0 +1,183 @@
+// gate_runtime against an upstream on loopback that becomes cold without saying
+// so in its announcements.
+#include "galenarudder/http/server.hpp"
+#include "galenarudder/proxy/gate_runtime.hpp"
+#include "galenarudder/proxy/http_fields.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace galenarudder::proxy {
+
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using support::monotonic_clock;
+
+const config::endpoint upstream_endpoint{"127.2.2.203", 8301};
+constexpr double cold_calls_per_s = 10;
+
+std::optional<upstream_load> read_load(const support::response_head& response)
+{
+    const std::string_view text = find_field(response.fields, "Cold-Ms");
+    if (text.empty())
+        return std::nullopt;
+    long remaining_ms = 0;
+    std::from_chars(text.data(), text.data() + text.size(), remaining_ms);
+    upstream_load load;
+    load.cold = support::milliseconds(remaining_ms);
+    return load;
+}
+
+http_dialect make_dialect()
+{
+    http_dialect dialect = product_dialect();
+    dialect.read_load = read_load;
+    return dialect;
+}
+
+/// An upstream and its gate, with 40 calls a second.
+class fixture
+{
+public:
+    explicit fixture(double limit)
+        : server_(io_,
+                  [this](http::request received)
+                      -> asio::awaitable<http::response> {
+                      co_return respond(received);
+                  }),
+          gate(io_, configuration(limit), dialect_)
+    {
+        REQUIRE(server_.listen(upstream_endpoint));
+        gate.set_upstream(properties());
+    }
+
+    static upstream_properties properties()
+    {
+        upstream_properties upstream;
+        upstream.endpoint = upstream_endpoint;
+        upstream.service = "alpha";
+        upstream.slots = 6;
+        upstream.max_connections = 20;
+        upstream.probe_path = "/healthz";
+        return upstream;
+    }
+
+    void run(support::duration span)
+    {
+        const auto end = monotonic_clock::now() + span;
+        auto next_call = monotonic_clock::now();
+        while (monotonic_clock::now() < end) {
+            for (; next_call <= monotonic_clock::now(); next_call += 25ms)
+                submit();
+            io_.restart();
+            io_.run_one_for(5ms);
+        }
+    }
+
+    /// Calls that reached the upstream from \p begin on.
+    std::size_t calls_since(support::time_point begin) const
+    {
+        return static_cast<std::size_t>(
+            calls.end() - std::lower_bound(calls.begin(), calls.end(), begin));
+    }
+
+private:
+    static std::shared_ptr<const config::configuration>
+    configuration(double limit)
+    {
+        config::configuration in_force = config::default_configuration();
+        config::service_policy service;
+        service.name = "alpha";
+        service.cold_calls_per_s = limit;
+        in_force.services.push_back(service);
+        return std::make_shared<const config::configuration>(in_force);
+    }
+    http::response respond(const http::request& received)
+    {
+        http::response made;
+        if (received.path != "/healthz") {
+            calls.push_back(monotonic_clock::now());
+            return made;
+        }
+        probes.push_back(monotonic_clock::now());
+        const auto remaining =
+            std::max(cold_until - monotonic_clock::now(), support::duration(0));
+        const auto remaining_ms =
+            std::chrono::duration_cast<support::milliseconds>(remaining);
+        made.fields = {{"Cold-Ms", std::to_string(remaining_ms.count())}};
+        return made;
+    }
+    void submit()
+    {
+        support::call_head head;
+        head.id = static_cast<support::attempt_id>(++last_id_);
+        head.rank = "urgent";
+        head.method = "GET";
+        head.target = "/";
+        head.content_length = 0;
+        head.remaining_time = 400ms;
+        auto exchange = std::make_shared<link::exchange>(std::move(head),
+                                                         io_.get_executor());
+        exchange->deliver = [](const link::exchange_event&) {};
+        gate.submit_from(1, exchange);
+    }
+
+    http_dialect dialect_ = make_dialect();
+    asio::io_context io_{1};
+    http::server server_;
+    std::uint64_t last_id_ = 0;
+
+public:
+    std::vector<support::time_point> calls;
+    std::vector<support::time_point> probes;
+    support::time_point cold_until;
+    gate_runtime gate;
+};
+
+} // namespace
+
+TEST_CASE("an upstream that becomes cold between check-ins is not overrun")
+{
+    fixture given(cold_calls_per_s);
+    given.run(1500ms);
+    CHECK(given.calls.size() > 40);
+    const auto cold_since = monotonic_clock::now();
+    given.cold_until = cold_since + 10s;
+    // A check-in that was sent before says that it is not cold.
+    given.gate.set_upstream(fixture::properties());
+    given.run(3s);
+    // The tolerance of the users' rules, for the first second of it.
+    CHECK(given.calls_since(cold_since) - given.calls_since(cold_since + 1s) <=
+          1.5 * cold_calls_per_s + 8);
+    CHECK(given.calls_since(monotonic_clock::now() - 1s) <=
+          cold_calls_per_s + 1);
+    CHECK(given.calls_since(monotonic_clock::now() - 1s) >=
+          cold_calls_per_s - 3);
+    CHECK(given.probes.size() <= 9);
+}
+
+TEST_CASE("without a cold limit the health path is not queried for it")
+{
+    fixture given(0);
+    given.run(1s);
+    CHECK(given.probes.empty());
+}
+
+TEST_CASE("the gate of an emptied domain sends neither calls nor probes")
+{
+    fixture given(cold_calls_per_s);
+    given.gate.set_emptied(true);
+    given.run(1s);
+    CHECK(given.calls.empty());
+    CHECK(given.probes.empty());
+    given.gate.set_emptied(false);
+    given.run(500ms);
+    CHECK(given.calls.size() > 10);
+}
+
+} // namespace galenarudder::proxy
