--- a/test/process/test_emptied_domains.py
+++ b/test/process/test_emptied_domains.py
@@ -8,6 +8,8 @@
 
 import json
 import pathlib
+import re
+import subprocess
 import sys
 import threading
 import time
@@ -83,6 +85,12 @@
     return [row["domain"] for row in answer["emptied"]]
 
 
+def status_of(rig, vm):
+    return subprocess.run([rig.build / "galenarudderctl", "status",
+                           f"--daemon={vm.ip}:9464"], check=True,
+                          capture_output=True, text=True).stdout
+
+
 def nothing_reaches_the_domain(east, acknowledged, what):
     calls = received(east, acknowledged)
     last = max(calls, default=acknowledged) - acknowledged
@@ -110,7 +118,17 @@
                 vm.upstream.delay_s = 1
             time.sleep(1.2)
             begin = empty(rig)
-            time.sleep(BOUND_S)
+            wait_for(lambda: emptied_domains(west[0]) == ["east"],
+                     "a daemon elsewhere knows of it")
+            status = status_of(rig, west[0])
+            print(status, flush=True)
+            running = re.search(
+                r"domain east: emptied for \d+ s, (\d+) calls", status)
+            check(running and int(running[1]) > 0,
+                  "the status names the domain and what still runs there")
+            time.sleep(begin + BOUND_S - time.monotonic())
+            check(", 0 calls still run there" in status_of(rig, west[0]),
+                  "what ran there has ended")
             nothing_reaches_the_domain(east, begin, "all daemons in touch")
             for vm in east:
                 vm.upstream.delay_s = 0
