--- a/unittests/admission/cold_limit_test.cpp
+++ b/unittests/admission/cold_limit_test.cpp
@@ -4,6 +4,8 @@
 #include "galenarudder/admission/gate.hpp"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
 
 #include <algorithm>
 #include <map>
@@ -218,4 +220,43 @@
     CHECK(upstream.starts.size() > before + 30);
 }
 
+TEST_CASE("no second of a known cold time holds more than the limit")
+{
+    rc::prop("any arrivals and statements", [] {
+        const double rate = *rc::gen::inRange(1, 400) / 10.0;
+        cold_limit limit;
+        limit.set_rate(rate);
+        std::vector<support::time_point> starts;
+        auto now = start_time;
+        // Begin of the cold time that is known at present.
+        auto cold_since = support::time_point::max();
+        const auto permitted =
+            std::max<std::size_t>(1, static_cast<std::size_t>(rate));
+        for (int step = 0; step < 400; ++step) {
+            now += support::milliseconds(*rc::gen::inRange(0, 40));
+            if (*rc::gen::inRange(0, 20) == 0) {
+                const auto source = *rc::gen::element(cold_source::announcement,
+                                                      cold_source::response);
+                limit.on_stated(
+                    source, support::milliseconds(*rc::gen::inRange(0, 4000)),
+                    now);
+            }
+            if (!limit.applies(now))
+                cold_since = support::time_point::max();
+            else
+                cold_since = std::min(cold_since, now);
+            const int offered = *rc::gen::inRange(0, 8);
+            for (int call = 0; call < offered; ++call) {
+                if (limit.wait(0, now) > 0s)
+                    break;
+                limit.on_start(now);
+                starts.push_back(now);
+            }
+            if (cold_since > now)
+                continue;
+            RC_ASSERT(most_in_a_second(starts, cold_since) <= permitted);
+        }
+    });
+}
+
 } // namespace galenarudder::admission
