--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -1,131 +1,24 @@
 // Combines the queue, the concurrency limit, the estimates of service times and
 // the slowdown monitor into the gate's decisions.
-#include "galenarudder/admission/gate.hpp"
-
-#include "galenarudder/admission/concurrency_limit.hpp"
-#include "galenarudder/admission/rank_queue.hpp"
-#include "galenarudder/admission/rate_limit.hpp"
-#include "galenarudder/admission/service_estimate.hpp"
-#include "galenarudder/admission/slowdown_monitor.hpp"
-#include "galenarudder/telemetry/decision_log.hpp"
+#include "gate_state.hpp"
 
 #include <algorithm>
-#include <cassert>
-#include <cmath>
-#include <map>
 
 namespace galenarudder::admission {
 
 using config::automation;
-using config::automation_mode;
 using config::limit;
-using support::refusal;
 using support::refusal_kind;
-using support::run_outcome;
 using telemetry::decision_effect;
 
 namespace {
 
-/// Bounds of the Retry-After value that refusals carry.
-constexpr support::milliseconds min_retry_after{100};
-constexpr support::milliseconds max_retry_after{10'000};
-/// Retry-After of refusals while the upstream is draining or absent.
-constexpr support::milliseconds unavailable_retry_after{1'000};
 /// Shed calls within this time are recorded as one decision, so that they do
 /// not displace other decisions from the log.
 constexpr support::milliseconds shed_record_interval{1'000};
 
-refusal not_run(refusal_kind kind,
-                support::milliseconds retry_after,
-                std::string detail)
-{
-    return {kind, run_outcome::not_run, false, retry_after, std::move(detail)};
-}
-
-refuse
-refuse_unavailable(const attempt& call, refusal_kind kind, std::string detail)
-{
-    return {call.key,
-            not_run(kind, unavailable_retry_after, std::move(detail))};
-}
-
-struct running_call
-{
-    attempt call;
-    /// Slot time charged to the rank of the call.
-    double charged_ms = 0;
-};
-
-/// Counts calls that automation `shed` refused, or would have refused in mode
-/// observe, since they were last recorded.
-struct shed_tally
-{
-    std::uint64_t count = 0;
-    /// Time of the first of them.
-    support::time_point since;
-};
-
 } // namespace
 
-struct gate::state
-{
-    std::shared_ptr<const config::configuration> in_force;
-    telemetry::decision_log* decisions = nullptr;
-    rank_queue queue;
-    concurrency_limit concurrency;
-    service_estimate service_times;
-    slowdown_monitor slowdowns;
-    rate_limit stated_limit;
-    cold_limit cold;
-    probe_budget probes{0};
-    probe_estimate idle_estimate;
-    support::time_point probe_started_at;
-    /// Calls that were started and have not ended.
-    std::map<attempt_key, running_call> running;
-    gate_counters counts;
-    shed_tally sheds_acted;
-    shed_tally sheds_observed;
-    bool upstream_present = false;
-    bool draining = false;
-    /// Operators have emptied the failure domain.
-    bool emptied = false;
-    support::time_point serving_since;
-
-    void configure(std::shared_ptr<const config::configuration> next);
-    bool may_start(std::size_t rank) const;
-    support::duration expected_service_time(const attempt& call) const;
-    std::optional<double> start_rate(support::time_point now) const;
-    support::duration start_wait(std::size_t ahead,
-                                 support::time_point now) const;
-    std::uint32_t usable_slots(support::time_point now) const;
-    support::duration expected_wait(std::size_t rank) const;
-    bool misses_deadline(const attempt& call,
-                         support::duration wait,
-                         support::time_point now) const;
-    bool try_shed(support::time_point now);
-    support::milliseconds retry_after() const;
-    refuse refuse_for_deadline(const attempt& call, std::string detail);
-    refuse
-    hand_back(const attempt& call, refusal_kind kind, support::time_point now);
-    void hand_back_waiting(refusal_kind kind,
-                           support::time_point now,
-                           std::vector<action>& actions);
-    refuse refuse_for_limit(const attempt& call, support::time_point now);
-    void refuse_beyond_limit(support::time_point now,
-                             std::vector<action>& actions);
-    refuse refuse_overflow(const attempt& call);
-    bool slowdown_report_allows_start(support::time_point now) const;
-    void start_waiting(support::time_point now, std::vector<action>& actions);
-    void refuse_waiting(refusal_kind kind,
-                        std::string_view detail,
-                        std::vector<action>& actions);
-    void record(const std::optional<limit_change>& change,
-                support::time_point now);
-    void record_sheds(shed_tally& tally,
-                      decision_effect effect,
-                      support::time_point now);
-};
-
 void gate::state::configure(std::shared_ptr<const config::configuration> next)
 {
     in_force = std::move(next);
@@ -164,39 +57,6 @@
     return support::from_ms(service_times.mean_ms(call.rank));
 }
 
-/// Returns how many calls may start per second: the smaller of the limit that
-/// the upstream states and of what it takes while it is cold.
-std::optional<double> gate::state::start_rate(support::time_point now) const
-{
-    const std::optional<double> stated = stated_limit.calls_per_s();
-    if (!cold.applies(now))
-        return stated;
-    return std::min(cold.calls_per_s(), stated.value_or(cold.calls_per_s()));
-}
-
-/// Returns how long the call that starts after \p ahead others must wait under
-/// both limits.
-support::duration gate::state::start_wait(std::size_t ahead,
-                                          support::time_point now) const
-{
-    return std::max(stated_limit.wait(ahead, now), cold.wait(ahead, now));
-}
-
-/// Returns how many calls can run at once under the limits on starts, by which
-/// entries compare upstreams.
-std::uint32_t gate::state::usable_slots(support::time_point now) const
-{
-    const std::uint32_t slots = concurrency.current();
-    const double mean_ms = service_times.mean_ms();
-    const std::optional<double> calls_per_s = start_rate(now);
-    if (!calls_per_s || slots == 0 || mean_ms <= 0)
-        return slots;
-    constexpr double ms_per_s = 1000;
-    const double usable = std::ceil(*calls_per_s * mean_ms / ms_per_s);
-    return static_cast<std::uint32_t>(
-        std::clamp<double>(usable, 1, static_cast<double>(slots)));
-}
-
 /// Returns the estimated time until a new call of \p rank starts.
 support::duration gate::state::expected_wait(std::size_t rank) const
 {
@@ -235,90 +95,6 @@
     return acts;
 }
 
-support::milliseconds gate::state::retry_after() const
-{
-    const support::duration backlog = expected_wait(queue.rank_count() - 1);
-    return std::clamp(
-        std::chrono::duration_cast<support::milliseconds>(2 * backlog),
-        min_retry_after, max_retry_after);
-}
-
-refuse gate::state::refuse_for_deadline(const attempt& call, std::string detail)
-{
-    ++counts.refused_deadline;
-    return {call.key, not_run(refusal_kind::deadline_exceeded, retry_after(),
-                              std::move(detail))};
-}
-
-refuse gate::state::refuse_overflow(const attempt& call)
-{
-    ++counts.refused_overload;
-    return {call.key,
-            not_run(refusal_kind::overloaded, retry_after(),
-                    "the queue is full of calls that take precedence")};
-}
-
-/// Refuses the call as handed back, since its entry can send it to another
-/// upstream.
-refuse gate::state::hand_back(const attempt& call,
-                              refusal_kind kind,
-                              support::time_point now)
-{
-    ++counts.handed_back;
-    if (kind == refusal_kind::rate_limited && cold.applies(now))
-        ++counts.turned_away_cold;
-    return {call.key, not_run(kind, min_retry_after,
-                              kind == refusal_kind::slow_spell
-                                  ? "the upstream is temporarily slow"
-                                  : "the upstream's limit leaves no room now")};
-}
-
-void gate::state::hand_back_waiting(refusal_kind kind,
-                                    support::time_point now,
-                                    std::vector<action>& actions)
-{
-    const auto may_hand_back = [](const attempt& queued) {
-        return queued.may_hand_back;
-    };
-    for (const attempt& queued : queue.remove_if(may_hand_back))
-        actions.emplace_back(hand_back(queued, kind, now));
-}
-
-refuse gate::state::refuse_for_limit(const attempt& call,
-                                     support::time_point now)
-{
-    ++counts.refused_limit;
-    if (cold.applies(now))
-        ++counts.turned_away_cold;
-    const auto wait =
-        std::chrono::ceil<support::milliseconds>(start_wait(queue.size(), now));
-    return {call.key,
-            not_run(refusal_kind::rate_limited,
-                    std::clamp(wait, min_retry_after, max_retry_after),
-                    "the upstream's limit leaves no room before the deadline")};
-}
-
-/// Refuses the waiting calls that could start only when too little of their
-/// time is left, given the calls that go before them.
-void gate::state::refuse_beyond_limit(support::time_point now,
-                                      std::vector<action>& actions)
-{
-    if (!start_rate(now) || queue.size() == 0 ||
-        in_force->mode(automation::shed) == automation_mode::observe)
-        return;
-    std::size_t ahead = 0;
-    const auto has_no_room = [&](const attempt& queued) {
-        const support::duration wait = start_wait(ahead, now);
-        const bool late =
-            wait > support::duration(0) &&
-            now + wait + expected_service_time(queued) > queued.deadline;
-        ahead += late ? 0 : 1;
-        return late;
-    };
-    for (const attempt& queued : queue.remove_in_order(has_no_room))
-        actions.emplace_back(refuse_for_limit(queued, now));
-}
-
 /// Returns false during a slowdown and while the last report is too old.
 bool gate::state::slowdown_report_allows_start(support::time_point now) const
 {
@@ -356,17 +132,6 @@
     }
 }
 
-void gate::state::refuse_waiting(refusal_kind kind,
-                                 std::string_view detail,
-                                 std::vector<action>& actions)
-{
-    const auto all = [](const attempt&) { return true; };
-    for (const attempt& queued : queue.remove_if(all)) {
-        actions.emplace_back(
-            refuse_unavailable(queued, kind, std::string(detail)));
-    }
-}
-
 void gate::state::record(const std::optional<limit_change>& change,
                          support::time_point now)
 {
--- /dev/null
+++ b/lib/admission/gate_refusals.cpp
@@ -0,0 +1,168 @@
+// Limits on the starts of calls, and the refusals of calls that cannot start.
+#include "gate_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace galenarudder::admission {
+
+using config::automation;
+using config::automation_mode;
+using support::refusal;
+using support::refusal_kind;
+using support::run_outcome;
+
+namespace {
+
+/// Bounds of the Retry-After value that refusals carry.
+constexpr support::milliseconds min_retry_after{100};
+constexpr support::milliseconds max_retry_after{10'000};
+/// Retry-After of refusals while the upstream is draining or absent.
+constexpr support::milliseconds unavailable_retry_after{1'000};
+
+} // namespace
+
+refusal not_run(refusal_kind kind,
+                support::milliseconds retry_after,
+                std::string detail)
+{
+    return {kind, run_outcome::not_run, false, retry_after, std::move(detail)};
+}
+
+refuse
+refuse_unavailable(const attempt& call, refusal_kind kind, std::string detail)
+{
+    return {call.key,
+            not_run(kind, unavailable_retry_after, std::move(detail))};
+}
+
+/// Returns how many calls may start per second: the smaller of the limit that
+/// the upstream states and of what it takes while it is cold.
+std::optional<double> gate::state::start_rate(support::time_point now) const
+{
+    const std::optional<double> stated = stated_limit.calls_per_s();
+    if (!cold.applies(now))
+        return stated;
+    return std::min(cold.calls_per_s(), stated.value_or(cold.calls_per_s()));
+}
+
+/// Returns how long the call that starts after \p ahead others must wait under
+/// both limits.
+support::duration gate::state::start_wait(std::size_t ahead,
+                                          support::time_point now) const
+{
+    return std::max(stated_limit.wait(ahead, now), cold.wait(ahead, now));
+}
+
+/// Returns how many calls can run at once under the limits on starts, by which
+/// entries compare upstreams.
+std::uint32_t gate::state::usable_slots(support::time_point now) const
+{
+    const std::uint32_t slots = concurrency.current();
+    const double mean_ms = service_times.mean_ms();
+    const std::optional<double> calls_per_s = start_rate(now);
+    if (!calls_per_s || slots == 0 || mean_ms <= 0)
+        return slots;
+    constexpr double ms_per_s = 1000;
+    const double usable = std::ceil(*calls_per_s * mean_ms / ms_per_s);
+    return static_cast<std::uint32_t>(
+        std::clamp<double>(usable, 1, static_cast<double>(slots)));
+}
+
+support::milliseconds gate::state::retry_after() const
+{
+    const support::duration backlog = expected_wait(queue.rank_count() - 1);
+    return std::clamp(
+        std::chrono::duration_cast<support::milliseconds>(2 * backlog),
+        min_retry_after, max_retry_after);
+}
+
+refuse gate::state::refuse_for_deadline(const attempt& call, std::string detail)
+{
+    ++counts.refused_deadline;
+    return {call.key, not_run(refusal_kind::deadline_exceeded, retry_after(),
+                              std::move(detail))};
+}
+
+refuse gate::state::refuse_overflow(const attempt& call)
+{
+    ++counts.refused_overload;
+    return {call.key,
+            not_run(refusal_kind::overloaded, retry_after(),
+                    "the queue is full of calls that take precedence")};
+}
+
+/// Refuses the call as handed back, since its entry can send it to another
+/// upstream.
+refuse gate::state::hand_back(const attempt& call,
+                              refusal_kind kind,
+                              support::time_point now)
+{
+    ++counts.handed_back;
+    if (kind == refusal_kind::rate_limited && cold.applies(now))
+        ++counts.turned_away_cold;
+    return {call.key, not_run(kind, min_retry_after,
+                              kind == refusal_kind::slow_spell
+                                  ? "the upstream is temporarily slow"
+                                  : "the upstream's limit leaves no room now")};
+}
+
+void gate::state::hand_back_waiting(refusal_kind kind,
+                                    support::time_point now,
+                                    std::vector<action>& actions)
+{
+    const auto may_hand_back = [](const attempt& queued) {
+        return queued.may_hand_back;
+    };
+    for (const attempt& queued : queue.remove_if(may_hand_back))
+        actions.emplace_back(hand_back(queued, kind, now));
+}
+
+refuse gate::state::refuse_for_limit(const attempt& call,
+                                     support::time_point now)
+{
+    ++counts.refused_limit;
+    if (cold.applies(now))
+        ++counts.turned_away_cold;
+    const auto wait =
+        std::chrono::ceil<support::milliseconds>(start_wait(queue.size(), now));
+    return {call.key,
+            not_run(refusal_kind::rate_limited,
+                    std::clamp(wait, min_retry_after, max_retry_after),
+                    "the upstream's limit leaves no room before the deadline")};
+}
+
+/// Refuses the waiting calls that could start only when too little of their
+/// time is left, given the calls that go before them.
+void gate::state::refuse_beyond_limit(support::time_point now,
+                                      std::vector<action>& actions)
+{
+    if (!start_rate(now) || queue.size() == 0 ||
+        in_force->mode(automation::shed) == automation_mode::observe)
+        return;
+    std::size_t ahead = 0;
+    const auto has_no_room = [&](const attempt& queued) {
+        const support::duration wait = start_wait(ahead, now);
+        const bool late =
+            wait > support::duration(0) &&
+            now + wait + expected_service_time(queued) > queued.deadline;
+        ahead += late ? 0 : 1;
+        return late;
+    };
+    for (const attempt& queued : queue.remove_in_order(has_no_room))
+        actions.emplace_back(refuse_for_limit(queued, now));
+}
+
+void gate::state::refuse_waiting(refusal_kind kind,
+                                 std::string_view detail,
+                                 std::vector<action>& actions)
+{
+    const auto all = [](const attempt&) { return true; };
+    for (const attempt& queued : queue.remove_if(all)) {
+        actions.emplace_back(
+            refuse_unavailable(queued, kind, std::string(detail)));
+    }
+}
+
+} // namespace galenarudder::admission
