Test that organisations do not share idempotency keys

Cause: with the caller's key alone, one organisation would get the response that was recorded for another. It also covers Bearer and 401 with WWW-Authenticate over real daemons.

--- a/test/process/test_once.py
+++ b/test/process/test_once.py
@@ -28,10 +28,12 @@
 PAUSED_DEADLINE_MS = 1500
 
 
-def send(address, key, work_ms=4, body="a booking", deadline_ms=None):
+def send(address, key, work_ms=4, body="a booking", deadline_ms=None,
+         organisation_key="key-one"):
     """Return status, fields and body; status 0 if the connection broke."""
     connection = http.client.HTTPConnection(address, 7100, timeout=10)
-    fields = {"Idempotency-Key": key}
+    fields = {"Idempotency-Key": key,
+              "Authorization": f"bearer {organisation_key}"}
     if deadline_ms is not None:
         fields["Galenarudder-Deadline-Ms"] = str(deadline_ms)
     try:
@@ -95,6 +97,19 @@
                                          "already-running")
                 self.assertTrue(any(answer[0] == 200 for answer in answers))
 
+    def test_organisations_do_not_share_keys(self):
+        """One must not get what was answered to another."""
+        first = send(self.addresses[0], "shared", body="of the first")
+        self.assertEqual(first[0], 200)
+        second = send(self.addresses[1], "shared", body="of the second",
+                      organisation_key="key-two")
+        self.assertEqual((second[0], second[2]), (200, "of the second"))
+        self.assertEqual(self.runs("shared"), 2)
+        unknown = send(self.addresses[1], "shared", organisation_key="none")
+        self.assertEqual((unknown[0], refusal_kind(unknown)),
+                         (401, "unknown-key"))
+        self.assertEqual(unknown[1].get("WWW-Authenticate"), "Bearer")
+
     def test_second_call_gets_the_recorded_answer(self):
         first = send(self.addresses[0], "recorded", body="what was booked")
         self.assertEqual(first[0], 200)
@@ -147,7 +162,8 @@
             answer = send(self.addresses[0], "down")
             connection = http.client.HTTPConnection(self.addresses[0], 7100,
                                                     timeout=10)
-            connection.request("POST", "/bookings/new", body="plain")
+            connection.request("POST", "/bookings/new", body="plain",
+                               headers={"Authorization": "Bearer key-one"})
             self.assertEqual(connection.getresponse().status, 200)
             connection.close()
         finally:
