Mend what the review of organisations and cold upstreams found

Cause: a review read that an upstream that resets every call counted as full for good and was never ejected; that withdrawing the last organisation admitted everybody and passed keys on; that an unreadable list of emptied domains ended the watch of the configuration; that callers who share the address of an upstream counted as nested; that stated times could overflow. After a restart of all daemons calls of organisations were refused for more than 8 s.

Daemons get their share of limits when 80 of 100 members were live for 1 s instead of 95 for 3 s.

--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -226,8 +226,11 @@
     /// path instead of by service name. Versions share the routes that they
     /// have in common.
     std::vector<std::shared_ptr<const host_route>> host_routes;
-    /// Sorted by name. If there are any, a call needs the key of one of them,
-    /// unless its route is open.
+    /// Whether calls need the key of an organisation, unless their route is
+    /// open. Holds for a document with an empty list of organisations, too, so
+    /// that withdrawing the last one does not admit everybody.
+    bool requires_keys = false;
+    /// Sorted by name.
     std::vector<std::shared_ptr<const organisation_policy>> organisations;
     /// Finds an organisation by a key of it; null if there are none. Versions
     /// with the same organisations share it.
--- a/include/galenarudder/organisations/fleet.hpp
+++ b/include/galenarudder/organisations/fleet.hpp
@@ -78,7 +78,7 @@
     /// Time for which members that left in order count.
     static constexpr support::duration removal_delay = std::chrono::seconds(2);
     static constexpr support::duration growth_time = std::chrono::minutes(1);
-    static constexpr support::duration settling_time = std::chrono::seconds(3);
+    static constexpr support::duration settling_time = std::chrono::seconds(1);
 
 private:
     struct known_member
--- a/include/galenarudder/proxy/entry.hpp
+++ b/include/galenarudder/proxy/entry.hpp
@@ -36,6 +36,9 @@
     support::milliseconds goal{0};
     /// Whether the route needs no key.
     bool open = false;
+    /// Whether the configuration has organisations and the call carries no key,
+    /// as calls do that upstreams make.
+    bool lacks_key = false;
 };
 
 using classification = std::variant<classified_call, support::refusal>;
--- a/lib/admission/cold_limit.cpp
+++ b/lib/admission/cold_limit.cpp
@@ -12,11 +12,15 @@
 
 constexpr std::chrono::seconds window{1};
 
+/// Bounds of what others state, so that times do not overflow.
+constexpr support::milliseconds max_cold_time = std::chrono::hours(1);
+constexpr double min_rate = 0.01;
+
 } // namespace
 
 void cold_limit::set_rate(double calls_per_s)
 {
-    calls_per_s_ = calls_per_s;
+    calls_per_s_ = calls_per_s <= 0 ? 0 : std::max(calls_per_s, min_rate);
     if (calls_per_s_ <= 0)
         starts_.clear();
 }
@@ -25,7 +29,8 @@
                            support::milliseconds remaining,
                            support::time_point now)
 {
-    cold_until_.at(static_cast<std::size_t>(source)) = now + remaining;
+    cold_until_.at(static_cast<std::size_t>(source)) =
+        now + std::min(remaining, max_cold_time);
 }
 
 void cold_limit::on_new_instance()
--- a/lib/config/document.cpp
+++ b/lib/config/document.cpp
@@ -137,6 +137,7 @@
 {
     if (!base.contains("organisations"))
         return;
+    merged.requires_keys = true;
     for (const json& organisation_json : base.at("organisations")) {
         support::pause_point();
         merged.organisations.push_back(
--- a/lib/config/shared_document.cpp
+++ b/lib/config/shared_document.cpp
@@ -399,6 +399,8 @@
                        const configuration* in_force,
                        configuration& effective)
 {
+    effective.requires_keys =
+        shared.head.at("base").contains(name_of(shared_table::organisations));
     const table_rows& rows = shared.rows(shared_table::organisations);
     const bool can_update = earlier != nullptr && in_force != nullptr &&
                             in_force->organisation_keys != nullptr &&
--- a/lib/organisations/fleet.cpp
+++ b/lib/organisations/fleet.cpp
@@ -86,7 +86,7 @@
     // A new member that a part m of the fleet cannot see adds m/N of its own
     // share to the sum of all shares, so a few absent members are tolerated.
     // Otherwise one that stays dead would keep restarted ones from a share.
-    constexpr double required_part = 0.95;
+    constexpr double required_part = 0.8;
     const std::size_t live = live_count();
     const bool alone = live == 1 && expects_peers_;
     const std::size_t known = std::max(members_.size(), stated_count_);
--- a/lib/proxy/connection_pool.hpp
+++ b/lib/proxy/connection_pool.hpp
@@ -67,6 +67,10 @@
                     support::duration max_idle_time);
     /// Returns a connection to the pool after a call.
     void give_back(connection_ptr returned);
+    /// Counts a connection that the upstream reset; returns the number of them
+    /// since the last response.
+    unsigned count_reset() { return ++resets_in_row_; }
+    void on_response() { resets_in_row_ = 0; }
     /// Closes idle connections at once, and the others when they are given
     /// back.
     void close();
@@ -93,6 +97,7 @@
     /// Never expires; it is canceled to wake waiters when a connection was
     /// given back or closed.
     boost::asio::steady_timer availability_changed_;
+    unsigned resets_in_row_ = 0;
     bool warming_ = false;
     bool closed_ = false;
 };
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -398,6 +398,7 @@
 {
     const presented_key presented =
         find_organisation(in_force, head.fields, dialect_);
+    classified.lacks_key = !presented.present;
     const bool admitted = presented.organisation != nullptr ||
                           classified.open ||
                           (!presented.present && may_lack_key(peer));
@@ -428,7 +429,7 @@
         return std::move(*refused);
     const bool from_upstream =
         !peer.empty() && peer == *upstream_address_.read();
-    if (!in_force->organisations.empty()) {
+    if (in_force->requires_keys || !in_force->organisations.empty()) {
         refused = identify_caller(*in_force, peer, head, accepted);
         if (refused)
             return std::move(*refused);
@@ -464,7 +465,7 @@
     head.depth = static_cast<unsigned>(depth) + 1;
     // Gates let nested calls go first where there are organisations. Upstreams
     // of such deployments do not all state the depth of their calls.
-    if (from_upstream && !in_force->organisations.empty())
+    if (from_upstream && accepted.lacks_key)
         head.depth = std::max(head.depth, first_nested_depth);
     remove_unforwarded_fields(head.fields, dialect_);
     if (!dialect_.calling_service.empty())
--- a/lib/proxy/http_dialect.cpp
+++ b/lib/proxy/http_dialect.cpp
@@ -37,6 +37,11 @@
 
 unsigned refusal_status(const support::refusal& reason)
 {
+    constexpr unsigned status_bad_gateway = 502;
+    // A full upstream that reset the connection may have run the call.
+    if (reason.kind == support::refusal_kind::upstream_shed &&
+        reason.outcome == support::run_outcome::unknown)
+        return status_bad_gateway;
     return support::http_status(reason.kind);
 }
 
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -178,6 +178,10 @@
            failure == asio::error::broken_pipe;
 }
 
+/// Resets in a row, without a response between them, for which an upstream may
+/// count as full.
+constexpr unsigned max_resets_of_full_upstream = 3;
+
 /// Returns whether so many calls run that a reset connection means that the
 /// upstream is full. A single call never does.
 bool is_near_limit(const support::load_report& load)
@@ -186,12 +190,10 @@
     return load.running > 1 && load.running >= near_limit * load.limit;
 }
 
-/// A full upstream resets connections. It may have run the call before, so the
-/// outcome is unknown.
-refusal full_upstream()
+/// A full upstream resets connections. It may have run a call that it was sent.
+refusal full_upstream(run_outcome outcome)
 {
-    return {refusal_kind::upstream_shed, run_outcome::unknown, false,
-            shed_retry_after,
+    return {refusal_kind::upstream_shed, outcome, false, shed_retry_after,
             "the upstream reset the connection while it was full"};
 }
 
@@ -275,9 +277,15 @@
     upstream_result refuse_without_response()
     {
         const support::load_report load = get_load_();
-        if (!aborted_ && is_reset(read_failure_) && !parser_->got_some() &&
-            is_near_limit(load))
-            return refuse(full_upstream(), upstream_result::shed);
+        const bool reset = !aborted_ && is_reset(read_failure_) &&
+                           !parser_->got_some() && is_near_limit(load);
+        // An upstream that answers nothing any more has failed.
+        if (reset && pool_->count_reset() <= max_resets_of_full_upstream) {
+            return refuse(full_upstream(sending_started_
+                                            ? run_outcome::unknown
+                                            : run_outcome::not_run),
+                          upstream_result::shed);
+        }
         return refuse(no_response(read_failure_), upstream_result::failed);
     }
     upstream_result refuse_not_run(unsigned status)
@@ -412,6 +420,7 @@
     support::response_head head;
     if (!co_await read_matching_head(head))
         co_return refuse_without_response();
+    pool_->on_response();
     connection_->idle_timeout = idle_timeout_of(*parser_);
     stated_load_ = dialect_.read_load(head);
     if (on_demand_ && head.status != status_misdirected)
