Poll further holders when grants bring less than a burst needs

Cause: the owner answered requests once all polled holders had granted, though others still held tokens, so a burst could be refused below the limit.

Change: a grant that leaves requests pending leads to further polls. A test sends a burst of about 20 calls within 1 ms to 1, 3 and 40 entries.

--- a/lib/organisations/limit_owner.cpp
+++ b/lib/organisations/limit_owner.cpp
@@ -244,6 +244,9 @@
         state.tokens += grant.second / token_unit;
         accrue(found->second, state, now);
     }
+    // Grants may bring less than expected.
+    if (!state.pending.empty())
+        poll_holders(grant.organisation, found->second, state, now, out);
     serve(grant.organisation, found->second, state, now, out);
 }
 
--- a/unittests/organisations/limiter_test.cpp
+++ b/unittests/organisations/limiter_test.cpp
@@ -177,6 +177,22 @@
     }
 }
 
+// Guards against refusals while the tokens of a burst lie at the holders.
+TEST_CASE("a burst within the limit passes at once")
+{
+    for (const std::size_t entries : {1, 3, 40}) {
+        INFO(entries << " entries");
+        fake_fleet fleet({"one", 30, 20}, platform_tolerance, 9);
+        for (std::size_t index = 0; index < 40; ++index)
+            fleet.start(index);
+        fleet.run_until(10s);
+        fleet.demand(20'000, first_members(entries), 10s + 1ms);
+        fleet.run_until(11s);
+        CHECK(fleet.admitted >= 15);
+        CHECK(fleet.refused == 0);
+    }
+}
+
 // Guards against entries that wait or hold tokens while the limit has room.
 TEST_CASE("far above the limit most of it is served")
 {
