--- a/lib/proxy/organisation_limits.cpp
+++ b/lib/proxy/organisation_limits.cpp
@@ -15,7 +15,6 @@
 #include <algorithm>
 #include <map>
 #include <mutex>
-#include <set>
 #include <unordered_map>
 
 namespace galenarudder::proxy {
