--- a/unittests/organisations/limiter_test.cpp
+++ b/unittests/organisations/limiter_test.cpp
@@ -147,6 +147,48 @@
     }
 }
 
+// Guards against shares that add up to more than one: the halves do not know of
+// each other's new members.
+TEST_CASE("members that join a divided fleet get no share")
+{
+    fake_fleet fleet({"one", 100, 20}, platform_tolerance, 5);
+    for (std::size_t index = 0; index < 40; ++index)
+        fleet.start(index);
+    fleet.run_until(5s);
+    fleet.connected = [](std::size_t from, std::size_t to) {
+        return from % 2 == to % 2;
+    };
+    fleet.run_until(8s);
+    for (std::size_t index = 40; index < 80; ++index)
+        fleet.start(index);
+    fleet.run_until(15s);
+    fleet.demand(600, first_members(80), 30s);
+    fleet.run_until(30s);
+    CHECK(static_cast<double>(fleet.most_in_window) <= bound(fleet.rate));
+    // 40 of 80 members hold shares of 1/80 each.
+    CHECK(static_cast<double>(fleet.admitted) >= 0.4 * 100 * 15);
+}
+
+// Guards against daemons that forget what they issued before a restart, and
+// against fleets that do not serve again.
+TEST_CASE("a fleet that restarts as a whole serves again within the limit")
+{
+    fake_fleet fleet({"one", 100, 20}, platform_tolerance, 5);
+    for (std::size_t index = 0; index < 30; ++index)
+        fleet.start(index);
+    fleet.run_until(5s);
+    fleet.demand(600, first_members(30), 25s);
+    fleet.run_until(10s);
+    for (std::size_t index = 0; index < 30; ++index) {
+        fleet.forget_views(index);
+        fleet.start(index);
+    }
+    const std::uint64_t admitted_before = fleet.admitted;
+    fleet.run_until(25s);
+    CHECK(static_cast<double>(fleet.most_in_window) <= bound(fleet.rate));
+    CHECK(static_cast<double>(fleet.admitted - admitted_before) >= 0.9 * 1100);
+}
+
 struct load_row
 {
     double calls_per_s;
