--- a/test/process/test_organisations.py
+++ b/test/process/test_organisations.py
@@ -14,7 +14,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from platform_rig import HOST, Rig, check, configuration, wait_for
+from platform_rig import (HOST, Rig, check, configuration, request,
+                          wait_for)
 
 ROUTES = {"/a/": ("alpha", "idempotent"), "/b/": ("beta", "idempotent"),
           "/open/": ("beta", "idempotent")}
@@ -172,6 +173,9 @@
     for vm in rig.vms:
         log = vm.log.read_text(errors="replace")
         check("key-" not in log, f"{vm.name} logs no key")
+        metrics = request(f"{vm.ip}:9464", "GET", "/metrics")[2].decode()
+        check('kind="unknown-key"' in metrics and "key-" not in metrics,
+              f"{vm.name} counts refused keys without naming them")
         for call in vm.upstream.received_calls:
             values = [value for name, value in call["fields"]
                       if name.lower() == "authorization" or "key-" in value]
