Pass on only valid responses that ended in order

Cause: an upstream's status of 700, a repeated length and a folded field were passed on. When an upstream reset its connection during an upload, the write took the error of the reset from the socket, the read returned an end of file, and a body without a length looked complete.

Change: http/response_validity holds one table of rules for the raw head and the trailers. http/read_response reads with it, for the HTTP client and load queries; proxy/response_reader reads with it for calls. A body that the end of the connection ends is complete only if no reset is pending at the socket and the request was written or was stopped without a failed write. Interim responses are skipped by the client and load queries too, and trailers are no longer taken for fields of the head. Late second responses are skipped up to 16 MiB, before 64 KiB.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -1,7 +1,7 @@
 // HTTP client on Boost.Beast; each request uses a connection of its own.
 #include "galenarudder/http/client.hpp"
 
-#include "galenarudder/http/read_message.hpp"
+#include "galenarudder/http/read_response.hpp"
 #include "galenarudder/support/socket_keepalive.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -59,20 +59,6 @@
     return converted;
 }
 
-response to_response(beast::http::response<beast::http::string_body>& received)
-{
-    response converted;
-    converted.status = received.result_int();
-    converted.content_type =
-        std::string(received[beast::http::field::content_type]);
-    for (const auto& header : received) {
-        converted.fields.push_back(
-            {std::string(header.name_string()), std::string(header.value())});
-    }
-    converted.body = std::move(received.body());
-    return converted;
-}
-
 error connection_error(const config::endpoint& server,
                        const boost::system::error_code& failure)
 {
@@ -90,8 +76,6 @@
             "check that the service runs and retry"};
 }
 
-using response_parser = beast::http::response_parser<beast::http::string_body>;
-
 } // namespace
 
 asio::awaitable<support::result<response>> fetch(config::endpoint server,
@@ -117,13 +101,12 @@
     if (write_failure)
         co_return no_answer_error(server, write_failure);
     beast::flat_buffer buffer(max_unparsed_bytes);
-    response_parser parser;
-    parser.body_limit(max_body_bytes);
-    const boost::system::error_code read_failure =
-        co_await read_message(stream, buffer, parser, deadline);
+    whole_response received;
+    const boost::system::error_code read_failure = co_await read_response(
+        stream, buffer, max_body_bytes, deadline, received);
     if (read_failure)
         co_return no_answer_error(server, read_failure);
-    co_return to_response(parser.get());
+    co_return std::move(received.message);
 }
 
 support::result<response> fetch_blocking(const config::endpoint& server,
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -3,8 +3,9 @@
 #include "galenarudder/proxy/upstream_client.hpp"
 
 #include "connection_pool.hpp"
+#include "response_reader.hpp"
 
-#include "galenarudder/http/read_message.hpp"
+#include "galenarudder/http/read_response.hpp"
 #include "galenarudder/link/message.hpp"
 #include "galenarudder/proxy/http_fields.hpp"
 #include "galenarudder/support/child_task.hpp"
@@ -16,9 +17,9 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
-#include <array>
 #include <cstring>
 #include <optional>
+#include <span>
 
 namespace galenarudder::proxy {
 
@@ -44,11 +45,13 @@
 constexpr std::size_t max_buffered_response_bytes = 64 * 1024;
 /// Responses to other calls that are skipped on one connection.
 constexpr unsigned max_unrelated_responses = 4;
-/// Interim responses (1xx) that are skipped before one final response.
-constexpr unsigned max_interim_responses = 32;
-/// Bodies of responses that are not forwarded are read up to this size, so that
-/// the connection can be reused.
-constexpr std::size_t max_skipped_body_bytes = 64 * 1024;
+/// Bodies of responses to other calls are read up to this size, so that the
+/// response to this call is found behind them. A call that was sent cannot be
+/// sent again, so the limit only bounds what an endless body costs.
+constexpr std::size_t max_unrelated_body_bytes = 16 * 1024 * 1024;
+/// Bodies of refusals are read up to this size, so that the connection can be
+/// reused.
+constexpr std::size_t max_refusal_body_bytes = 64 * 1024;
 /// Longest time for which the body of a refusal is read after the refusal was
 /// delivered.
 constexpr auto max_refusal_body_time = std::chrono::seconds(1);
@@ -70,11 +73,6 @@
 /// rest covers the time that the request is in flight.
 constexpr double usable_share_of_idle_timeout = 0.8;
 
-using response_parser = bhttp::response_parser<bhttp::buffer_body>;
-/// How a read of a part of a body ended, and how many bytes it took with the
-/// framing.
-using part_read = std::pair<boost::system::error_code, std::size_t>;
-
 bool has_body(const support::call_head& head)
 {
     return !head.content_length || *head.content_length != 0;
@@ -117,11 +115,10 @@
 
 /// Returns how long the connection is reused while idle: a share of the idle
 /// timeout that the upstream states; 0 if it states none.
-support::duration idle_timeout_of(const response_parser& parser)
+support::duration idle_timeout_of(std::string_view stated_value)
 {
-    const auto stated_value = parser.get()[bhttp::field::keep_alive];
     const std::size_t position = stated_value.find("timeout=");
-    if (position == beast::string_view::npos)
+    if (position == std::string_view::npos)
         return support::duration(0);
     const std::string digits(
         stated_value.substr(position + std::strlen("timeout=")));
@@ -130,24 +127,6 @@
     return support::from_ms(usable_share_of_idle_timeout * ms_per_s * seconds);
 }
 
-support::response_head convert(const response_parser& parser)
-{
-    const auto& received = parser.get();
-    support::response_head head;
-    head.status = received.result_int();
-    head.reason = std::string(received.reason());
-    for (const auto& field : received) {
-        const std::string name(field.name_string());
-        if (!is_hop_by_hop(name))
-            head.fields.push_back({name, std::string(field.value())});
-    }
-    if (parser.content_length())
-        head.content_length = *parser.content_length();
-    else if (!parser.chunked() && !parser.need_eof())
-        head.content_length = 0;
-    return head;
-}
-
 refusal canceled(run_outcome outcome)
 {
     return {refusal_kind::canceled, outcome, true, support::milliseconds(0),
@@ -209,6 +188,8 @@
     void abort() override
     {
         aborted_ = true;
+        if (reader_)
+            reader_->abort();
         if (connection_)
             connection_->stream.cancel();
     }
@@ -218,22 +199,20 @@
 private:
     std::optional<refusal> refusal_before_sending() const;
     asio::awaitable<upstream_result> exchange_messages();
-    asio::awaitable<bool> read_final_head();
     asio::awaitable<bool> read_matching_head(support::response_head& head);
     bool is_matching(const support::response_head& head) const;
     std::optional<refusal>
     refusal_of_response(const support::response_head& head) const;
-    asio::awaitable<part_read> read_body_part(char* data, std::size_t capacity);
     asio::awaitable<bool> buffer_body(std::string& body);
     asio::awaitable<upstream_result>
     forward_response(support::response_head head);
-    bool may_reuse() const;
     std::chrono::steady_clock::time_point end_of_response() const;
     std::chrono::steady_clock::time_point end_of_next_part() const;
-    asio::awaitable<void> skip_body();
     refusal no_response(const boost::system::error_code& failure) const;
     asio::awaitable<void> send_request();
+    void on_write_failure(const boost::system::error_code& failure);
     asio::awaitable<void> stop_request();
+    asio::awaitable<bool> end_request();
     asio::awaitable<bool> forward_body();
     void deliver_head(support::response_head head)
     {
@@ -264,17 +243,17 @@
     connection_ptr connection_;
     /// Runs send_request.
     support::child_task request_task_;
-    /// Parser of the response being read; replaced after each interim (1xx) or
-    /// skipped response.
-    std::optional<response_parser> parser_;
+    std::optional<response_reader> reader_;
     boost::system::error_code read_failure_;
     /// Time spent waiting for the caller to read the response.
     std::chrono::steady_clock::duration caller_time_{0};
-    /// When the read in progress must have ended.
-    std::chrono::steady_clock::time_point read_end_{};
     bool aborted_ = false;
     /// Whether the whole request was written.
     bool request_sent_ = false;
+    /// Whether a write failed, or the caller's body was cut off.
+    bool request_failed_ = false;
+    /// Set before the request is stopped, whose failure is expected then.
+    bool request_stopped_ = false;
     /// Set before the first write, since a write that fails may have sent some
     /// bytes.
     bool sending_started_ = false;
@@ -305,6 +284,7 @@
             pool_->give_back(connection_);
     }
     attempt_->request_body.abort();
+    reader_.reset();
     connection_.reset();
     on_finished_(result, support::monotonic_clock::now() - started_at,
                  stated_load_);
@@ -333,14 +313,19 @@
     sending_started_ = true;
     const auto [head_failure, head_size] = co_await bhttp::async_write_header(
         connection_->stream, serializer, use_nothrow_awaitable);
-    if (head_failure)
+    if (head_failure) {
+        on_write_failure(head_failure);
         co_return;
+    }
     bool more = request.body().more;
     while (more) {
         std::optional<link::body_chunk> chunk =
             co_await attempt_->request_body.read();
+        if (request_stopped_)
+            co_return;
         if (!chunk) {
             // The caller's body was cut off: the request cannot be completed.
+            request_failed_ = true;
             connection_->stream.cancel();
             co_return;
         }
@@ -351,41 +336,67 @@
         request.body().more = more;
         const auto [failure, size] = co_await bhttp::async_write(
             connection_->stream, serializer, use_nothrow_awaitable);
-        if (failure && failure != bhttp::error::need_buffer)
+        if (failure && failure != bhttp::error::need_buffer) {
+            on_write_failure(failure);
             co_return;
+        }
     }
     request_sent_ = true;
 }
 
+/// A write that had failed before the request was stopped may report so only
+/// afterwards, by another error than those of a closed socket.
+void running_attempt::on_write_failure(const boost::system::error_code& failure)
+{
+    const bool is_stopped =
+        request_stopped_ && (failure == asio::error::operation_aborted ||
+                             failure == asio::error::bad_descriptor);
+    request_failed_ = request_failed_ || !is_stopped;
+}
+
 /// Ends a request that was not sent to its end, and closes its connection.
 asio::awaitable<void> running_attempt::stop_request()
 {
     if (!request_task_.running())
         co_return;
     reusable_ = false;
+    request_stopped_ = true;
     attempt_->request_body.abort();
     connection_->stream.close();
     co_await request_task_.join();
 }
 
+/// Ends the request of a response that the end of the connection ended. Returns
+/// whether no write has failed.
+asio::awaitable<bool> running_attempt::end_request()
+{
+    co_await stop_request();
+    co_return !request_failed_;
+}
+
 asio::awaitable<upstream_result> running_attempt::exchange_messages()
 {
     request_task_.start([self = shared_from_this()]() -> asio::awaitable<void> {
         co_await self->send_request();
     });
+    // Owned by this object, which outlives its reader.
+    reader_.emplace(*connection_, attempt_->head.method == "HEAD",
+                    [this] { return end_request(); });
     support::response_head head;
     if (!co_await read_matching_head(head))
         co_return refuse(no_response(read_failure_), upstream_result::failed);
-    connection_->idle_timeout = idle_timeout_of(*parser_);
+    connection_->idle_timeout =
+        idle_timeout_of(reader_->keep_alive_parameters());
     stated_load_ = dialect_.read_load(head);
     if (on_demand_ && head.status != status_misdirected)
         on_demand_(dialect_.read_demand(head));
     if (dialect_.states_not_run(head)) {
         // The caller need not wait for the body, which may trickle.
         const upstream_result result = refuse_not_run(head.status);
-        read_end_ = std::min(read_end_, std::chrono::steady_clock::now() +
-                                            max_refusal_body_time);
-        co_await skip_body();
+        const auto end = std::min<std::chrono::steady_clock::time_point>(
+            end_of_response(),
+            std::chrono::steady_clock::now() + max_refusal_body_time);
+        reusable_ = co_await reader_->skip_body(max_refusal_body_bytes, end);
         co_return result;
     }
     std::optional<refusal> reason = refusal_of_response(head);
@@ -401,15 +412,15 @@
 {
     for (unsigned unrelated = 0; unrelated <= max_unrelated_responses;
          ++unrelated) {
-        if (!co_await read_final_head())
+        read_failure_ = co_await reader_->read_head(end_of_response());
+        if (read_failure_)
             co_return false;
-        head = convert(*parser_);
+        head = reader_->head();
         if (is_matching(head))
             co_return true;
-        co_await skip_body();
-        if (!reusable_)
+        if (!co_await reader_->skip_body(max_unrelated_body_bytes,
+                                         end_of_response()))
             break;
-        reusable_ = false;
     }
     read_failure_ = bhttp::error::bad_field;
     co_return false;
@@ -455,40 +466,18 @@
     return std::nullopt;
 }
 
-/// Reads the next part of the body to \p data; the parser's body states how
-/// much of the capacity is left. Checks the time and the abort itself: an
-/// upstream that sends without a pause has the next bytes ready before a timer
-/// can end a read, and an operation that has completed cannot be canceled.
-asio::awaitable<part_read> running_attempt::read_body_part(char* data,
-                                                           std::size_t capacity)
-{
-    if (aborted_)
-        co_return part_read(asio::error::operation_aborted, 0);
-    if (std::chrono::steady_clock::now() >= read_end_)
-        co_return part_read(beast::error::timeout, 0);
-    connection_->stream.expires_at(read_end_);
-    parser_->get().body().data = data;
-    parser_->get().body().size = capacity;
-    const auto [failure, size] = co_await bhttp::async_read_some(
-        connection_->stream, connection_->buffer, *parser_,
-        use_nothrow_awaitable);
-    if (failure == bhttp::error::need_buffer)
-        co_return part_read(boost::system::error_code(), size);
-    co_return part_read(failure, size);
-}
-
 /// Reads the body into \p body, up to the size of buffered responses. Returns
 /// false if the body was cut off.
 asio::awaitable<bool> running_attempt::buffer_body(std::string& body)
 {
-    while (!parser_->is_done() && body.size() < max_buffered_response_bytes) {
+    while (!reader_->is_done() && body.size() < max_buffered_response_bytes) {
         const std::size_t old_size = body.size();
         body.resize(old_size + link::max_body_part_bytes);
-        const auto [failure, size] = co_await read_body_part(
-            body.data() + old_size, link::max_body_part_bytes);
-        body.resize(body.size() - parser_->get().body().size);
-        if (failure) {
-            read_failure_ = failure;
+        const part_read part = co_await reader_->read_part(
+            std::span(body).subspan(old_size), end_of_response());
+        body.resize(old_size + part.size);
+        if (part.failure) {
+            read_failure_ = part.failure;
             co_return false;
         }
     }
@@ -507,7 +496,7 @@
         !co_await buffer_body(body))
         co_return refuse(no_response(read_failure_), upstream_result::failed);
     const bool complete =
-        parser_->is_done() && (has_length || !dialect_.signature.empty());
+        reader_->is_done() && (has_length || !dialect_.signature.empty());
     const bool is_head = attempt_->head.method == "HEAD";
     if (complete && !is_head)
         head.content_length = body.size();
@@ -524,19 +513,11 @@
             link::make_chunk(std::string(), true));
     deliver_head(std::move(head));
     const bool complete_body = complete || co_await forward_body();
-    reusable_ = complete_body && may_reuse();
+    reusable_ = complete_body && reader_->keeps_connection();
     co_return complete_body ? upstream_result::answered
                             : upstream_result::failed;
 }
 
-/// Returns whether the connection can be reused: bytes received after a
-/// response belong to no call.
-bool running_attempt::may_reuse() const
-{
-    return parser_->get().keep_alive() && !parser_->need_eof() &&
-           connection_->buffer.size() == 0;
-}
-
 refusal
 running_attempt::no_response(const boost::system::error_code& failure) const
 {
@@ -567,59 +548,18 @@
                : std::min(end, end_of_response() + caller_time_);
 }
 
-/// Reads response heads up to the first that is not an interim one (1xx).
-asio::awaitable<bool> running_attempt::read_final_head()
-{
-    for (unsigned interim = 0; interim <= max_interim_responses; ++interim) {
-        parser_.emplace();
-        parser_->body_limit(boost::none);
-        if (attempt_->head.method == "HEAD")
-            parser_->skip(true);
-        read_end_ = end_of_response();
-        connection_->stream.expires_at(read_end_);
-        const auto [failure, size] = co_await bhttp::async_read_header(
-            connection_->stream, connection_->buffer, *parser_,
-            use_nothrow_awaitable);
-        read_failure_ = aborted_ ? asio::error::operation_aborted : failure;
-        if (read_failure_)
-            co_return false;
-        if (parser_->get().result_int() >= status_ok)
-            co_return true;
-    }
-    read_failure_ = bhttp::error::bad_status;
-    co_return false;
-}
-
-/// Reads a small body of a response that is not forwarded, so that the
-/// connection can be reused.
-asio::awaitable<void> running_attempt::skip_body()
-{
-    std::array<char, 4096> scratch{};
-    std::size_t skipped = 0;
-    while (!parser_->is_done() && skipped < max_skipped_body_bytes) {
-        const auto [failure, size] =
-            co_await read_body_part(scratch.data(), scratch.size());
-        if (failure)
-            co_return;
-        skipped += size;
-    }
-    reusable_ = parser_->is_done() && parser_->get().keep_alive() &&
-                !parser_->need_eof();
-}
-
 asio::awaitable<bool> running_attempt::forward_body()
 {
     std::string part;
-    while (!parser_->is_done()) {
+    while (!reader_->is_done()) {
         part.resize(link::max_body_part_bytes);
-        read_end_ = end_of_next_part();
-        const auto [failure, size] =
-            co_await read_body_part(part.data(), part.size());
-        if (failure) {
+        const part_read read =
+            co_await reader_->read_part(part, end_of_next_part());
+        if (read.failure) {
             attempt_->response_body.abort();
             co_return false;
         }
-        part.resize(part.size() - parser_->get().body().size);
+        part.resize(read.size);
         if (part.empty())
             continue;
         link::body_chunk chunk = link::make_chunk(std::move(part), false);
@@ -702,20 +642,17 @@
         connection->stream, request, use_nothrow_awaitable);
     if (write_error)
         co_return std::nullopt;
-    bhttp::response_parser<bhttp::string_body> parser;
-    parser.body_limit(max_load_body_bytes);
-    const boost::system::error_code read_error = co_await http::read_message(
-        connection->stream, connection->buffer, parser, stream_end);
+    http::whole_response received;
+    const boost::system::error_code read_error =
+        co_await http::read_response(connection->stream, connection->buffer,
+                                     max_load_body_bytes, stream_end, received);
     if (read_error)
         co_return std::nullopt;
     support::response_head head;
-    head.status = parser.get().result_int();
-    for (const auto& field : parser.get()) {
-        head.fields.push_back(
-            {std::string(field.name_string()), std::string(field.value())});
-    }
-    if (parser.get().keep_alive() && !parser.get().need_eof() &&
-        connection->buffer.size() == 0)
+    head.status = received.message.status;
+    for (http::field& field : received.message.fields)
+        head.fields.push_back({std::move(field.name), std::move(field.value)});
+    if (received.reusable)
         pool->give_back(connection);
     co_return dialect.read_load(head);
 }
