--- a/lib/proxy/caller_connection.cpp
+++ b/lib/proxy/caller_connection.cpp
@@ -550,6 +550,12 @@
 asio::awaitable<void> caller_connection::close(bool more_may_follow)
 {
     boost::system::error_code ignored;
+    if (resets_on_close_) {
+        stream_.socket().set_option(asio::socket_base::linger(true, 0),
+                                    ignored);
+        stream_.close();
+        co_return;
+    }
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     if (!more_may_follow || closed_by_caller_)
         co_return;
--- a/lib/proxy/caller_connection.hpp
+++ b/lib/proxy/caller_connection.hpp
@@ -111,6 +111,9 @@
 
     /// Closes the connection shortly if no request is being served.
     void drain();
+    /// Makes close() reset the connection, so that the caller does not take its
+    /// end for the end of a response.
+    void reset_on_close() { resets_on_close_ = true; }
     /// Closes the connection so that the caller can still read what was
     /// written. \p more_may_follow says whether the caller may have sent more
     /// than was read: the rest of a body, or further requests.
@@ -160,6 +163,7 @@
     /// Whether the connection waits for a request.
     bool idle_ = false;
     bool draining_ = false;
+    bool resets_on_close_ = false;
 };
 
 } // namespace galenarudder::proxy
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -563,6 +563,9 @@
                               {"caller_left", call->disconnected},
                               {"took_ms", support::to_ms(elapsed)}});
         cancel(chosen_attempt);
+        // The end of the connection would end the body of this response.
+        if (!self_delimiting)
+            connection_->reset_on_close();
         co_return false;
     }
     entry_.metrics().record_response(head.service, head.rank, elapsed);
