Process test of invalid and unfinished responses

Change: test_invalid_responses plays invalid responses and resets during uploads of 32 MB beside the upstream and over a link, to callers of HTTP/1.1 and HTTP/1.0.

--- a/test/process/test_invalid_responses.py
+++ b/test/process/test_invalid_responses.py
@@ -19,7 +19,10 @@
 
 ROUTES = {"/near/": ("alpha", "upload"), "/far/": ("beta", "upload"),
           "/small/": ("alpha", "idempotent")}
-UPLOAD_BYTES = 1_000_000  # more than a link's window
+# More than the windows of a link and the buffers of sockets hold, so that a
+# write is under way when the upstream resets its connection.
+UPLOAD_BYTES = 32_000_000
+PART_BYTES = 64_000
 STATED = b"Attempt-Id: %s\r\nReply-Seal: s\r\n"
 OK = b"HTTP/1.1 200 OK\r\n" + STATED
 LENGTH = b"Content-Length: 2\r\n"
@@ -64,13 +67,12 @@
 
 
 def send_upload(connection, chunked):
-    part = b"x" * 10_000
+    part = b"x" * PART_BYTES
     if chunked:
         part = b"%x\r\n%s\r\n" % (len(part), part)
     try:
-        for _ in range(UPLOAD_BYTES // 10_000):
+        for _ in range(UPLOAD_BYTES // PART_BYTES):
             connection.sendall(part)
-            time.sleep(0.005)
     except OSError:
         pass
 
@@ -135,7 +137,9 @@
 
 def main():
     with Rig(sys.argv[1], ["alpha", "beta"]) as rig:
-        rig.store.put_configuration(configuration(1, ROUTES))
+        document = configuration(1, ROUTES)
+        document["limits"]["maxBodyBytes"] = 2 * UPLOAD_BYTES
+        rig.store.put_configuration(document)
         for vm in rig.vms:
             vm.upstream.RequestHandlerClass = RawHandler
             vm.start()
