--- a/include/galenarudder/http/response_validity.hpp
+++ b/include/galenarudder/http/response_validity.hpp
@@ -21,6 +21,7 @@
     repeated_length,
     malformed_length,
     transfer_coding,
+    interim_responses,
     /// The connection ended, but not by an orderly close of the sender.
     connection_reset,
     /// The connection ended while the request was being written, and writing
--- a/lib/http/read_response.cpp
+++ b/lib/http/read_response.cpp
@@ -58,7 +58,7 @@
             break;
     }
     if (reader->is_interim())
-        co_return response_fault::status;
+        co_return response_fault::interim_responses;
     auto& parser = reader->parser();
     // Trailers are added to the parser's fields later.
     copy_head(parser.get(), received.message);
--- a/lib/http/response_validity.cpp
+++ b/lib/http/response_validity.cpp
@@ -261,6 +261,8 @@
         case response_fault::transfer_coding:
             return "Transfer-Encoding is not chunked alone, or is given beside "
                    "a length or in HTTP/1.0";
+        case response_fault::interim_responses:
+            return "too many interim responses precede it";
         case response_fault::connection_reset:
             return "the connection was reset before the end of the response";
         case response_fault::request_not_written:
--- a/lib/proxy/response_reader.cpp
+++ b/lib/proxy/response_reader.cpp
@@ -56,7 +56,7 @@
         if (failure || !parser_->is_interim())
             co_return failure;
     }
-    co_return http::response_fault::status;
+    co_return http::response_fault::interim_responses;
 }
 
 support::response_head response_reader::head() const
