Test of a reset that follows a close in order

Cause: no test showed that the error pending at the socket is looked at when the end of a connection is read.

Change: a row in which the upstream closes in order and resets before the end can be read, for each upload.

--- a/unittests/entry/response_validity_test.cpp
+++ b/unittests/entry/response_validity_test.cpp
@@ -39,6 +39,8 @@
     keeps,
     in_order,
     reset,
+    /// In order, followed by a reset before the end can be read.
+    in_order_and_reset,
     /// In order, and then reads the rest of the request.
     half_close
 };
@@ -120,7 +122,10 @@
 
     static asio::awaitable<void> end(tcp::socket& socket, close_kind close)
     {
-        if (close == close_kind::reset)
+        if (close == close_kind::in_order_and_reset)
+            socket.shutdown(tcp::socket::shutdown_send);
+        if (close == close_kind::reset ||
+            close == close_kind::in_order_and_reset)
             socket.set_option(asio::socket_base::linger(true, 0));
         if (close == close_kind::half_close) {
             socket.shutdown(tcp::socket::shutdown_send);
@@ -564,6 +569,9 @@
          {{head, part}, close_kind::in_order},
          false},
         {"close in order", {{head, part}, close_kind::half_close}, true},
+        {"reset after a close in order",
+         {{head, part}, close_kind::in_order_and_reset},
+         false},
         {"reset after an interim",
          {{"HTTP/1.1 100 Continue\r\n\r\n", head, part}, close_kind::reset},
          false},
