State which resets of short uploads failed before

Cause: rows of the test say whether they failed before, and the new row was not run on the old code when it was added.

Change: the labels of short and paused uploads.

--- a/unittests/entry/response_validity_test.cpp
+++ b/unittests/entry/response_validity_test.cpp
@@ -589,11 +589,15 @@
             {"small parts in chunks",
              {std::nullopt, 100, upload_end::none},
              "some rows, differing from run to run"},
-            {"one part, with a length", {100, 100}, ""},
-            {"one part, in chunks", {std::nullopt, 100}, ""},
+            {"one part, with a length",
+             {100, 100},
+             "a reset after a close in order"},
+            {"one part, in chunks",
+             {std::nullopt, 100},
+             "a reset after a close in order"},
             {"paused",
              {std::nullopt, 100, upload_end::none_after_one_part},
-             ""},
+             "a reset after a close in order"},
         }));
     const bool is_signed = GENERATE(false, true);
     const bool is_kept = GENERATE(false, true);
