Serve limited organisations a second after the whole fleet restarted

Cause: after a restart of all daemons an owner without leases told entries to ask again after 5 s, so calls of limited organisations were refused for 6 to 8 s.

Change: entries are told to ask again at least as soon as if half of the limit were leased. The test of nested calls now covers callers that share the address of the upstream; the test of cold upstreams names the service.

--- a/lib/organisations/limit_owner.cpp
+++ b/lib/organisations/limit_owner.cpp
@@ -22,6 +22,9 @@
 /// Entries that were not given all tokens ask again after the time in which one
 /// accrues, within these bounds. The lower one bounds the datagrams of an
 /// organisation over its limit.
+/// Entries are told to ask again at least as soon as if this part of the limit
+/// were leased.
+constexpr double least_hinted_part = 0.5;
 constexpr double min_retry_ms = 100;
 constexpr double max_retry_ms = 5000;
 constexpr std::uint32_t max_issued = 0xffff;
@@ -163,7 +166,10 @@
         state.leases.begin(), state.leases.end(), [&](const lease& held) {
             return held.awaits_grant && now - held.polled_at < grant_time;
         });
-    const double rate = in_force.calls_per_s * leased_weight(state, now);
+    // While the shares of most holders are missing, as after a restart of the
+    // whole fleet, they can arrive at any moment.
+    const double rate = in_force.calls_per_s *
+                        std::max(leased_weight(state, now), least_hinted_part);
     while (!state.pending.empty()) {
         const pending_request& next = state.pending.front();
         const bool enough = state.tokens >= next.tokens;
@@ -173,9 +179,8 @@
             {std::floor(state.tokens), static_cast<double>(next.tokens),
              static_cast<double>(max_issued)}));
         state.tokens -= issued;
-        const double retry_ms = enough ? 0
-                                       : std::clamp(1000 / std::max(rate, 1e-6),
-                                                    min_retry_ms, max_retry_ms);
+        const double retry_ms =
+            enough ? 0 : std::clamp(1000 / rate, min_retry_ms, max_retry_ms);
         out.add(next.entry, message_kind::reply,
                 {organisation, next.number,
                  issued | (static_cast<std::uint32_t>(retry_ms) << 16)});
--- a/unittests/entry/cold_upstream_test.cpp
+++ b/unittests/entry/cold_upstream_test.cpp
@@ -116,6 +116,7 @@
     {
         support::call_head head;
         head.id = static_cast<support::attempt_id>(++last_id_);
+        head.service = "alpha";
         head.rank = "urgent";
         head.method = "GET";
         head.target = "/";
--- a/unittests/entry/entry_test.cpp
+++ b/unittests/entry/entry_test.cpp
@@ -1,4 +1,5 @@
 // The entry's classification of requests by the configuration in force.
+#include "../../lib/organisations/key_index.hpp"
 #include "galenarudder/proxy/entry.hpp"
 
 #include "galenarudder/proxy/http_fields.hpp"
@@ -84,24 +85,35 @@
     }
 }
 
-TEST_CASE("calls of the upstream on this VM count as nested if there are "
-          "organisations")
+// Guards against callers that share the address of the upstream and would go
+// before other callers: only calls that upstreams make carry no key.
+TEST_CASE("calls without a key from the upstream on this VM count as nested")
 {
     fixture given;
     given.tested_entry.set_upstream_address("10.1.0.8");
-    const auto depth_of_call = [&](const char* peer) {
+    const auto depth_of_call = [&](const char* peer,
+                                   std::vector<support::header_field> fields) {
         const auto classified =
-            given.classify("POST", "/", "kitcheck", {}, peer);
+            given.classify("POST", "/", "kitcheck", std::move(fields), peer);
         return std::get<classified_call>(classified).head.depth;
     };
-    CHECK(depth_of_call("10.1.0.8") == 1);
+    CHECK(depth_of_call("10.1.0.8", {}) == 1);
     config::configuration with_organisations = two_services();
+    config::organisation_policy organisation;
+    organisation.name = "alpha";
+    organisation.key_digests = {organisations::digest_of("key-a")};
     with_organisations.organisations.push_back(
-        std::make_shared<const config::organisation_policy>());
+        std::make_shared<const config::organisation_policy>(organisation));
+    with_organisations.organisation_keys =
+        organisations::make_key_index(with_organisations.organisations);
     given.in_force.replace(
         std::make_shared<const config::configuration>(with_organisations));
-    CHECK(depth_of_call("10.1.0.8") == 2);
-    CHECK(depth_of_call("10.1.0.9") == 1);
+    const support::header_field key{
+        "Authorization",
+        std::string(given.tested_entry.dialect().key_scheme) + " key-a"};
+    CHECK(depth_of_call("10.1.0.8", {}) == 2);
+    CHECK(depth_of_call("10.1.0.8", {key}) == 1);
+    CHECK(depth_of_call("10.1.0.9", {key}) == 1);
 }
 
 TEST_CASE("the Host field, else the first path segment, names the service")
