Bound the share of calls that leave their domain in mode bounded

Change: with priced crossings, mode bounded leaves the decision to choose_distance, up to the configured share.

--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -466,9 +466,11 @@
          "no healthy upstream in the failure domain of this entry"});
 }
 
-/// In automatic mode the pick strategy alone decides. In bounded mode calls
-/// leave the failure domain only if none of its upstreams is healthy. In
-/// observe mode they stay as long as the domain has any upstream.
+/// In automatic mode the pick strategy alone decides, or choose_distance if
+/// crossings have a price. In bounded mode calls leave the failure domain only
+/// if none of its upstreams is healthy, or, if crossings have a price, up to
+/// the configured share. In observe mode they stay as long as the domain has
+/// any upstream.
 candidate_span
 router::state::permitted_candidates(const service_view& service,
                                     const routing_limits& limits,
@@ -480,7 +482,9 @@
         return all;
     const bool healthy = !any_excluded(service, now) || any_healthy(local, now);
     record_reroute(service, !healthy, limits.reroute_mode, now);
-    if (limits.reroute_mode == automation_mode::automatic)
+    const bool bounded_by_share =
+        crossings.enabled() && limits.reroute_mode == automation_mode::bounded;
+    if (limits.reroute_mode == automation_mode::automatic || bounded_by_share)
         return all;
     const bool must_stay = limits.reroute_mode == automation_mode::observe;
     return must_stay || healthy ? local : all;
--- a/unittests/routing/crossing_test.cpp
+++ b/unittests/routing/crossing_test.cpp
@@ -401,6 +401,60 @@
     CHECK(result.swings <= given.most_swings);
 }
 
+TEST_CASE("the mode and the limit bound how many calls leave", "[crossing]")
+{
+    struct row
+    {
+        config::automation_mode mode;
+        double leave_share;
+        int least;
+        int most;
+    };
+    const auto given = GENERATE(values<row>({
+        {config::automation_mode::automatic, 1, 150, 200},
+        {config::automation_mode::bounded, 0.25, 20, 80},
+        {config::automation_mode::bounded, 0, 0, 0},
+        {config::automation_mode::observe, 1, 0, 0},
+    }));
+    config::configuration in_force = config::default_configuration();
+    in_force.modes.at(static_cast<std::size_t>(config::automation::reroute)) =
+        given.mode;
+    const auto limit = static_cast<std::size_t>(config::limit::leave_share);
+    in_force.limits.at(limit) = given.leave_share;
+    in_force.bounds.at(limit) = {0, given.leave_share};
+    router entry("muc-a", "entry");
+    entry.set_crossings(make_settings());
+    entry.on_configuration(in_force);
+    for (const char* domain : {"muc-a", "muc-b"}) {
+        membership::member_record record;
+        record.id = domain;
+        record.state = membership::member_state::alive;
+        record.domain = domain;
+        record.service = "plan";
+        record.slots = slots;
+        entry.on_record(record, {});
+    }
+    const time_point now{std::chrono::seconds(100)};
+    support::random_engine random(3);
+    support::load_report busy;
+    busy.running = slots;
+    busy.waiting = 20;
+    busy.limit = slots;
+    busy.service_ms = service_ms;
+    const std::vector<support::member_id> tried{"muc-b"};
+    entry.on_report(*entry.pick({"plan", 0, tried}, now, random), busy,
+                    milliseconds(1), now);
+    int left = 0;
+    for (int call = 0; call < 200; ++call) {
+        const auto chosen = entry.pick(
+            {"plan", 0, {}, {}, now + goal, now + deadline}, now, random);
+        left += chosen->member == "muc-b" ? 1 : 0;
+    }
+    INFO("left " << left);
+    CHECK(left >= given.least);
+    CHECK(left <= given.most);
+}
+
 TEST_CASE("a call is served only in the regions that are allowed", "[crossing]")
 {
     router entry("muc-a", "entry");
