--- a/include/galenarudder/membership/domain_states.hpp
+++ b/include/galenarudder/membership/domain_states.hpp
@@ -25,9 +25,11 @@
     std::uint64_t era = 0;
     std::uint64_t number = 0;
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): a false finding of clang-tidy 14.
+    // A false finding of clang-tidy 14.
+    // NOLINTBEGIN(modernize-use-nullptr)
     friend auto operator<=>(const store_revision&,
                             const store_revision&) = default;
+    // NOLINTEND(modernize-use-nullptr)
 };
 
 /// What is known of one failure domain.
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -657,6 +657,7 @@
             if (!self)
                 return;
             std::vector<membership::emptied_domain> emptied;
+            emptied.reserve(keys.size());
             for (const store::emptied_domain_key& key : keys)
                 emptied.push_back({key.domain, to_revision(key.index)});
             self->execute_all(self->node_.on_domains_read(
