Read before each write in the test of unfinished responses

Its client wrote on a second thread; that write can take the error of the reset from the socket, and the read then sees an end in order, the same fault as the one that the daemon had.

Change: the client reads and writes on one thread and takes a reset seen by a write for one; an end in order that a read sees still counts as complete.

That it fails without the daemon's reset was not tried again.

--- a/test/process/test_invalid_responses.py
+++ b/test/process/test_invalid_responses.py
@@ -6,10 +6,10 @@
 """
 
 import pathlib
+import select
 import socket
 import struct
 import sys
-import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
@@ -66,28 +66,40 @@
     do_GET = do_POST = serve
 
 
-def send_upload(connection, chunked):
+def upload_and_receive(connection, chunked):
+    """Send an upload while reading. Return what was received and whether the
+    end was one in order.
+
+    One thread reads before each write: a write on another one can take the
+    error of a reset from the socket, and the read then sees an end in order.
+    """
     part = b"x" * PART_BYTES
     if chunked:
         part = b"%x\r\n%s\r\n" % (len(part), part)
-    try:
-        for _ in range(UPLOAD_BYTES // PART_BYTES):
-            connection.sendall(part)
-    except OSError:
-        pass
-
-
-def receive_all(connection):
-    """Return what was received and whether the end was one in order."""
+    unsent = memoryview(part * (UPLOAD_BYTES // PART_BYTES))
     received = b""
+    connection.setblocking(False)
     while True:
+        select.select([connection], [connection] if unsent else [], [], 20)
         try:
             data = connection.recv(65536)
+            if not data:
+                return received, True
+            received += data
+        except BlockingIOError:
+            pass
+        except ConnectionResetError:
+            return received, False
+        try:
+            if unsent:
+                unsent = unsent[connection.send(unsent):]
+        except BlockingIOError:
+            pass
         except ConnectionResetError:
+            # Nothing had ended in order just before.
             return received, False
-        if not data:
-            return received, True
-        received += data
+        except BrokenPipeError:
+            unsent = b""
 
 
 def upload(rig, vm, path, version, chunked):
@@ -102,9 +114,7 @@
             f"POST {path} HTTP/{version}\r\nHost: {HOST}\r\n"
             f"Attempt-Id: {attempt}\r\nTimeout-Ms: 5000\r\n"
             f"Connection: close\r\n{length}\r\n\r\n".encode())
-        threading.Thread(target=send_upload, args=(connection, chunked),
-                         daemon=True).start()
-        received, in_order = receive_all(connection)
+        received, in_order = upload_and_receive(connection, chunked)
     head, _, body = received.partition(b"\r\n\r\n")
     if not head:
         return None, False
