Build the limit hook's test on arm64

GCC 12 on arm64 stopped the build with -Wmaybe-uninitialized on the variant that co_spawn's handler takes by value: a false warning, since co_spawn passes a value that it has initialized. The test now keeps the result in a coroutine of its own. The test's case passes on arm64.

--- a/unittests/organisations/hook_test.cpp
+++ b/unittests/organisations/hook_test.cpp
@@ -3,6 +3,7 @@
 #include "galenarudder/proxy/organisation_limits.hpp"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -55,17 +56,21 @@
         std::vector<limit_result> results;
         support::call_head head;
         head.organisation = organisation;
-        for (int index = 0; index < count; ++index) {
-            asio::co_spawn(io, limits->admit(head),
-                           [&](std::exception_ptr, limit_result result) {
-                               results.push_back(std::move(result));
-                           });
-        }
+        for (int index = 0; index < count; ++index)
+            asio::co_spawn(io, admit(head, results), asio::detached);
         io.restart();
         io.run_for(200ms);
         return results;
     }
 
+    /// Keeps the result out of co_spawn's handler: GCC 12 on arm64 warns that
+    /// the variant passed to it may be uninitialized.
+    asio::awaitable<void> admit(support::call_head head,
+                                std::vector<limit_result>& results)
+    {
+        results.push_back(co_await limits->admit(head));
+    }
+
     asio::io_context io;
     telemetry::metrics metrics;
     telemetry::decision_log decisions;
