Test and describe the restart of 300 members with limits

The fake fleet lets members learn of each other over some seconds after they start, as membership does. The new case restarts 300 members over 5 s with views that fill in up to 2.5 s: 3 s after the last start fewer than 1% of calls at 60% of the limit are refused and the bound holds.

--- a/unittests/organisations/fake_fleet.hpp
+++ b/unittests/organisations/fake_fleet.hpp
@@ -24,6 +24,7 @@
     {
         std::unique_ptr<limiter> machine;
         support::duration clock_offset{};
+        support::duration started_at{};
         bool running = true;
         bool left = false;
     };
@@ -42,6 +43,7 @@
         member& started = members[index];
         started.running = true;
         started.left = false;
+        started.started_at = now;
         started.clock_offset = std::chrono::seconds(random() % 100'000);
         started.machine = std::make_unique<limiter>(
             "member-" + std::to_string(index), true, allowed_, random());
@@ -93,6 +95,9 @@
     double loss = 0;
     double duplicates = 0;
     double max_delay_ms = 6;
+    /// A member that starts is known to each other one after a random time up
+    /// to this one.
+    support::duration max_view_delay{};
     support::duration now{};
     std::uint64_t refused = 0;
     std::uint64_t admitted = 0;
@@ -184,6 +189,17 @@
         return false;
     }
 
+    support::duration known_from(std::size_t viewer, std::size_t seen) const
+    {
+        if (max_view_delay == support::duration() || viewer == seen)
+            return {};
+        const auto both_run =
+            std::max(members[viewer].started_at, members[seen].started_at);
+        const std::string pair =
+            std::to_string(viewer) + "/" + std::to_string(seen);
+        return both_run + max_view_delay * (hash_of(pair) % 1000) / 1000;
+    }
+
     void tick()
     {
         for (std::size_t viewer = 0; viewer < members.size(); ++viewer) {
@@ -192,7 +208,7 @@
             std::vector<observed_member> view;
             for (std::size_t seen = 0; seen < members.size(); ++seen) {
                 auto& last_seen = last_seen_[{viewer, seen}];
-                if (is_seen(viewer, seen))
+                if (is_seen(viewer, seen) && now >= known_from(viewer, seen))
                     last_seen = now;
                 // A restarted member learns of no absent members.
                 if (last_seen == support::duration())
--- a/unittests/organisations/limiter_test.cpp
+++ b/unittests/organisations/limiter_test.cpp
@@ -189,6 +189,39 @@
     CHECK(static_cast<double>(fleet.admitted - admitted_before) >= 0.9 * 1100);
 }
 
+// Guards against a large fleet in which calls below the limit are refused long
+// after all daemons were killed: the members start one after the other, and
+// each learns of the others over some seconds.
+TEST_CASE("300 members that restart over 5 s serve again within 3 s")
+{
+    constexpr std::size_t count = 300;
+    constexpr double calls_per_s = 100;
+    fake_fleet fleet({"one", calls_per_s, calls_per_s / 5}, platform_tolerance,
+                     5);
+    for (std::size_t index = 0; index < count; ++index)
+        fleet.start(index);
+    fleet.demand(calls_per_s * 0.6, first_members(count), 16s);
+    fleet.run_until(4s);
+    fleet.max_view_delay = 2500ms;
+    for (std::size_t index = 0; index < count; ++index)
+        fleet.members[index].running = false;
+    for (std::size_t index = 0; index < count; ++index) {
+        fleet.forget_views(index);
+        fleet.at(4s + index * 5s / count, [&, index] {
+            fleet.forget_views(index);
+            fleet.start(index);
+        });
+    }
+    fleet.run_until(12s);
+    const std::uint64_t refused_before = fleet.refused;
+    const std::uint64_t admitted_before = fleet.admitted;
+    fleet.run_until(15s);
+    const auto refused = static_cast<double>(fleet.refused - refused_before);
+    CHECK(refused <=
+          0.01 * static_cast<double>(fleet.admitted - admitted_before));
+    CHECK(static_cast<double>(fleet.most_in_window) <= bound(fleet.rate));
+}
+
 struct load_row
 {
     double calls_per_s;
