State why a limit of an organisation refuses calls

Cause: after a restart of the fleet, calls are refused until the daemons share the limit again. The log line, the detail and the metric said in each case that the organisation sends too many calls.

Change: a refusal has a cause: over-limit, shares-missing or owner-silent. The detail of the refusal and the reason in organisation.limited and in the decision log state it, and galenarudder_organisation_refusals_by_cause_total counts it.

--- a/include/galenarudder/organisations/limit_client.hpp
+++ b/include/galenarudder/organisations/limit_client.hpp
@@ -32,6 +32,18 @@
     waiting
 };
 
+/// Why a call was refused.
+enum class refusal_cause
+{
+    over_limit,
+    /// Too little of the limit is in use by now, as after a restart of many
+    /// daemons.
+    shares_missing,
+    /// The owner does not answer, and the own share has no token.
+    owner_silent
+};
+inline constexpr std::size_t refusal_cause_count = 3;
+
 /// What happens to a call.
 struct admission
 {
@@ -42,6 +54,8 @@
     support::milliseconds retry_after{0};
     /// Identifies a waiting call.
     call_number call = 0;
+    /// Of a refused call.
+    refusal_cause cause = refusal_cause::over_limit;
 };
 
 struct client_counters
@@ -119,6 +133,7 @@
         support::time_point last_sent{};
         /// The owner expects no token before this time.
         support::time_point refuse_until{};
+        refusal_cause cause = refusal_cause::over_limit;
         /// Requests in a row that were not answered in time.
         unsigned timeouts = 0;
         std::uint32_t last_unanswered = 0;
@@ -132,7 +147,7 @@
     static std::uint32_t asked(const stock& held, support::time_point now);
     static std::uint32_t target(const stock& held, support::time_point now);
     void ask(organisation_hash organisation, stock& held);
-    admission refuse(support::duration wait);
+    admission refuse(support::duration wait, refusal_cause cause);
     admission admit_by_share(organisation_hash organisation,
                              support::time_point now);
     void decide(admission decided, call_number call);
--- a/include/galenarudder/organisations/message.hpp
+++ b/include/galenarudder/organisations/message.hpp
@@ -21,7 +21,8 @@
     /// second: tokens.
     request,
     /// first: number of the request, second: tokens issued in the lower half,
-    /// and in the upper half the time in ms until further ones are expected.
+    /// and in the upper half the time in ms until further ones are expected,
+    /// odd if shares of the limit are missing.
     reply,
     /// An owner asks a holder for the lease of its share.
     poll,
--- a/lib/organisations/limit_client.cpp
+++ b/lib/organisations/limit_client.cpp
@@ -80,20 +80,24 @@
     to_ask_.push_back(organisation);
 }
 
-admission limit_client::refuse(support::duration wait)
+admission limit_client::refuse(support::duration wait, refusal_cause cause)
 {
     const double wait_ms = std::max(0.0, support::to_ms(wait));
     const double spread = support::uniform_unit(random_) * spread_ms;
     return {verdict::refused,
             {},
-            support::milliseconds(std::llround(std::ceil(wait_ms + spread)))};
+            support::milliseconds(std::llround(std::ceil(wait_ms + spread))),
+            0,
+            cause};
 }
 
 admission limit_client::admit_by_share(organisation_hash organisation,
                                        support::time_point now)
 {
     if (!shares_.try_take(organisation, now))
-        return refuse(shares_.wait(organisation, now));
+        return refuse(shares_.wait(organisation, now),
+                      members_.has_share() ? refusal_cause::owner_silent
+                                           : refusal_cause::shares_missing);
     ++counters_.admitted_by_share;
     return {verdict::admitted, {organisation, now + token_lifetime}};
 }
@@ -117,14 +121,14 @@
         return {verdict::admitted, used};
     }
     if (now < held.refuse_until)
-        return refuse(held.refuse_until - now);
+        return refuse(held.refuse_until - now, held.cause);
     if (held.timeouts >= max_timeouts) {
         if (now - held.last_sent >= silent_interval)
             ask(organisation, held);
         return admit_by_share(organisation, now);
     }
     if (held.waiting.size() >= max_waiting)
-        return refuse(reply_time);
+        return refuse(reply_time, refusal_cause::owner_silent);
     ask(organisation, held);
     held.waiting.push_back(++last_call_);
     return {verdict::waiting, {}, {}, last_call_};
@@ -148,7 +152,7 @@
 {
     const auto position = stocks_.find(organisation);
     if (position == stocks_.end())
-        return refuse(reply_time);
+        return refuse(reply_time, refusal_cause::owner_silent);
     stock& held = position->second;
     if (std::erase(held.waiting, call) == 0)
         return {verdict::waiting};
@@ -199,6 +203,8 @@
     const std::uint32_t issued =
         std::min(reply.second & 0xffff, request->tokens);
     const support::milliseconds retry(reply.second >> 16);
+    held.cause = retry.count() % 2 == 0 ? refusal_cause::over_limit
+                                        : refusal_cause::shares_missing;
     // Counted from the request, so that late replies bring no late tokens.
     const auto expires = request->sent_at + token_lifetime;
     if (issued > 0 && expires > now)
@@ -218,7 +224,7 @@
     const double spread = 1 + support::uniform_unit(random_) / 4;
     held.refuse_until = now + support::from_ms(support::to_ms(retry) * spread);
     for (const call_number call : held.waiting)
-        decide(refuse(held.refuse_until - now), call);
+        decide(refuse(held.refuse_until - now, held.cause), call);
     held.waiting.clear();
 }
 
--- a/lib/organisations/limit_owner.cpp
+++ b/lib/organisations/limit_owner.cpp
@@ -26,6 +26,9 @@
 /// were leased.
 constexpr double least_hinted_part = 0.5;
 constexpr double min_retry_ms = 100;
+/// With less than this part of what the demand needs, up to the whole limit,
+/// refusals are for lack of shares. A few members may be absent.
+constexpr double required_part = 0.8;
 constexpr double max_retry_ms = 5000;
 constexpr std::uint32_t max_issued = 0xffff;
 
@@ -168,8 +171,12 @@
         });
     // While the shares of most holders are missing, as after a restart of the
     // whole fleet, they can arrive at any moment.
-    const double rate = in_force.calls_per_s *
-                        std::max(leased_weight(state, now), least_hinted_part);
+    const double leased = leased_weight(state, now);
+    const double rate =
+        in_force.calls_per_s * std::max(leased, least_hinted_part);
+    const bool shares_missing =
+        leased < required_part * std::min(1.0, state.demand.per_s(now) /
+                                                   in_force.calls_per_s);
     while (!state.pending.empty()) {
         const pending_request& next = state.pending.front();
         const bool enough = state.tokens >= next.tokens;
@@ -179,11 +186,12 @@
             {std::floor(state.tokens), static_cast<double>(next.tokens),
              static_cast<double>(max_issued)}));
         state.tokens -= issued;
-        const double retry_ms =
-            enough ? 0 : std::clamp(1000 / rate, min_retry_ms, max_retry_ms);
+        const auto hinted_ms = static_cast<std::uint32_t>(
+            std::clamp(1000 / rate, min_retry_ms, max_retry_ms));
+        const std::uint32_t retry_ms =
+            enough ? 0 : (hinted_ms & ~1U) | (shares_missing ? 1U : 0U);
         out.add(next.entry, message_kind::reply,
-                {organisation, next.number,
-                 issued | (static_cast<std::uint32_t>(retry_ms) << 16)});
+                {organisation, next.number, issued | (retry_ms << 16)});
         state.pending.pop_front();
     }
 }
--- a/lib/proxy/organisation_limits.cpp
+++ b/lib/proxy/organisation_limits.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <mutex>
 #include <unordered_map>
@@ -40,13 +41,40 @@
     return {};
 }
 
-refusal over_limit(const std::string& organisation,
-                   support::milliseconds retry_after)
+struct cause_row
+{
+    const char* name;
+    /// For the decision log.
+    const char* reason;
+    /// Follows the name of the organisation.
+    const char* text;
+};
+
+/// By refusal_cause.
+constexpr std::array<cause_row, organisations::refusal_cause_count> causes = {{
+    {"over-limit", "its calls exceed its limit",
+     " sends more calls than its limit allows"},
+    {"shares-missing", "daemons that started do not yet share its limit",
+     " has to wait until the daemons that started share its limit"},
+    {"owner-silent",
+     "the daemon that keeps its limit does not answer, and the own share of "
+     "the limit is used up",
+     " has used up this daemon's share of its limit, and the daemon that keeps "
+     "the limit does not answer"},
+}};
+
+const cause_row& row_of(organisations::refusal_cause cause)
+{
+    return causes.at(static_cast<std::size_t>(cause));
+}
+
+refusal limit_refusal(const std::string& organisation,
+                      support::milliseconds retry_after,
+                      organisations::refusal_cause cause)
 {
     return {support::refusal_kind::organisation_limit,
             support::run_outcome::not_run, true, retry_after,
-            "the organisation " + organisation +
-                " sends more calls than its limit allows"};
+            "the organisation " + organisation + row_of(cause).text};
 }
 
 organisations::presence presence_of(membership::member_state state)
@@ -88,6 +116,9 @@
         std::uint64_t count = 0;
         support::time_point last{};
         bool limited = false;
+        /// The cause that was recorded last, and when.
+        organisations::refusal_cause cause{};
+        support::time_point recorded_at{};
         double calls_per_s = 0;
         /// Whether its metric bears its name.
         bool named = false;
@@ -97,10 +128,11 @@
     void send_requests();
     void wait_over(organisations::call_number call);
     void decide(const waiting_call& waiting, const admission& decision);
-    void count_refusal(const std::string& organisation);
+    void count_refusal(const std::string& organisation,
+                       organisations::refusal_cause cause);
     void record(const std::string& organisation,
-                bool starts,
-                double calls_per_s) const;
+                bool limited,
+                const refusals& counted) const;
     config::automation_mode mode() const
     {
         return context.in_force->read()->mode(
@@ -114,43 +146,54 @@
     std::unordered_map<organisations::call_number, waiting_call> waiting;
     std::map<std::string, refusals, std::less<>> refused;
     std::uint64_t refused_unnamed = 0;
+    std::array<std::uint64_t, organisations::refusal_cause_count>
+        refused_by_cause{};
     bool send_posted = false;
 };
 
-/// Records that an organisation starts or stops being limited.
+/// Records that an organisation is limited, and why, or not any more.
 void organisation_limits::impl::record(const std::string& organisation,
-                                       bool starts,
-                                       double calls_per_s) const
+                                       bool limited,
+                                       const refusals& counted) const
 {
     const auto effect = telemetry::effect_of(mode(), true);
     const std::string reason =
-        starts ? "its calls exceed its limit" : "its calls fit its limit";
+        limited ? row_of(counted.cause).reason : "its calls fit its limit";
     context.decisions->record({support::monotonic_clock::now(),
                                config::automation::organisation_limit, effect,
                                organisation, reason});
     telemetry::log_event(telemetry::log_kind::state_change,
-                         starts ? "organisation.limited"
-                                : "organisation.not_limited",
+                         limited ? "organisation.limited"
+                                 : "organisation.not_limited",
                          {{"organisation", organisation},
-                          {"calls_per_s", calls_per_s},
+                          {"calls_per_s", counted.calls_per_s},
+                          {"reason", reason},
                           {"effect", telemetry::to_string(effect)}});
 }
 
 /// Requires the mutex to be held.
-void organisation_limits::impl::count_refusal(const std::string& organisation)
+void organisation_limits::impl::count_refusal(
+    const std::string& organisation, organisations::refusal_cause cause)
 {
     const auto position = refused.find(organisation);
     if (position == refused.end())
         return;
     refusals& counted = position->second;
     ++counted.count;
+    ++refused_by_cause.at(static_cast<std::size_t>(cause));
     if (!counted.named)
         ++refused_unnamed;
     counted.last = support::boot_time();
-    if (counted.limited)
+    // Causes may alternate from call to call.
+    const bool recorded =
+        counted.limited && (counted.cause == cause ||
+                            counted.last - counted.recorded_at < limited_time);
+    if (recorded)
         return;
     counted.limited = true;
-    record(organisation, true, counted.calls_per_s);
+    counted.cause = cause;
+    counted.recorded_at = counted.last;
+    record(organisation, true, counted);
 }
 
 /// Requires the mutex to be held.
@@ -159,7 +202,7 @@
 {
     decided.timer->cancel();
     if (decision.result == verdict::refused)
-        count_refusal(decided.organisation);
+        count_refusal(decided.organisation, decision.cause);
     decided.channel->try_send(boost::system::error_code(), decision);
 }
 
@@ -240,7 +283,7 @@
             co_return limit_result();
         decision = impl_->machine.admit(hash, support::boot_time());
         if (decision.result == verdict::refused)
-            impl_->count_refusal(head.organisation);
+            impl_->count_refusal(head.organisation, decision.cause);
         if (decision.result == verdict::waiting) {
             channel = std::make_shared<decision_channel>(caller_executor, 1);
             auto timer = std::make_shared<asio::steady_timer>(
@@ -269,12 +312,13 @@
             co_await channel->async_receive(use_nothrow_awaitable);
         if (failure)
             co_return limit_result(
-                over_limit(head.organisation, support::milliseconds(1000)));
+                limit_refusal(head.organisation, support::milliseconds(1000),
+                              organisations::refusal_cause::owner_silent));
         decision = received;
     }
     if (decision.result == verdict::refused)
-        co_return limit_result(
-            over_limit(head.organisation, decision.retry_after));
+        co_return limit_result(limit_refusal(
+            head.organisation, decision.retry_after, decision.cause));
     co_return limit_result(decision.used);
 }
 
@@ -369,7 +413,7 @@
             if (!counted.limited || now - counted.last < limited_time)
                 continue;
             counted.limited = false;
-            impl_->record(organisation, false, counted.calls_per_s);
+            impl_->record(organisation, false, counted);
         }
     }
     impl_->execute(actions);
@@ -420,6 +464,12 @@
     }
     registry.set_counter(refused_name, refused_help, {{"organisation", ""}},
                          static_cast<double>(impl_->refused_unnamed));
+    for (std::size_t cause = 0; cause < causes.size(); ++cause)
+        registry.set_counter(
+            "galenarudder_organisation_refusals_by_cause_total",
+            "Calls refused because of a limit, by cause",
+            {{"cause", causes.at(cause).name}},
+            static_cast<double>(impl_->refused_by_cause.at(cause)));
 }
 
 } // namespace galenarudder::proxy
--- a/unittests/organisations/fake_fleet.hpp
+++ b/unittests/organisations/fake_fleet.hpp
@@ -101,6 +101,7 @@
     support::duration now{};
     std::uint64_t refused = 0;
     std::uint64_t admitted = 0;
+    std::map<refusal_cause, std::uint64_t> refused_by_cause;
     std::size_t most_in_window = 0;
     std::uint64_t messages = 0;
 
@@ -117,7 +118,7 @@
         limiter& machine = *members[entry].machine;
         const organisation_hash hash = hash_of(rate.name);
         const admission decision = machine.admit(hash, local(entry));
-        count(decision.result);
+        count(decision);
         execute(entry, machine.flush(local(entry)));
         if (decision.result != verdict::waiting)
             return;
@@ -130,15 +131,17 @@
         at(now + reply_time, [=, this, waited = &machine] {
             // The member may have been restarted.
             if (members[entry].machine.get() == waited)
-                count(waited->on_wait_over(hash, decision.call, local(entry))
-                          .result);
+                count(waited->on_wait_over(hash, decision.call, local(entry)));
         });
     }
 
-    void count(verdict result)
+    void count(const admission& decision)
     {
-        refused += result == verdict::refused;
-        if (result != verdict::admitted)
+        if (decision.result == verdict::refused) {
+            ++refused;
+            ++refused_by_cause[decision.cause];
+        }
+        if (decision.result != verdict::admitted)
             return;
         ++admitted;
         passed.push_back(now);
@@ -151,7 +154,7 @@
     {
         for (const action& taken : actions) {
             if (const auto* decided = std::get_if<call_decided>(&taken)) {
-                count(decided->decision.result);
+                count(decided->decision);
                 continue;
             }
             const auto& sent = std::get<send_message>(taken);
--- a/unittests/organisations/limiter_test.cpp
+++ b/unittests/organisations/limiter_test.cpp
@@ -222,6 +222,44 @@
     CHECK(static_cast<double>(fleet.most_in_window) <= bound(fleet.rate));
 }
 
+struct cause_case
+{
+    const char* description;
+    support::duration begin;
+    double demand;
+    refusal_cause expected;
+    bool cut;
+};
+
+constexpr cause_case cause_cases[] = {
+    {"just started", 300ms, 0.6, refusal_cause::shares_missing, false},
+    {"above the limit", 10s, 7, refusal_cause::over_limit, false},
+    {"all cut off", 10s, 7, refusal_cause::owner_silent, true},
+};
+
+// Guards against operators who are told of too many calls while the fleet still
+// shares out the limit.
+TEST_CASE("a refusal states its cause")
+{
+    for (const cause_case& row : cause_cases) {
+        INFO(row.description);
+        fake_fleet fleet({"one", 100, 20}, platform_tolerance, 5);
+        for (std::size_t index = 0; index < 30; ++index)
+            fleet.start(index);
+        fleet.run_until(row.begin);
+        if (row.cut)
+            fleet.connected = [](std::size_t from, std::size_t to) {
+                return from == to;
+            };
+        const support::duration end = row.begin + 600ms;
+        fleet.demand(100 * row.demand, first_members(30), end);
+        fleet.run_until(end);
+        CHECK(fleet.refused > 0);
+        CHECK(static_cast<double>(fleet.refused_by_cause[row.expected]) >=
+              0.9 * static_cast<double>(fleet.refused));
+    }
+}
+
 struct load_row
 {
     double calls_per_s;
