--- a/unittests/organisations/fake_fleet.hpp
+++ b/unittests/organisations/fake_fleet.hpp
@@ -24,6 +24,7 @@
     {
         std::unique_ptr<limiter> machine;
         support::duration clock_offset{};
+        support::duration started_at{};
         bool running = true;
         bool left = false;
     };
@@ -42,6 +43,7 @@
         member& started = members[index];
         started.running = true;
         started.left = false;
+        started.started_at = now;
         started.clock_offset = std::chrono::seconds(random() % 100'000);
         started.machine = std::make_unique<limiter>(
             "member-" + std::to_string(index), true, allowed_, random());
@@ -93,9 +95,13 @@
     double loss = 0;
     double duplicates = 0;
     double max_delay_ms = 6;
+    /// A member that starts is known to each other one after a random time up
+    /// to this one.
+    support::duration max_view_delay{};
     support::duration now{};
     std::uint64_t refused = 0;
     std::uint64_t admitted = 0;
+    std::map<refusal_cause, std::uint64_t> refused_by_cause;
     std::size_t most_in_window = 0;
     std::uint64_t messages = 0;
 
@@ -112,7 +118,7 @@
         limiter& machine = *members[entry].machine;
         const organisation_hash hash = hash_of(rate.name);
         const admission decision = machine.admit(hash, local(entry));
-        count(decision.result);
+        count(decision);
         execute(entry, machine.flush(local(entry)));
         if (decision.result != verdict::waiting)
             return;
@@ -125,15 +131,17 @@
         at(now + reply_time, [=, this, waited = &machine] {
             // The member may have been restarted.
             if (members[entry].machine.get() == waited)
-                count(waited->on_wait_over(hash, decision.call, local(entry))
-                          .result);
+                count(waited->on_wait_over(hash, decision.call, local(entry)));
         });
     }
 
-    void count(verdict result)
+    void count(const admission& decision)
     {
-        refused += result == verdict::refused;
-        if (result != verdict::admitted)
+        if (decision.result == verdict::refused) {
+            ++refused;
+            ++refused_by_cause[decision.cause];
+        }
+        if (decision.result != verdict::admitted)
             return;
         ++admitted;
         passed.push_back(now);
@@ -146,7 +154,7 @@
     {
         for (const action& taken : actions) {
             if (const auto* decided = std::get_if<call_decided>(&taken)) {
-                count(decided->decision.result);
+                count(decided->decision);
                 continue;
             }
             const auto& sent = std::get<send_message>(taken);
@@ -184,6 +192,17 @@
         return false;
     }
 
+    support::duration known_from(std::size_t viewer, std::size_t seen) const
+    {
+        if (max_view_delay == support::duration() || viewer == seen)
+            return {};
+        const auto both_run =
+            std::max(members[viewer].started_at, members[seen].started_at);
+        const std::string pair =
+            std::to_string(viewer) + "/" + std::to_string(seen);
+        return both_run + max_view_delay * (hash_of(pair) % 1000) / 1000;
+    }
+
     void tick()
     {
         for (std::size_t viewer = 0; viewer < members.size(); ++viewer) {
@@ -192,7 +211,7 @@
             std::vector<observed_member> view;
             for (std::size_t seen = 0; seen < members.size(); ++seen) {
                 auto& last_seen = last_seen_[{viewer, seen}];
-                if (is_seen(viewer, seen))
+                if (is_seen(viewer, seen) && now >= known_from(viewer, seen))
                     last_seen = now;
                 // A restarted member learns of no absent members.
                 if (last_seen == support::duration())
