Keep the cold rate after a failed query, and give refused calls places

Cause: a query for the cold state that failed left an upstream that had just started at its full rate until the next check-in; a late response of the earlier process, or one of another process at the address, set the cold time of the present instance, and its 421 stopped the present one; all calls that a cold upstream refused were told the end of the queue, so that they returned together. Change: the cold limit applies to an instance whose state is unknown (30 s from its start); loads count only from the instance that the gate knows; refused calls get places of their own (admission::return_schedule), behind the cold time if need be.

--- a/include/galenarudder/admission/cold_limit.hpp
+++ b/include/galenarudder/admission/cold_limit.hpp
@@ -33,36 +33,53 @@
                    support::milliseconds remaining,
                    support::time_point now);
     /// Another instance replaces the upstream: what was stated and started
-    /// before does not count.
-    void on_new_instance();
+    /// before does not count. The limit applies until the instance states
+    /// whether it is cold.
+    void on_new_instance(support::time_point now);
+    /// A query got no statement of the upstream. One that has just started is
+    /// likely to be cold, so the limit applies until the next statement.
+    void on_query_failed(support::time_point now);
 
-    /// Returns how long the upstream is still cold.
+    /// Returns how long the upstream is still cold by its statements.
     support::duration remaining(support::time_point now) const;
     /// Returns whether the limit applies.
     bool applies(support::time_point now) const
     {
-        return calls_per_s_ > 0 && remaining(now) > support::duration(0);
+        return calls_per_s_ > 0 &&
+               (is_unknown(now) || remaining(now) > support::duration(0));
     }
     /// Returns how long the call that starts after \p ahead others must wait.
     support::duration wait(std::size_t ahead, support::time_point now) const;
     /// Counts a call that starts.
     void on_start(support::time_point now);
 
-    /// Returns whether more calls started in the last second than a cold
-    /// upstream takes, and no query was sent recently.
+    /// Returns whether a query is due: more calls started in the last second
+    /// than a cold upstream takes, or any while its state is unknown.
     bool needs_query(support::time_point now) const;
     void on_query_sent(support::time_point now) { queried_at_ = now; }
 
     /// Least time between two queries: each has a cost for the operators.
     static constexpr support::milliseconds query_interval{250};
+    /// How long an instance counts as just started. Counted from when the gate
+    /// learned of it, since the start time of the upstream is by a clock that
+    /// may be set. Upstreams are cold for some seconds after a start.
+    static constexpr support::milliseconds start_span{30'000};
 
 private:
+    bool is_unknown(support::time_point now) const
+    {
+        return is_unknown_ && now - instance_since_ < start_span;
+    }
     support::duration interval() const;
     std::size_t started_in_last_second(support::time_point now) const;
 
     double calls_per_s_ = 0;
     /// End of the cold time by each source.
     std::array<support::time_point, 2> cold_until_{};
+    support::time_point instance_since_{};
+    /// Whether the instance has stated nothing since it started, or since a
+    /// query failed.
+    bool is_unknown_ = false;
     /// Starts of the last second.
     std::deque<support::time_point> starts_;
     /// When the next call may start by the spacing of calls.
--- a/include/galenarudder/admission/gate.hpp
+++ b/include/galenarudder/admission/gate.hpp
@@ -149,9 +149,11 @@
     std::vector<action> on_cold_stated(cold_source source,
                                        support::milliseconds remaining,
                                        support::time_point now);
+    /// The query of take_cold_query got no statement of the upstream.
+    void on_cold_query_failed(support::time_point now);
     /// Another instance replaces the upstream: what the earlier one stated
     /// about being cold does not count, nor do the calls sent to it.
-    void on_new_instance();
+    void on_new_instance(support::time_point now);
     /// Returns how long the upstream is still cold.
     support::duration cold_remaining(support::time_point now) const;
     /// Returns whether the owner of the gate has to query whether the upstream
--- a/include/galenarudder/proxy/upstream_client.hpp
+++ b/include/galenarudder/proxy/upstream_client.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace galenarudder::proxy {
 
@@ -46,6 +47,14 @@
     virtual void abort() = 0;
 };
 
+/// Returns the load that \p head states, if \p instance sent it. A response
+/// that does not name its instance states no cold time, since the process
+/// before may have sent it.
+std::optional<upstream_load>
+load_of_instance(const support::response_head& head,
+                 std::string_view instance,
+                 const http_dialect& dialect);
+
 /// An HTTP/1.1 client of one upstream. Runs on one executor, which must
 /// serialize its work.
 class upstream_client
--- a/lib/admission/cold_limit.cpp
+++ b/lib/admission/cold_limit.cpp
@@ -31,10 +31,18 @@
 {
     cold_until_.at(static_cast<std::size_t>(source)) =
         now + std::min(remaining, max_cold_time);
+    is_unknown_ = false;
 }
 
-void cold_limit::on_new_instance()
+void cold_limit::on_query_failed(support::time_point now)
 {
+    is_unknown_ = is_unknown_ || now - instance_since_ < start_span;
+}
+
+void cold_limit::on_new_instance(support::time_point now)
+{
+    instance_since_ = now;
+    is_unknown_ = true;
     cold_until_ = {};
     starts_.clear();
     next_start_ = {};
@@ -72,7 +80,7 @@
         first = std::max(first, starts_[starts_.size() - permitted] + window);
     const support::duration wait =
         first - now + static_cast<std::int64_t>(ahead) * interval();
-    return std::min(wait, remaining(now));
+    return is_unknown(now) ? wait : std::min(wait, remaining(now));
 }
 
 void cold_limit::on_start(support::time_point now)
@@ -90,9 +98,11 @@
 
 bool cold_limit::needs_query(support::time_point now) const
 {
-    return calls_per_s_ > 0 && !applies(now) &&
-           now - queried_at_ >= query_interval &&
-           static_cast<double>(started_in_last_second(now)) > calls_per_s_;
+    if (calls_per_s_ <= 0 || now - queried_at_ < query_interval)
+        return false;
+    const auto started = static_cast<double>(started_in_last_second(now));
+    return is_unknown(now) ? started > 0
+                           : !applies(now) && started > calls_per_s_;
 }
 
 } // namespace galenarudder::admission
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -111,14 +111,15 @@
     };
     while (std::optional<attempt> next = queue.pop(eligible)) {
         if (next->deadline <= now) {
-            actions.emplace_back(
-                refuse_for_deadline(*next, "the deadline passed in the queue"));
+            actions.emplace_back(refuse_for_deadline(
+                *next, "the deadline passed in the queue", now));
             continue;
         }
         if (misses_deadline(*next, support::duration(0), now) &&
             try_shed(now)) {
             actions.emplace_back(refuse_for_deadline(
-                *next, "the remaining time is shorter than the service time"));
+                *next, "the remaining time is shorter than the service time",
+                now));
             continue;
         }
         const double cost_ms = service_times.mean_ms(next->rank);
@@ -226,7 +227,8 @@
                                    "no upstream is announced")};
     }
     if (call.deadline <= now)
-        return {state_->refuse_for_deadline(call, "the deadline has passed")};
+        return {
+            state_->refuse_for_deadline(call, "the deadline has passed", now)};
     if (call.may_hand_back && state_->slowdowns.is_slow_by_fresh_report(now))
         return {state_->hand_back(call, refusal_kind::slow_spell, now)};
     const std::size_t ahead = state_->queue.waiting_before(
@@ -236,17 +238,19 @@
         state_->start_wait(ahead, now) > state_->expected_service_time(call);
     if (call.may_hand_back && waits_long)
         return {state_->hand_back(call, refusal_kind::rate_limited, now)};
+    if (state_->cold.applies(now))
+        state_->returns.on_offer(now);
     const support::duration wait = state_->expected_wait(ahead);
     if (state_->misses_deadline(call, wait, now) && state_->try_shed(now)) {
         return {state_->refuse_for_deadline(
-            call, "the queue leaves too little time before the deadline")};
+            call, "the queue leaves too little time before the deadline", now)};
     }
     std::vector<action> actions;
     state_->queue.push(call);
     state_->start_waiting(now, actions);
     state_->refuse_beyond_limit(now, actions);
     while (const auto dropped = state_->queue.drop_overflow())
-        actions.emplace_back(state_->refuse_overflow(*dropped));
+        actions.emplace_back(state_->refuse_overflow(*dropped, now));
     return actions;
 }
 
@@ -335,9 +339,15 @@
     return actions;
 }
 
-void gate::on_new_instance()
+void gate::on_cold_query_failed(support::time_point now)
+{
+    state_->cold.on_query_failed(now);
+}
+
+void gate::on_new_instance(support::time_point now)
 {
-    state_->cold.on_new_instance();
+    state_->cold.on_new_instance(now);
+    state_->returns.clear();
 }
 
 support::duration gate::cold_remaining(support::time_point now) const
@@ -440,7 +450,7 @@
     };
     for (const attempt& expired_call : state_->queue.remove_if(expired)) {
         actions.emplace_back(state_->refuse_for_deadline(
-            expired_call, "the deadline passed in the queue"));
+            expired_call, "the deadline passed in the queue", now));
     }
     state_->start_waiting(now, actions);
     state_->refuse_beyond_limit(now, actions);
--- a/lib/admission/gate_refusals.cpp
+++ b/lib/admission/gate_refusals.cpp
@@ -18,6 +18,8 @@
 /// Bounds of the Retry-After value that refusals carry.
 constexpr support::milliseconds min_retry_after{100};
 constexpr support::milliseconds max_retry_after{10'000};
+/// Refusals of a cold upstream state when there is room, which may be later.
+constexpr support::milliseconds max_cold_retry_after{60'000};
 /// Retry-After of refusals while the upstream is draining or absent.
 constexpr support::milliseconds unavailable_retry_after{1'000};
 
@@ -70,26 +72,54 @@
         std::clamp<double>(usable, 1, static_cast<double>(slots)));
 }
 
-support::milliseconds gate::state::retry_after() const
+support::milliseconds gate::state::retry_after(support::time_point now)
 {
+    if (cold.applies(now))
+        return cold_retry_after(now);
     const support::duration backlog = expected_wait(queue.size());
     return std::clamp(
         std::chrono::duration_cast<support::milliseconds>(2 * backlog),
         min_retry_after, max_retry_after);
 }
 
-refuse gate::state::refuse_for_deadline(const attempt& call, std::string detail)
+/// Reserves the next free place behind the waiting calls and those that were
+/// refused before, and returns the time until then.
+support::milliseconds gate::state::cold_retry_after(support::time_point now)
+{
+    constexpr double ms_per_s = 1000;
+    const double mean_ms = service_times.mean_ms();
+    const double cold_rate = start_rate(now).value_or(cold.calls_per_s());
+    const double warm_rate =
+        mean_ms > 0 ? concurrency.current() * ms_per_s / mean_ms : cold_rate;
+    const support::time_point first =
+        now + std::max<support::duration>({min_retry_after,
+                                           start_wait(queue.size(), now),
+                                           expected_wait(queue.size())});
+    const support::time_point place = returns.reserve(
+        {first, now + cold.remaining(now), cold_rate,
+         std::max(cold_rate,
+                  std::min(warm_rate,
+                           stated_limit.calls_per_s().value_or(warm_rate)))},
+        now, max_cold_retry_after);
+    return std::clamp(std::chrono::ceil<support::milliseconds>(place - now),
+                      min_retry_after, max_cold_retry_after);
+}
+
+refuse gate::state::refuse_for_deadline(const attempt& call,
+                                        std::string detail,
+                                        support::time_point now)
 {
     ++counts.refused_deadline;
-    return {call.key, not_run(refusal_kind::deadline_exceeded, retry_after(),
+    return {call.key, not_run(refusal_kind::deadline_exceeded, retry_after(now),
                               std::move(detail))};
 }
 
-refuse gate::state::refuse_overflow(const attempt& call)
+refuse gate::state::refuse_overflow(const attempt& call,
+                                    support::time_point now)
 {
     ++counts.refused_overload;
     return {call.key,
-            not_run(refusal_kind::overloaded, retry_after(),
+            not_run(refusal_kind::overloaded, retry_after(now),
                     "the queue is full of calls that take precedence")};
 }
 
@@ -125,11 +155,13 @@
     ++counts.refused_limit;
     if (cold.applies(now))
         ++counts.turned_away_cold;
-    const auto wait =
-        std::chrono::ceil<support::milliseconds>(start_wait(queue.size(), now));
+    const auto wait = cold.applies(now)
+                          ? cold_retry_after(now)
+                          : std::clamp(std::chrono::ceil<support::milliseconds>(
+                                           start_wait(queue.size(), now)),
+                                       min_retry_after, max_retry_after);
     return {call.key,
-            not_run(refusal_kind::rate_limited,
-                    std::clamp(wait, min_retry_after, max_retry_after),
+            not_run(refusal_kind::rate_limited, wait,
                     "the upstream's limit leaves no room before the deadline")};
 }
 
--- a/lib/admission/gate_state.hpp
+++ b/lib/admission/gate_state.hpp
@@ -2,6 +2,8 @@
 // starts (gate.cpp), limits on starts and refusals (gate_refusals.cpp).
 #pragma once
 
+#include "return_schedule.hpp"
+
 #include "galenarudder/admission/concurrency_limit.hpp"
 #include "galenarudder/admission/gate.hpp"
 #include "galenarudder/admission/rank_queue.hpp"
@@ -52,6 +54,8 @@
     slowdown_monitor slowdowns;
     rate_limit stated_limit;
     cold_limit cold;
+    /// Times at which calls that a cold upstream refused are to return.
+    return_schedule returns;
     probe_budget probes{0};
     probe_estimate idle_estimate;
     support::time_point probe_started_at;
@@ -78,8 +82,11 @@
                          support::duration wait,
                          support::time_point now) const;
     bool try_shed(support::time_point now);
-    support::milliseconds retry_after() const;
-    refuse refuse_for_deadline(const attempt& call, std::string detail);
+    support::milliseconds retry_after(support::time_point now);
+    support::milliseconds cold_retry_after(support::time_point now);
+    refuse refuse_for_deadline(const attempt& call,
+                               std::string detail,
+                               support::time_point now);
     refuse hand_back(const attempt& call,
                      support::refusal_kind kind,
                      support::time_point now);
@@ -89,7 +96,7 @@
     refuse refuse_for_limit(const attempt& call, support::time_point now);
     void refuse_beyond_limit(support::time_point now,
                              std::vector<action>& actions);
-    refuse refuse_overflow(const attempt& call);
+    refuse refuse_overflow(const attempt& call, support::time_point now);
     bool slowdown_report_allows_start(support::time_point now) const;
     void start_waiting(support::time_point now, std::vector<action>& actions);
     void refuse_waiting(support::refusal_kind kind,
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -123,12 +123,14 @@
     void on_finished(const attempt_key& key,
                      upstream_result result,
                      support::duration elapsed,
-                     const std::optional<upstream_load>& stated_load);
+                     const std::optional<upstream_load>& stated_load,
+                     std::uint64_t generation);
     void log_result(const attempt_key& key,
                     upstream_result result,
                     support::duration elapsed,
                     const std::optional<upstream_load>& stated_load) const;
     void on_demand(const upstream_demand& stated, std::uint64_t generation);
+    void apply_connections();
     void apply_announcement();
     void stop_serving(std::string_view cause);
     std::string probe_path() const;
@@ -228,8 +230,11 @@
         [weak = weak_from_this(), generation = instance_generation_](
             const std::optional<upstream_load>& stated_load) {
             const auto self = weak.lock();
-            if (self && self->instance_generation_ == generation)
-                self->on_cold_stated(stated_load);
+            if (!self || self->instance_generation_ != generation)
+                return;
+            if (!stated_load || !stated_load->cold)
+                self->gate_.on_cold_query_failed(monotonic_clock::now());
+            self->on_cold_stated(stated_load);
         });
 }
 
@@ -451,12 +456,12 @@
                    ? support::load_report{}
                    : self->load_report_of(found->second);
     };
-    auto report_result =
-        [weak, key](upstream_result result, support::duration elapsed,
-                    const std::optional<upstream_load>& stated_load) {
-            if (const auto self = weak.lock())
-                self->on_finished(key, result, elapsed, stated_load);
-        };
+    auto report_result = [weak, key, generation = instance_generation_](
+                             upstream_result result, support::duration elapsed,
+                             const std::optional<upstream_load>& stated_load) {
+        if (const auto self = weak.lock())
+            self->on_finished(key, result, elapsed, stated_load, generation);
+    };
     auto take_demand = [weak, generation = instance_generation_](
                            const upstream_demand& stated) {
         if (const auto self = weak.lock())
@@ -532,25 +537,30 @@
          {"stated_slowdown", load.slowdown}});
 }
 
+/// The result of a call that an earlier instance ran tells nothing about the
+/// present one.
 void gate_runtime::impl::on_finished(
     const attempt_key& key,
     upstream_result result,
     support::duration elapsed,
-    const std::optional<upstream_load>& stated_load)
+    const std::optional<upstream_load>& stated_load,
+    std::uint64_t generation)
 {
+    const bool is_of_present = generation == instance_generation_;
     log_result(key, result, elapsed, stated_load);
     using admission::run_result;
     static constexpr run_result gate_results[] = {
         run_result::answered, run_result::failed, run_result::shed,
         run_result::failed,   run_result::failed, run_result::failed};
     attempts_.erase(key);
-    if (stated_load)
+    if (stated_load && is_of_present) {
         perform(gate_.on_slowdown_report(stated_load->slowdown,
                                          monotonic_clock::now()));
-    on_cold_stated(stated_load);
-    if (result == upstream_result::unreachable)
+        on_cold_stated(stated_load);
+    }
+    if (is_of_present && result == upstream_result::unreachable)
         stop_serving("no connection could be opened");
-    if (result == upstream_result::replaced)
+    if (is_of_present && result == upstream_result::replaced)
         stop_serving("another instance of the upstream has the address");
     perform(gate_.on_ended(key, gate_results[static_cast<std::size_t>(result)],
                            elapsed, monotonic_clock::now()));
@@ -618,7 +628,7 @@
         announcement_count_ = 0;
         perform(gate_.on_upstream_gone(monotonic_clock::now()));
         perform(gate_.on_limit_stated(std::nullopt, monotonic_clock::now()));
-        gate_.on_new_instance();
+        gate_.on_new_instance(monotonic_clock::now());
         apply_cold_rate();
     }
     apply_cold(admission::cold_source::announcement, upstream_.cold);
@@ -667,16 +677,19 @@
         response && response.value().status == status_ok &&
         http::field_or_empty(response.value().fields, dialect_.instance) ==
             upstream_.instance;
-    if (serving)
-        apply_announcement();
+    if (!serving)
+        co_return;
+    // States whether an upstream that has just started is cold, before the
+    // first call is sent to it.
+    support::response_head head;
+    for (const http::field& field : response.value().fields)
+        head.fields.push_back({field.name, field.value});
+    on_cold_stated(load_of_instance(head, upstream_.instance, dialect_));
+    apply_announcement();
 }
 
-/// Allows calls to be sent to the upstream, with the connections and slots that
-/// it stated; called again at every later announcement.
-void gate_runtime::impl::apply_announcement()
+void gate_runtime::impl::apply_connections()
 {
-    const bool newly_serving = !serving_;
-    serving_ = true;
     const config::service_policy* service =
         in_force_->find_service(upstream_.service);
     const bool has_configured_limit =
@@ -686,8 +699,19 @@
     const std::size_t wanted_connections = upstream_.slots + spare_connections;
     const std::size_t connections =
         std::min<std::size_t>(wanted_connections, max_connections);
-    client_->set_max_connections(connections,
-                                 upstream_.warm_connections ? connections : 0);
+    // An emptied domain gets no calls, so that open connections would only be
+    // billed.
+    const bool warms = upstream_.warm_connections && !emptied_;
+    client_->set_max_connections(connections, warms ? connections : 0);
+}
+
+/// Allows calls to be sent to the upstream, with the connections and slots that
+/// it stated; called again at every later announcement.
+void gate_runtime::impl::apply_announcement()
+{
+    const bool newly_serving = !serving_;
+    serving_ = true;
+    apply_connections();
     perform(
         gate_.on_upstream_announced(upstream_.slots, monotonic_clock::now()));
     if (newly_serving && on_serving_changed_)
@@ -727,11 +751,14 @@
     perform(gate_.on_upstream_gone(monotonic_clock::now()));
 }
 
-/// While the domain is emptied, the upstream is neither probed nor checked. Its
-/// announcements count, so that it serves at once when it is taken back.
+/// While the domain is emptied, the upstream is neither probed nor checked, and
+/// no connections are opened before calls need them. Its announcements count,
+/// so that it serves at once when it is taken back.
 void gate_runtime::impl::set_emptied(bool emptied)
 {
     emptied_ = emptied;
+    if (serving_)
+        apply_connections();
     perform(gate_.set_emptied(emptied, monotonic_clock::now()));
 }
 
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -191,6 +191,22 @@
 
 } // namespace
 
+std::optional<upstream_load>
+load_of_instance(const support::response_head& head,
+                 std::string_view instance,
+                 const http_dialect& dialect)
+{
+    std::optional<upstream_load> load = dialect.read_load(head);
+    if (!load || dialect.instance.empty())
+        return load;
+    const std::string_view sender = find_field(head.fields, dialect.instance);
+    if (!sender.empty() && sender != instance)
+        return std::nullopt;
+    if (sender.empty())
+        load->cold.reset();
+    return load;
+}
+
 namespace {
 
 /// An attempt while it runs; owned by its coroutines.
@@ -432,7 +448,7 @@
     pool_->on_response();
     connection_->idle_timeout =
         idle_timeout_of(reader_->keep_alive_parameters());
-    stated_load_ = dialect_.read_load(head);
+    stated_load_ = load_of_instance(head, instance_, dialect_);
     if (on_demand_ && head.status != status_misdirected)
         on_demand_(dialect_.read_demand(head));
     if (dialect_.states_not_run(head)) {
@@ -671,6 +687,7 @@
 fetch_load(std::shared_ptr<connection_pool> pool,
            std::string path,
            support::duration timeout,
+           std::string instance,
            const http_dialect& dialect)
 {
     const support::time_point end = support::monotonic_clock::now() + timeout;
@@ -699,7 +716,7 @@
         head.fields.push_back({std::move(field.name), std::move(field.value)});
     if (received.reusable)
         pool->give_back(connection);
-    co_return dialect.read_load(head);
+    co_return load_of_instance(head, instance, dialect);
 }
 
 } // namespace
@@ -711,9 +728,10 @@
 {
     asio::co_spawn(
         pool_->executor(),
-        [pool = pool_, path, timeout, &dialect = dialect_,
+        [pool = pool_, path, timeout, instance = instance_, &dialect = dialect_,
          on_load = std::move(on_load)]() -> asio::awaitable<void> {
-            on_load(co_await fetch_load(pool, path, timeout, dialect));
+            on_load(
+                co_await fetch_load(pool, path, timeout, instance, dialect));
         },
         asio::detached);
 }
