--- a/include/galenarudder/membership/domain_states.hpp
+++ b/include/galenarudder/membership/domain_states.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -38,7 +39,7 @@
     bool emptied = false;
     store_revision revision;
     /// When the first daemon learned of the state, by this daemon's clock. Only
-    /// for display.
+    /// for display. Peers state it, so that it outlives a restart.
     support::time_point since;
 };
 
@@ -69,9 +70,16 @@
     static constexpr std::size_t max_domain_bytes = 64;
     /// States of more domains are ignored.
     static constexpr std::size_t max_domains = 256;
-    /// How long a daemon that has just started waits to be informed before it
-    /// takes its domain as not emptied.
-    static constexpr support::milliseconds max_uninformed{2000};
+    /// How long a daemon that knows no live peer waits for the store before it
+    /// takes its domain as not emptied. It has to join the fleet before it
+    /// knows one, which takes longer on a slow VM.
+    static constexpr support::milliseconds max_alone{5000};
+    /// If all live peers, or this many of them, have answered that they do not
+    /// know the state either, the fleet was started without a store.
+    static constexpr std::size_t max_unaware_peers = 16;
+    /// An answer of a daemon that does not number its parts counts after this
+    /// time. It has been repeated about four times by then.
+    static constexpr support::milliseconds unnumbered_wait{1000};
 
     /// Returns up to \p count random live peers.
     using peer_source =
@@ -106,21 +114,37 @@
     }
     /// Returns whether the store was read or a peer that knows it has answered.
     bool informed() const { return informed_; }
-    /// Returns whether this daemon has to wait until it is informed. The time
-    /// counts from the first on_tick.
-    bool must_wait(support::time_point now) const
-    {
-        return !informed_ && (started_at_ == support::time_point() ||
-                              now - started_at_ < max_uninformed);
-    }
+    /// Returns whether this daemon has to wait until it is informed: while it
+    /// knows live peers, and for max_alone without. Counts from the first
+    /// on_tick.
+    bool must_wait(support::time_point now) const;
 
 private:
+    /// The parts of one peer's answer that have arrived.
+    struct partial_answer
+    {
+        std::uint64_t id = 0;
+        std::size_t parts = 0;
+        store_revision read_at;
+        std::set<std::size_t> received;
+        std::set<std::string, std::less<>> emptied;
+    };
+
     bool
     merge(std::string_view domain, const domain_state& state, bool& ours_newer);
     void supersede_before(store_revision read_at,
-                          std::span<const std::string_view> still_emptied,
+                          const std::set<std::string, std::less<>>& emptied,
                           support::time_point now);
-    std::vector<std::string> encode_all(support::time_point now) const;
+    void on_answer(const std::string& peer,
+                   std::string_view kind,
+                   std::string_view head,
+                   std::set<std::string, std::less<>> emptied,
+                   bool has_states,
+                   support::time_point now);
+    void on_peers(const std::vector<std::string>& live,
+                  support::time_point now);
+    std::vector<std::string> peers_to_ask(const std::vector<std::string>& live);
+    std::vector<std::string> encode_all(support::time_point now);
     void spread(support::time_point now);
 
     std::map<std::string, domain_state, std::less<>> states_;
@@ -129,10 +153,20 @@
     support::time_point started_at_{};
     support::random_engine random_;
     bool informed_ = false;
+    /// Number of the last answer that was sent.
+    std::uint64_t answer_id_ = 0;
+    std::map<std::string, partial_answer, std::less<>> partial_answers_;
+    /// When a live peer was last known, or the start.
+    support::time_point last_peer_at_{};
+    /// Peers that answered that they do not know the state.
+    std::set<std::string, std::less<>> unaware_peers_;
+    bool all_unaware_ = false;
+    /// When the first answer without numbered parts arrived.
+    support::time_point unnumbered_since_{};
     /// How often the last change is still to be sent.
     std::size_t rounds_left_ = 0;
     support::time_point next_round_{};
-    support::time_point next_ask_{};
+    support::time_point asked_at_{};
     support::time_point next_reminder_{};
 };
 
--- a/lib/membership/domain_states.cpp
+++ b/lib/membership/domain_states.cpp
@@ -1,10 +1,14 @@
-// Messages are lines of text. The first line is `ask`, `tell`, or
-// `know ERA NUMBER` from a daemon that knows the store's state; each further
-// line is `ERA NUMBER EMPTIED AGE_MS DOMAIN`.
+// Messages are lines of text. The first line is `ask`, `tell` or
+// `know ERA NUMBER`, the last from a daemon that knows the store's state; each
+// further line is `ERA NUMBER EMPTIED AGE_MS DOMAIN`. An answer has in its
+// first line after that `ID PART PARTS ERA NUMBER` with the revision of the
+// reading. Earlier versions neither send nor read this; for them, a part of a
+// longer answer has the revision `0 0` before it, from which nothing follows.
 #include "galenarudder/membership/domain_states.hpp"
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -24,7 +28,7 @@
 constexpr support::milliseconds round_interval{300};
 /// Interval at which a daemon that is not informed asks two peers, at first and
 /// once it no longer waits for the answer.
-constexpr std::size_t peers_to_ask = 2;
+constexpr std::size_t peers_per_ask = 2;
 constexpr support::milliseconds ask_interval{250};
 constexpr support::milliseconds late_ask_interval{2000};
 constexpr support::milliseconds reminder_interval{1000};
@@ -94,20 +98,48 @@
         {*emptied != 0, {*era, *number}, now - support::milliseconds(*age_ms)}};
 }
 
-/// Returns \p lines in as few messages as possible, each headed by \p kind.
-std::vector<std::string> pack(const std::string& kind,
+/// Returns \p lines in as few messages as possible, with \p head_bytes left for
+/// the head of each.
+std::vector<std::string> pack(std::size_t head_bytes,
                               const std::vector<std::string>& lines)
 {
-    std::vector<std::string> messages{kind + '\n'};
+    std::vector<std::string> messages(1);
     for (const std::string& line : lines) {
-        if (messages.back().size() + line.size() >
+        if (messages.back().size() + line.size() + head_bytes >
             domain_states::max_message_bytes)
-            messages.push_back(kind + '\n');
+            messages.emplace_back();
         messages.back() += line;
     }
     return messages;
 }
 
+std::string to_text(const store_revision& revision)
+{
+    return std::to_string(revision.era) + ' ' + std::to_string(revision.number);
+}
+
+/// The place of a message in the answer that it belongs to.
+struct answer_part
+{
+    std::uint64_t id = 0;
+    std::size_t part = 0;
+    std::size_t parts = 0;
+    store_revision read_at;
+};
+
+std::optional<answer_part> take_part(std::string_view& head)
+{
+    const auto id = take_number(head);
+    const auto part = take_number(head);
+    const auto parts = take_number(head);
+    const auto era = take_number(head);
+    const auto number = take_number(head);
+    if (!id || !part || !parts || !era || !number || *part >= *parts ||
+        *parts > domain_states::max_domains)
+        return std::nullopt;
+    return answer_part{*id, *part, *parts, {*era, *number}};
+}
+
 void append(std::vector<domain_message>& messages,
             const std::string& peer,
             const std::vector<std::string>& payloads)
@@ -130,6 +162,9 @@
     const store_revision known_revision =
         known == states_.end() ? read_at_ : known->second.revision;
     ours_newer = state.revision < known_revision;
+    if (known != states_.end() && state.revision == known_revision &&
+        state.emptied == known->second.emptied)
+        known->second.since = std::min(known->second.since, state.since);
     if (state.revision <= known_revision)
         return false;
     if (known == states_.end()) {
@@ -147,17 +182,15 @@
 }
 
 /// Takes the domains back that were emptied before \p read_at, when only those
-/// of \p still_emptied were.
+/// of \p emptied were.
 void domain_states::supersede_before(
     store_revision read_at,
-    std::span<const std::string_view> still_emptied,
+    const std::set<std::string, std::less<>>& emptied,
     support::time_point now)
 {
     for (auto& [domain, state] : states_) {
-        const bool listed =
-            std::find(still_emptied.begin(), still_emptied.end(), domain) !=
-            still_emptied.end();
-        if (listed || !state.emptied || state.revision >= read_at)
+        if (emptied.contains(domain) || !state.emptied ||
+            state.revision >= read_at)
             continue;
         state = {false, read_at, now};
         spread(now);
@@ -169,9 +202,9 @@
                                store_revision read_at,
                                support::time_point now)
 {
-    std::vector<std::string_view> listed;
+    std::set<std::string, std::less<>> listed;
     for (const emptied_domain& entry : emptied) {
-        listed.push_back(entry.domain);
+        listed.insert(entry.domain);
         on_change(entry.domain, true, entry.revision, now);
     }
     supersede_before(read_at, listed, now);
@@ -195,22 +228,83 @@
     next_round_ = now;
 }
 
-/// Returns messages with all states. A receiver may conclude from one message
-/// that the domains it does not name are not emptied, so only a message that
-/// holds all states names the revision of the reading.
-std::vector<std::string>
-domain_states::encode_all(support::time_point now) const
+/// Returns messages with all states. A receiver of an earlier version may
+/// conclude from one message that the domains it does not name are not emptied,
+/// so only a message that holds all states names the revision of the reading
+/// before its part.
+std::vector<std::string> domain_states::encode_all(support::time_point now)
 {
     std::vector<std::string> lines;
     for (const auto& [domain, state] : states_)
         lines.push_back(encode(domain, state, now));
-    const std::string know = std::string(know_kind) + ' ';
-    const std::string at_reading = know + std::to_string(read_at_.era) + ' ' +
-                                   std::to_string(read_at_.number);
-    if (!informed_)
-        return pack(std::string(tell_kind), lines);
-    std::vector<std::string> messages = pack(at_reading, lines);
-    return messages.size() == 1 ? messages : pack(know + "0 0", lines);
+    // Kind, two revisions, id and part.
+    constexpr std::size_t max_head_bytes = 120;
+    std::vector<std::string> messages = pack(max_head_bytes, lines);
+    const std::string total = std::to_string(messages.size());
+    const store_revision stated =
+        messages.size() == 1 ? read_at_ : store_revision();
+    const std::string kind =
+        (informed_ ? std::string(know_kind) + ' ' + to_text(stated)
+                   : std::string(tell_kind)) +
+        ' ' + std::to_string(++answer_id_) + ' ';
+    for (std::size_t part = 0; part < messages.size(); ++part) {
+        messages[part].insert(0, kind + std::to_string(part) + ' ' + total +
+                                     ' ' + to_text(read_at_) + '\n');
+    }
+    return messages;
+}
+
+/// Counts an answer once all its parts have arrived. \p emptied are the domains
+/// that this part names as emptied.
+void domain_states::on_answer(const std::string& peer,
+                              std::string_view kind,
+                              std::string_view head,
+                              std::set<std::string, std::less<>> emptied,
+                              bool has_states,
+                              support::time_point now)
+{
+    const bool knows = kind == know_kind;
+    store_revision read_at;
+    if (knows) {
+        const auto era = take_number(head);
+        const auto number = take_number(head);
+        if (!era || !number)
+            return;
+        read_at = {*era, *number};
+    }
+    std::optional<answer_part> part = take_part(head);
+    if (!part && !knows) {
+        // A correction by an earlier version has states.
+        if (!has_states)
+            unaware_peers_.insert(peer);
+        return;
+    }
+    if (!part && read_at == store_revision()) {
+        if (unnumbered_since_ == support::time_point())
+            unnumbered_since_ = now;
+        return;
+    }
+    if (part && part->parts > 1) {
+        if (partial_answers_.size() > max_unaware_peers)
+            partial_answers_.clear();
+        partial_answer& partial = partial_answers_[peer];
+        if (partial.id != part->id || partial.parts != part->parts)
+            partial = {part->id, part->parts, part->read_at, {}, {}};
+        partial.received.insert(part->part);
+        partial.emptied.merge(emptied);
+        if (partial.received.size() < partial.parts)
+            return;
+        emptied = std::move(partial.emptied);
+        partial_answers_.erase(peer);
+    }
+    if (!knows) {
+        unaware_peers_.insert(peer);
+        return;
+    }
+    supersede_before(part ? part->read_at : read_at, emptied, now);
+    informed_ = true;
+    partial_answers_.clear();
+    unaware_peers_.clear();
 }
 
 std::vector<domain_message> domain_states::on_message(const std::string& peer,
@@ -227,7 +321,8 @@
     if (kind != know_kind && kind != tell_kind)
         return replies;
     std::vector<std::string> newer_lines;
-    std::vector<std::string_view> named;
+    std::set<std::string, std::less<>> named;
+    const bool has_states = !payload.empty();
     while (!payload.empty()) {
         const auto received = decode(take_until(payload, '\n'), now);
         if (!received)
@@ -236,7 +331,7 @@
         if (merge(received->domain, received->state, ours_newer))
             spread(now);
         if (received->state.emptied)
-            named.push_back(received->domain);
+            named.emplace(received->domain);
         if (!ours_newer)
             continue;
         const auto known = states_.find(received->domain);
@@ -246,32 +341,76 @@
                                          : known->second,
                                      now));
     }
-    if (kind == know_kind) {
-        const auto era = take_number(head);
-        const auto number = take_number(head);
-        if (era && number)
-            supersede_before({*era, *number}, named, now);
-        informed_ = true;
-    }
-    if (!newer_lines.empty())
-        append(replies, peer, pack(std::string(tell_kind), newer_lines));
+    on_answer(peer, kind, head, std::move(named), has_states, now);
+    if (newer_lines.empty())
+        return replies;
+    const std::string tell = std::string(tell_kind) + '\n';
+    for (const std::string& lines : pack(tell.size(), newer_lines))
+        replies.push_back({peer, tell + lines});
     return replies;
 }
 
+/// Takes the \p live peers of a daemon that is not informed.
+void domain_states::on_peers(const std::vector<std::string>& live,
+                             support::time_point now)
+{
+    if (!live.empty())
+        last_peer_at_ = now;
+    const auto unaware = static_cast<std::size_t>(std::count_if(
+        live.begin(), live.end(), [this](const std::string& peer) {
+            return unaware_peers_.contains(peer);
+        }));
+    all_unaware_ =
+        !live.empty() && unaware >= std::min(live.size(), max_unaware_peers);
+    if (unnumbered_since_ != support::time_point() &&
+        now - unnumbered_since_ >= unnumbered_wait)
+        informed_ = true;
+}
+
+/// Returns the peers to ask next: first those that have not answered.
+std::vector<std::string>
+domain_states::peers_to_ask(const std::vector<std::string>& live)
+{
+    std::vector<std::string> ordered = live;
+    std::stable_partition(ordered.begin(), ordered.end(),
+                          [this](const std::string& peer) {
+                              return !unaware_peers_.contains(peer);
+                          });
+    ordered.resize(std::min(ordered.size(), peers_per_ask));
+    return ordered;
+}
+
+bool domain_states::must_wait(support::time_point now) const
+{
+    if (informed_)
+        return false;
+    const bool has_waited =
+        started_at_ != support::time_point() && now - started_at_ >= max_alone;
+    const bool is_alone = now - last_peer_at_ >= max_alone;
+    return !has_waited || !(is_alone || all_unaware_);
+}
+
 std::vector<domain_message> domain_states::on_tick(const peer_source& peers,
                                                    support::time_point now)
 {
     if (started_at_ == support::time_point())
-        started_at_ = now;
+        started_at_ = last_peer_at_ = now;
     std::vector<domain_message> messages;
     const auto send_all = [&](std::size_t count) {
         const std::vector<std::string> payloads = encode_all(now);
         for (const std::string& peer : peers(count))
             append(messages, peer, payloads);
     };
-    if (!informed_ && now >= next_ask_) {
-        next_ask_ = now + (must_wait(now) ? ask_interval : late_ask_interval);
-        for (const std::string& peer : peers(peers_to_ask))
+    std::vector<std::string> live;
+    if (!informed_) {
+        live = peers(std::numeric_limits<std::size_t>::max());
+        on_peers(live, now);
+    }
+    const support::milliseconds interval =
+        must_wait(now) ? ask_interval : late_ask_interval;
+    if (!informed_ && !live.empty() && now - asked_at_ >= interval) {
+        asked_at_ = now;
+        for (const std::string& peer : peers_to_ask(live))
             append(messages, peer, {std::string(ask_kind) + '\n'});
     }
     if (rounds_left_ > 0 && now >= next_round_) {
