Let simulated upstreams make nested calls

Scenarios need upstreams that hold their slot while the calls they make are open, that differ in speed, and that state how long they are cold. The replay's upstream had none of this.

An attempt may carry a function that runs its nested calls after the upstream's own work; the call fails if one of them does. upstream_spec states a slowness and whether the upstream states its cold time. Traces use neither. The timeline moves events out of its queue instead of copying them.

--- a/tools/galenarudder-replay/fake_upstream.cpp
+++ b/tools/galenarudder-replay/fake_upstream.cpp
@@ -45,6 +45,15 @@
     fails_fast_ = false;
     connections_ = 0;
     gate_ = std::make_unique<admission::gate>(in_force_);
+    if (spec_.states_cold) {
+        const config::service_policy* policy =
+            in_force_.find_service(spec_.service);
+        perform(gate_->set_cold_rate(
+            policy == nullptr ? 0 : policy->cold_calls_per_s, clock_.now()));
+        perform(gate_->on_cold_stated(
+            admission::cold_source::announcement,
+            support::milliseconds(std::llround(cold_ms)), clock_.now()));
+    }
     perform(gate_->on_upstream_announced(spec_.slots, clock_.now()));
 }
 
@@ -174,7 +183,7 @@
     if (paused())
         return;
     for (auto& [attempt_key, attempt] : attempts_) {
-        if (!attempt.running)
+        if (!attempt.running || attempt.running->awaits_nested_calls)
             continue;
         attempt.running->updated_at = clock_.now();
         schedule_end(attempt_key, *attempt.running);
@@ -184,11 +193,12 @@
 /// Milliseconds that one millisecond of the trace's work takes now.
 double fake_upstream::milliseconds_per_work() const
 {
+    const double slowdown = trace_slowdown_ * spec_.slowness;
     if (cold_ms_ <= 0)
-        return trace_slowdown_;
+        return slowdown;
     const double age = support::to_ms(clock_.now() - started_at_);
     const double cold = std::max(0.0, 1 - age / cold_ms_);
-    return trace_slowdown_ * (1 + (cold_factor - 1) * cold);
+    return slowdown * (1 + (cold_factor - 1) * cold);
 }
 
 void fake_upstream::perform(const std::vector<admission::action>& actions)
@@ -272,6 +282,30 @@
     if (found == attempts_.end() || !found->second.running ||
         found->second.running->generation != generation)
         return;
+    running_call& call = *found->second.running;
+    if (call.fails || !found->second.sent.run_nested_calls)
+        return end(attempt_key);
+    call.awaits_nested_calls = true;
+    // A copy, since the attempt may end before the function returns.
+    const auto run_nested_calls = found->second.sent.run_nested_calls;
+    run_nested_calls([this, attempt_key](bool answered) {
+        on_nested_calls_ended(attempt_key, answered);
+    });
+}
+
+/// Ends the call, unless it was aborted or lost in the meantime.
+void fake_upstream::on_nested_calls_ended(const key& attempt_key, bool answered)
+{
+    const auto found = attempts_.find(attempt_key);
+    if (found == attempts_.end() || !found->second.running)
+        return;
+    found->second.running->fails = !answered;
+    end(attempt_key);
+}
+
+void fake_upstream::end(const key& attempt_key)
+{
+    const auto found = attempts_.find(attempt_key);
     const running_call call = *found->second.running;
     const support::time_point received_at = found->second.received_at;
     const sent_attempt sent = std::move(found->second.sent);
--- a/tools/galenarudder-replay/fake_upstream.hpp
+++ b/tools/galenarudder-replay/fake_upstream.hpp
@@ -35,6 +35,10 @@
     bool repeatable = false;
     support::time_point sent_at;
     std::function<void(attempt_reply)> reply;
+    /// Runs the nested calls after the upstream's own work, while the call
+    /// holds its slot; null for none. Calls its argument with whether all of
+    /// them were answered.
+    std::function<void(std::function<void(bool)>)> run_nested_calls;
 };
 
 /// One probe that the gate sent to its upstream.
@@ -88,6 +92,8 @@
         support::time_point updated_at;
         double work_left_ms = 0;
         bool fails = false;
+        /// Whether its own work is done and its nested calls are open.
+        bool awaits_nested_calls = false;
         /// Changes with each schedule; an end with an earlier number is void.
         std::uint64_t generation = 0;
     };
@@ -116,6 +122,8 @@
     void schedule_end(const key& attempt_key, running_call& call);
     void advance(running_call& call);
     void finish(const key& attempt_key, std::uint64_t generation);
+    void on_nested_calls_ended(const key& attempt_key, bool answered);
+    void end(const key& attempt_key);
     support::load_report report(support::time_point received_at) const;
 
     timeline& clock_;
--- a/tools/galenarudder-replay/timeline.hpp
+++ b/tools/galenarudder-replay/timeline.hpp
@@ -4,9 +4,10 @@
 
 #include "galenarudder/support/time.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
-#include <queue>
+#include <utility>
 #include <vector>
 
 namespace galenarudder::replay {
@@ -21,7 +22,8 @@
 
     void at(support::time_point time, std::function<void()> event)
     {
-        queue_.push({time, ++last_number_, std::move(event)});
+        queue_.push_back({time, ++last_number_, std::move(event)});
+        std::push_heap(queue_.begin(), queue_.end());
     }
     void after(double ms, std::function<void()> event)
     {
@@ -29,8 +31,9 @@
     }
     void run_next()
     {
-        const scheduled_event next = queue_.top();
-        queue_.pop();
+        std::pop_heap(queue_.begin(), queue_.end());
+        const scheduled_event next = std::move(queue_.back());
+        queue_.pop_back();
         now_ = next.time;
         next.event();
     }
@@ -42,7 +45,7 @@
         std::uint64_t number = 0;
         std::function<void()> event;
 
-        /// Reversed, since \c std::priority_queue puts the largest first.
+        /// Reversed, since the heap functions put the largest first.
         friend bool operator<(const scheduled_event& left,
                               const scheduled_event& right)
         {
@@ -55,7 +58,8 @@
     /// Starts away from the epoch, which means "never" in other components.
     support::time_point now_{std::chrono::hours(1)};
     std::uint64_t last_number_ = 0;
-    std::priority_queue<scheduled_event> queue_;
+    /// A heap; unlike std::priority_queue it lets events be moved out.
+    std::vector<scheduled_event> queue_;
 };
 
 } // namespace galenarudder::replay
--- a/tools/galenarudder-replay/trace.hpp
+++ b/tools/galenarudder-replay/trace.hpp
@@ -24,6 +24,10 @@
     std::uint32_t slots = 1;
     double probe_cost_ms = 0;
     double connect_cost_ms = 0;
+    /// Factor by which all of its work takes longer than stated.
+    double slowness = 1;
+    /// Whether it tells its gate how long it is cold after a start.
+    bool states_cold = false;
 };
 
 /// A caller sends a call.
