Compare figures by call type, and describe scenarios

The difference of two scenarios was stated in total only, so that a gain of one call type could hide the loss of another. Fields without effect on an event's change, and regions of only some domains, were accepted silently.

--- a/tools/galenarudder-replay/scenario.cpp
+++ b/tools/galenarudder-replay/scenario.cpp
@@ -222,6 +222,12 @@
             const std::string region = fields.value("region", "");
             result_.domains.push_back(
                 {name, region, fields.value("phase", 0.0)});
+            if (region.empty() != result_.domains.front().region.empty())
+                fail("/domains/" + name + "/region",
+                     "found \"" + region + "\", while /domains/" +
+                         result_.domains.front().name + "/region is \"" +
+                         result_.domains.front().region + "\"",
+                     "state the region of all domains or of none");
         }
     }
 
@@ -381,17 +387,32 @@
 
     void read_events()
     {
-        static const std::map<std::string, fleet_change> changes = {
-            {"stop", fleet_change::stop},
-            {"slow", fleet_change::slow},
-            {"restart", fleet_change::restart}};
+        struct change_format
+        {
+            fleet_change change;
+            /// Fields that have no effect on it.
+            std::vector<const char*> unused;
+        };
+        static const std::map<std::string, change_format> changes = {
+            {"stop", {fleet_change::stop, {"factor"}}},
+            {"slow", {fleet_change::slow, {"cold_ms"}}},
+            {"restart", {fleet_change::restart, {"for_s", "factor"}}}};
         const json events = part("events", json::array());
         for (std::size_t index = 0; index < events.size(); ++index) {
             const json& fields = events[index];
             const std::string pointer = "/events/" + std::to_string(index);
             fleet_event event;
             event.when = read_period(fields);
-            event.change = changes.at(fields.at("change"));
+            const change_format& format = changes.at(fields.at("change"));
+            event.change = format.change;
+            for (const char* unused : format.unused) {
+                if (fields.contains(unused))
+                    fail(pointer + "/" + unused,
+                         "found " + fields.at(unused).dump() +
+                             ", which has no effect on " +
+                             fields.at("change").dump(),
+                         "remove the field");
+            }
             event.domain = find(result_.domains, fields.at("domain"),
                                 pointer + "/domain", "domains");
             event.service = fields.value("service", "");
--- a/tools/galenarudder-replay/scenario_figures.cpp
+++ b/tools/galenarudder-replay/scenario_figures.cpp
@@ -52,6 +52,16 @@
     return result;
 }
 
+/// Rows that only one of the two has are left out.
+void subtract_rows(const std::vector<figures>& base,
+                   const std::vector<figures>& changed,
+                   std::vector<figures>& differences)
+{
+    const std::size_t rows = std::min(base.size(), changed.size());
+    for (std::size_t row = 0; row < rows; ++row)
+        differences.push_back(difference(base[row], changed[row]));
+}
+
 } // namespace
 
 scenario_summary summarize(std::span<const seed_figures> seeds)
@@ -74,12 +84,10 @@
         const seed_figures& right = changed[seed];
         seed_figures& result = differences.emplace_back();
         result.total = difference(left.total, right.total);
-        // A scenario may be longer with the changed settings.
-        const std::size_t seconds =
-            std::min(left.per_second.size(), right.per_second.size());
-        for (std::size_t second = 0; second < seconds; ++second)
-            result.per_second.push_back(
-                difference(left.per_second[second], right.per_second[second]));
+        for (const figure_list list :
+             {&seed_figures::per_second, &seed_figures::per_call,
+              &seed_figures::per_organisation})
+            subtract_rows(left.*list, right.*list, result.*list);
     }
     return summarize(differences);
 }
--- a/tools/galenarudder-replay/scenario_figures.hpp
+++ b/tools/galenarudder-replay/scenario_figures.hpp
@@ -74,8 +74,8 @@
 scenario_summary summarize(std::span<const seed_figures> seeds);
 
 /// Summarizes \p changed less \p base, seed by seed. Both have the same seeds
-/// in the same order. Call types and organisations of the two may differ and
-/// are left out.
+/// in the same order. Rows of call types and organisations belong together only
+/// if both scenarios have the same ones.
 scenario_summary summarize_difference(std::span<const seed_figures> base,
                                       std::span<const seed_figures> changed);
 
--- a/tools/galenarudder-replay/scenario_report.cpp
+++ b/tools/galenarudder-replay/scenario_report.cpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <iomanip>
 #include <span>
@@ -55,12 +56,28 @@
     add_row(text, "total", summary.total);
 }
 
+void add_calls(std::ostream& text,
+               const std::vector<call_type>& calls,
+               const scenario_summary& summary)
+{
+    for (std::size_t index = 0; index < calls.size(); ++index)
+        add_row(text, calls[index].name, summary.per_call[index]);
+}
+
 void add_scenario(std::ostream& text, const played_scenario& shown)
 {
     add_summary(text, shown.played->name, shown.summary);
-    for (std::size_t index = 0; index < shown.played->calls.size(); ++index)
-        add_row(text, shown.played->calls[index].name,
-                shown.summary.per_call[index]);
+    add_calls(text, shown.played->calls, shown.summary);
+}
+
+/// Returns whether rows of the two lists can be subtracted.
+template <typename Named>
+bool same_names(const std::vector<Named>& left, const std::vector<Named>& right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](const Named& one, const Named& other) {
+                          return one.name == other.name;
+                      });
 }
 
 double rounded(double value)
@@ -109,6 +126,21 @@
             {"per_second", seconds_json(shown.summary)}};
 }
 
+json difference_json(const scenario_results& results)
+{
+    const scenario_summary& difference = *results.difference;
+    const scenario& base = *results.base.played;
+    const scenario& changed = *results.changed->played;
+    json object = {{"total", row_json(difference.total)}};
+    if (same_names(base.calls, changed.calls))
+        object["calls"] = named_json(base.calls, difference.per_call);
+    if (same_names(base.organisations, changed.organisations))
+        object["organisations"] =
+            named_json(base.organisations, difference.per_organisation);
+    object["per_second"] = seconds_json(difference);
+    return object;
+}
+
 } // namespace
 
 std::string to_text(const scenario_results& results)
@@ -119,8 +151,12 @@
     add_scenario(text, results.base);
     if (results.changed)
         add_scenario(text, *results.changed);
-    if (results.difference)
+    if (results.difference) {
         add_summary(text, "difference", *results.difference);
+        const auto& calls = results.base.played->calls;
+        if (same_names(calls, results.changed->played->calls))
+            add_calls(text, calls, *results.difference);
+    }
     return text.str();
 }
 
@@ -132,11 +168,8 @@
                    {"scenario", scenario_json(results.base)}};
     if (results.changed)
         report["compared"] = scenario_json(*results.changed);
-    if (results.difference) {
-        report["difference"] = {
-            {"total", row_json(results.difference->total)},
-            {"per_second", seconds_json(*results.difference)}};
-    }
+    if (results.difference)
+        report["difference"] = difference_json(results);
     return report.dump();
 }
 
--- a/unittests/replay/scenario_test.cpp
+++ b/unittests/replay/scenario_test.cpp
@@ -80,7 +80,7 @@
          "/calls/check/nested", "found \"check\"", "remove the cycle"},
         {R"({"calls": {"read": {"rank": "high"}}})", "/calls/read/rank",
          "found \"high\"", "use one of: urgent"},
-        {R"({"domains": {"c1": {}}, "calls": {"read": {"per_s": {"c1": 4}}}})",
+        {R"({"domains": {"c1": {"region": "c"}}, "calls": {"read": {"per_s": {"c1": 4}}}})",
          "/calls/read/per_s/c1", "without upstreams", "give the domain"},
         {R"({"events": [{"at_s": 1, "change": "slow", "domain": "a1"}]})",
          "/events/0/factor", "is 1", "state how many times"},
@@ -90,6 +90,13 @@
         {R"({"config": {"limits": {"queue_length": {"value": -1, "min": 1,
              "max": 9, "mover": "base"}}}})",
          "/limits/queue_length", "", ""},
+        {R"({"events": [{"at_s": 1, "change": "restart", "domain": "a1",
+                         "for_s": 2}]})",
+         "/events/0/for_s", "found 2", "remove the field"},
+        {R"({"domains": {"a2": {"region": null}}})", "/domains/a2/region",
+         "found \"\"", "of all domains or of none"},
+        {R"({"organisations": [{"name": "o", "rank": "high"}]})",
+         "/organisations/0", "high", ""},
         {R"({"settings": {"organisation_window": "soon"}})",
          "organisation_window", "soon", ""},
     }));
@@ -192,7 +199,10 @@
         parse(R"({"config": {"automation": {"hedge": "observe"}}})");
     const auto one = play_scenarios(base, &base, 3, 4, 1);
     const auto many = play_scenarios(base, &limited, 3, 4, 4);
-    CHECK(to_json(one).find("\"difference\"") != std::string::npos);
+    const auto difference =
+        nlohmann::json::parse(to_json(one)).at("difference");
+    CHECK(difference.at("calls").at("read").at("offered").at("mean") == 0);
+    CHECK(difference.at("per_second").size() == 4);
     CHECK(one.base.seeds.front().total == many.base.seeds.front().total);
     for (const figure_summary& cell : one.difference->total) {
         CHECK(cell.mean == 0);
