--- a/tools/galenarudder-replay/main.cpp
+++ b/tools/galenarudder-replay/main.cpp
@@ -84,6 +84,9 @@
 
 int play_trace()
 {
+    if (!FLAGS_compare.empty() || !FLAGS_svg.empty() || FLAGS_seeds != 1)
+        return fail("--compare, --svg and --seeds apply to scenarios; name one "
+                    "with --scenario");
     if (!FLAGS_output.empty() && FLAGS_output != "json")
         return fail("unknown output " + FLAGS_output + "; use json");
     if (galenarudder::routing::find_strategy(FLAGS_policy) == nullptr) {
