--- a/lib/admission/gate_refusals.cpp
+++ b/lib/admission/gate_refusals.cpp
@@ -153,16 +153,21 @@
                                      support::time_point now)
 {
     ++counts.refused_limit;
-    if (cold.applies(now))
-        ++counts.turned_away_cold;
-    const auto wait = cold.applies(now)
+    const bool is_cold = cold.applies(now);
+    counts.turned_away_cold += is_cold ? 1 : 0;
+    const auto wait = is_cold
                           ? cold_retry_after(now)
                           : std::clamp(std::chrono::ceil<support::milliseconds>(
                                            start_wait(queue.size(), now)),
                                        min_retry_after, max_retry_after);
-    return {call.key,
-            not_run(refusal_kind::rate_limited, wait,
-                    "the upstream's limit leaves no room before the deadline")};
+    refuse refused{
+        call.key,
+        not_run(refusal_kind::rate_limited, wait,
+                "the upstream's limit leaves no room before the deadline")};
+    // The call has a place here. Tried elsewhere it would get one at each gate,
+    // so that all places would lie several times too late.
+    refused.refusal.retry_exhausted = is_cold;
+    return refused;
 }
 
 /// Refuses the waiting calls that could start only when too little of their
