--- a/lib/membership/domain_states.cpp
+++ b/lib/membership/domain_states.cpp
@@ -243,13 +243,15 @@
     const std::string total = std::to_string(messages.size());
     const store_revision stated =
         messages.size() == 1 ? read_at_ : store_revision();
-    const std::string kind =
-        (informed_ ? std::string(know_kind) + ' ' + to_text(stated)
-                   : std::string(tell_kind)) +
-        ' ' + std::to_string(++answer_id_) + ' ';
+    std::string kind(tell_kind);
+    if (informed_)
+        kind.assign(know_kind).append(" ").append(to_text(stated));
+    kind.append(" ").append(std::to_string(++answer_id_)).append(" ");
     for (std::size_t part = 0; part < messages.size(); ++part) {
-        messages[part].insert(0, kind + std::to_string(part) + ' ' + total +
-                                     ' ' + to_text(read_at_) + '\n');
+        std::string head = kind;
+        head.append(std::to_string(part)).append(" ").append(total);
+        head.append(" ").append(to_text(read_at_)).append("\n");
+        messages[part].insert(0, head);
     }
     return messages;
 }
--- a/unittests/entry/cold_upstream_test.cpp
+++ b/unittests/entry/cold_upstream_test.cpp
@@ -193,6 +193,7 @@
         given.cold_until = cold_until;
         given.call_time = 300ms;
         given.run(150ms);
+        given.states_cold_in_calls = false;
         given.cold_until = {};
         given.call_time = 0ms;
         given.instance = "second";
@@ -204,6 +205,7 @@
         given.cold_until = cold_until;
         given.run(150ms);
         given.answering.reset();
+        given.states_cold_in_calls = false;
         given.cold_until = {};
     }
     given.run(1500ms);
