Make the test of the cold time's instance sensitive to the fault

Cause: with the two checks removed the test still passed, since a slowdown query ended the wrong cold time before it was seen. Change: a limit so low that nothing is asked within the check.

--- a/unittests/entry/cold_upstream_test.cpp
+++ b/unittests/entry/cold_upstream_test.cpp
@@ -184,7 +184,9 @@
 // present one, and against one that another process at the address sent.
 TEST_CASE("a cold time counts only for the instance that stated it")
 {
-    fixture given(cold_calls_per_s, true);
+    // So low that a cold gate starts nothing within the time of the check, and
+    // asks nothing, which would end the cold time.
+    fixture given(1, true);
     given.run(100ms);
     given.states_cold_in_calls = true;
     const auto cold_until = monotonic_clock::now() + 10s;
@@ -208,8 +210,10 @@
         given.states_cold_in_calls = false;
         given.cold_until = {};
     }
-    given.run(1500ms);
-    CHECK(given.calls_since(monotonic_clock::now() - 1s) > 30);
+    given.run(350ms);
+    const auto begin = monotonic_clock::now();
+    given.run(400ms);
+    CHECK(given.calls_since(begin) > 8);
 }
 
 // Guards against the full rate for an upstream that has just started and does
