--- a/unittests/entry/gate_runtime_test.cpp
+++ b/unittests/entry/gate_runtime_test.cpp
@@ -136,6 +136,27 @@
                                 std::chrono::milliseconds(50)));
 }
 
+// Guards against connections, each of which is billed, to an upstream that gets
+// no calls.
+TEST_CASE("no connections are opened in advance in an emptied domain")
+{
+    fixture given;
+    given.upstream.acceptor.non_blocking(true);
+    std::size_t accepted_count = 0;
+    const auto accepts = [&] {
+        boost::system::error_code failure;
+        tcp::socket accepted(given.io);
+        given.upstream.acceptor.accept(accepted, failure);
+        accepted_count += failure ? 0 : 1;
+        return accepted_count != 0;
+    };
+    given.gate.set_emptied(true);
+    given.gate.set_upstream(properties_of(given.upstream.endpoint(), "alpha"));
+    CHECK_FALSE(given.run_until(accepts, std::chrono::milliseconds(200)));
+    given.gate.set_emptied(false);
+    CHECK(given.run_until(accepts));
+}
+
 // Guards against parents that hold slots while their nested calls wait behind
 // new ones, and against another order where there are no organisations.
 TEST_CASE("a nested call starts before an earlier new one if there are "
