Do not take a response without a cold time as a failed query

Cause: upstreams may state a cold time only while they are cold.

Change: only a query without a usable response fails.

--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -232,7 +232,9 @@
             const auto self = weak.lock();
             if (!self || self->instance_generation_ != generation)
                 return;
-            if (!stated_load || !stated_load->cold)
+            // A response without a cold time is no failure: upstreams may
+            // state one only while they are cold.
+            if (!stated_load)
                 self->gate_.on_cold_query_failed(monotonic_clock::now());
             self->on_cold_stated(stated_load);
         });
