Add galenarudderctl check

validate stops at the first violation of a schema in each file and knows only what daemons reject. Nothing reported entries that no call reaches, limits that contradict each other, or what a new version changes by route and organisation.

--- a/include/galenarudder/config/check.hpp
+++ b/include/galenarudder/config/check.hpp
@@ -17,6 +17,8 @@
 /// A violated cross-document rule, with the document that violates it.
 struct validation_error
 {
+    /// Identifies the rule; does not change between releases.
+    std::string_view code;
     /// Site of the overlay; empty if the error is in the base document.
     std::string site;
     /// JSON pointer to the invalid value.
@@ -46,6 +48,10 @@
 /// counted from 1, or 0 if \p text has no value at that pointer.
 std::size_t line_of_pointer(std::string_view text, std::string_view pointer);
 
+/// Returns what line_of_pointer() returns for each of \p pointers, in one pass.
+std::vector<std::size_t>
+lines_of_pointers(std::string_view text, std::span<const std::string> pointers);
+
 /// Returns the names of the pick strategies that a base document may select.
 std::span<const std::string_view> strategy_names();
 
--- a/include/galenarudder/config/schema.hpp
+++ b/include/galenarudder/config/schema.hpp
@@ -6,7 +6,9 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace galenarudder::config {
 
@@ -23,4 +25,17 @@
                                    std::string_view file,
                                    const char* schema);
 
+/// A value that violates a schema.
+struct schema_violation
+{
+    /// JSON pointer to the value; empty for the whole document.
+    std::string pointer;
+    std::string message;
+};
+
+/// Returns every violation of \p schema, ordered by pointer. Violations at
+/// enclosing values that only follow from others are left out.
+std::vector<schema_violation>
+find_schema_violations(const nlohmann::json& document, const char* schema);
+
 } // namespace galenarudder::config
--- a/include/galenarudder/operators/commands.hpp
+++ b/include/galenarudder/operators/commands.hpp
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace galenarudder::operators {
 
@@ -30,11 +31,24 @@
     not_known = 6,
     /// diff: the files differ from the configuration in force.
     differs = 7,
+    /// The check command uses 0 if there are only notes, and these two.
+    check_warnings = 1,
+    check_errors = 2,
 };
 
+struct source_form;
+
 /// The values of the command-line flags.
 struct options
 {
+    /// Files to check.
+    std::vector<std::string> files;
+    /// Files of the configuration that the checked one is compared with.
+    std::vector<std::string> against;
+    /// Form of the checked files; null for the product's own.
+    const source_form* form = nullptr;
+    /// Whether --daemon was given and is not the default.
+    bool daemon_given = false;
     /// Address of the operator port of any daemon.
     std::string daemon;
     /// Address of the store; if empty, it is taken from the settings file.
--- a/lib/config/check.cpp
+++ b/lib/config/check.cpp
@@ -89,9 +89,12 @@
     }
 
 private:
-    void report(std::string pointer, std::string message, std::string remedy)
+    void report(std::string_view code,
+                std::string pointer,
+                std::string message,
+                std::string remedy)
     {
-        violations_.push_back({overlay_site_, std::move(pointer),
+        violations_.push_back({code, overlay_site_, std::move(pointer),
                                std::move(message), std::move(remedy)});
     }
 
@@ -130,7 +133,7 @@
         const std::string pointer = "/ranks/" + std::to_string(index++);
         const std::string name = rank.at("name");
         if (!ranks_.insert(name).second) {
-            report(pointer + "/name",
+            report("duplicate-name", pointer + "/name",
                    quote_name("rank", name) + " is defined twice",
                    "remove or rename one of them");
         }
@@ -138,7 +141,7 @@
     }
     if (share_sum <= 1 + share_tolerance)
         return;
-    report("/ranks",
+    report("shares-above-one", "/ranks",
            "the minimum shares add up to " + format_number(share_sum) +
                ", above the bound 1",
            "lower minimum_share of some ranks");
@@ -153,7 +156,7 @@
         const std::string pointer = "/services/" + std::to_string(index++);
         const std::string name = service.at("name");
         if (!seen_names.insert(name).second) {
-            report(pointer + "/name",
+            report("duplicate-name", pointer + "/name",
                    quote_name("service", name) + " is defined twice",
                    "merge the two or rename one");
         }
@@ -162,7 +165,7 @@
             strategy.empty() || std::find(strategies.begin(), strategies.end(),
                                           strategy) != strategies.end();
         if (!exists) {
-            report(pointer + "/strategy",
+            report("unknown-strategy", pointer + "/strategy",
                    quote_name("strategy", strategy) + " does not exist",
                    "use expected_completion, random, round_robin, "
                    "least_outstanding or power_of_two, or leave it out");
@@ -177,7 +180,7 @@
     std::set<std::string> seen_routes;
     std::size_t index = 0;
     if (!service.contains("routes") && !full_document_.base.contains("hosts")) {
-        report(pointer,
+        report("service-without-routes", pointer,
                "the service has no routes and the base document has no hosts",
                "add routes to the service, or hosts that route to it");
     }
@@ -186,7 +189,7 @@
         route_pointer += std::to_string(index++);
         const std::string rank = route.at("rank");
         if (!ranks_.contains(rank)) {
-            report(route_pointer + "/rank",
+            report("unknown-rank", route_pointer + "/rank",
                    quote_name("rank", rank) + " is not in /ranks",
                    "add the rank to /ranks or use a rank listed there");
         }
@@ -194,7 +197,7 @@
             route.value("method", "") + " " + route.value("prefix", "/");
         if (seen_routes.insert(route_key).second)
             continue;
-        report(route_pointer + "/prefix",
+        report("duplicate-route", route_pointer + "/prefix",
                quote_name("route", route_key) + " is defined twice",
                "remove one; the first route that matches is used");
     }
@@ -212,7 +215,7 @@
         const std::string route_pointer = "/hosts/" + std::to_string(index++);
         const std::string rank = route.at("rank");
         if (!ranks_.contains(rank)) {
-            report(route_pointer + "/rank",
+            report("unknown-rank", route_pointer + "/rank",
                    quote_name("rank", rank) + " is not in /ranks",
                    "add the rank to /ranks or use a rank listed there");
         }
@@ -222,16 +225,17 @@
             weight_sum += service_json.value("weight", 1.0);
             if (services.contains(service))
                 continue;
-            report(route_pointer + "/services",
+            report("unknown-service", route_pointer + "/services",
                    quote_name("service", service) + " is not in /services",
                    "add the service to /services or correct the name");
         }
         if (weight_sum <= 0) {
-            report(route_pointer + "/services", "the weights add up to 0",
+            report("weights-zero", route_pointer + "/services",
+                   "the weights add up to 0",
                    "give at least one service a weight above 0");
         }
         if (!seen_routes.emplace(route.at("host"), route.at("prefix")).second) {
-            report(route_pointer + "/prefix",
+            report("duplicate-route", route_pointer + "/prefix",
                    "this host and prefix are defined twice",
                    "remove one of the two");
         }
@@ -252,13 +256,13 @@
         const auto& name =
             organisation.at("name").get_ref<const std::string&>();
         if (!seen_names.insert(name).second) {
-            report(pointer + "/name",
+            report("duplicate-name", pointer + "/name",
                    quote_name("organisation", name) + " is defined twice",
                    "merge the two or rename one");
         }
         const std::string rank = organisation.value("rank", "");
         if (!rank.empty() && !ranks_.contains(rank)) {
-            report(pointer + "/rank",
+            report("unknown-rank", pointer + "/rank",
                    quote_name("rank", rank) + " is not in /ranks",
                    "add the rank to /ranks, use a rank listed there or leave "
                    "it out");
@@ -271,7 +275,7 @@
                 owners.emplace(key.get_ref<const std::string&>(), name);
             if (is_new)
                 continue;
-            report(key_pointer,
+            report("shared-key", key_pointer,
                    quote_name("organisation", owner->second) +
                        " has the same key",
                    "remove the key from all organisations but one");
@@ -282,7 +286,8 @@
 void cross_document_checker::report_unknown_limit(const std::string& name)
 {
     report(
-        "/limits/" + name, quote_name("limit", name) + " does not exist",
+        "unknown-limit", "/limits/" + name,
+        quote_name("limit", name) + " does not exist",
         "correct the name; docs/operators/configuration.md lists all limits");
 }
 
@@ -305,21 +310,21 @@
     const double value = setting.at("value");
     const std::string pointer = "/limits/" + name;
     if (min < definition.floor || max > definition.ceiling || min > max) {
-        report(pointer,
+        report("limit-bounds", pointer,
                "the bounds " + format_range(min, max) + " are not within " +
                    format_range(definition.floor, definition.ceiling),
                "set min and max within this range, with min not above max");
         return;
     }
     if (value < min || value > max) {
-        report(pointer + "/value",
+        report("limit-value", pointer + "/value",
                "the value " + format_number(value) + " is outside " +
                    format_range(min, max),
                "change the value or widen min and max");
     }
     const bool is_integer = value == std::floor(value);
     if (definition.unit == "count" && !is_integer) {
-        report(pointer + "/value",
+        report("limit-value", pointer + "/value",
                "the value " + format_number(value) + " is not a whole number",
                "use a whole number");
     }
@@ -337,7 +342,8 @@
             continue;
         std::string pointer = "/automation/";
         pointer.append(name).append("/mode");
-        report(std::move(pointer), looser_mode_message(mode, loosest),
+        report("mode-too-loose", std::move(pointer),
+               looser_mode_message(mode, loosest),
                "use a stricter mode or a looser mode in \"loosest\"");
     }
 }
@@ -348,7 +354,8 @@
     for (const overlay_document& overlay : full_document_.overlays) {
         overlay_site_ = overlay.site;
         if (!seen_sites.insert(overlay.site).second) {
-            report("/site", "site \"" + overlay.site + "\" has two overlays",
+            report("duplicate-overlay", "/site",
+                   "site \"" + overlay.site + "\" has two overlays",
                    "merge the two");
         }
         check_overlay(overlay);
@@ -359,7 +366,7 @@
 {
     const std::string declared_site = overlay.body.at("site");
     if (declared_site != overlay.site) {
-        report("/site",
+        report("site-mismatch", "/site",
                "site \"" + declared_site +
                    "\" does not match the overlay's name \"" + overlay.site +
                    "\"",
@@ -382,14 +389,16 @@
     const json limits = full_document_.base.value("limits", json::object());
     const std::string pointer = "/limits/" + name;
     if (!limits.contains(name)) {
-        report(pointer, "the base document does not set this limit",
+        report("limit-not-in-base", pointer,
+               "the base document does not set this limit",
                "set it in the base document with value, min, max and mover "
                "\"site\"");
         return;
     }
     const json& setting = limits.at(name);
     if (setting.at("mover") != "site") {
-        report(pointer, "only the base document may change this limit",
+        report("not-movable", pointer,
+               "only the base document may change this limit",
                "remove it from the overlay or set its mover to \"site\" in the "
                "base");
         return;
@@ -397,14 +406,14 @@
     const double min = setting.at("min");
     const double max = setting.at("max");
     if (value < min || value > max) {
-        report(pointer,
+        report("limit-value", pointer,
                "the value " + format_number(value) + " is outside " +
                    format_range(min, max) + ", which the base document sets",
                "change the value or widen its bounds in the base document");
     }
     const bool is_integer = value == std::floor(value);
     if (definition_of(*id).unit == "count" && !is_integer) {
-        report(pointer,
+        report("limit-value", pointer,
                "the value " + format_number(value) + " is not a whole number",
                "use a whole number");
     }
@@ -418,7 +427,8 @@
     const bool has_details = setting.is_object();
     const std::string pointer = "/automation/" + name;
     if (has_details && setting.at("mover") != "site") {
-        report(pointer, "only the base document may change this mode",
+        report("not-movable", pointer,
+               "only the base document may change this mode",
                "remove it from the overlay or set its mover to \"site\" in the "
                "base");
         return;
@@ -427,7 +437,7 @@
         (has_details ? setting.at("loosest") : setting).get<std::string>();
     if (strictness(mode) >= strictness(loosest))
         return;
-    report(pointer,
+    report("mode-too-loose", pointer,
            "the mode " + mode + " is looser than the bound " + loosest +
                ", which the base document sets",
            "use " + loosest +
--- a/lib/config/schema.cpp
+++ b/lib/config/schema.cpp
@@ -122,6 +122,128 @@
 
 } // namespace
 
+namespace {
+
+/// Returns the name of the unknown field that \p description reports, or an
+/// empty text if it reports something else.
+std::string unknown_field_in(const std::string& description)
+{
+    constexpr std::string_view start = "Object contains a property";
+    const std::size_t quote = description.find(": '");
+    if (!description.starts_with(start) || quote == std::string::npos)
+        return "";
+    const std::size_t begin = quote + 3;
+    return description.substr(begin, description.rfind('\'') - begin);
+}
+
+/// Returns whether the error only states that another one was found below its
+/// value or in each of its alternatives.
+bool is_consequence(const std::string& description)
+{
+    return description.starts_with("Failed to validate");
+}
+
+/// Collects all violations. valijson reports one unknown field of each object,
+/// so these are removed and the rest is validated again.
+class violation_collector
+{
+public:
+    violation_collector(nlohmann::json document, const char* schema)
+        : document_(std::move(document)), schema_(compiled_schema(schema))
+    {
+    }
+
+    std::vector<schema_violation> run() &&
+    {
+        while (remove_unknown_fields()) {
+        }
+        collect_others();
+        remove_rejected_alternatives();
+        std::vector<schema_violation> violations;
+        for (const auto& [pointer, message] : found_)
+            violations.push_back({pointer, message});
+        return violations;
+    }
+
+private:
+    using validation_errors = std::vector<std::pair<std::string, std::string>>;
+
+    /// Returns the pointers and descriptions of the errors.
+    validation_errors validate() const
+    {
+        valijson::ValidationResults results;
+        valijson::Validator validator;
+        const valijson::adapters::NlohmannJsonAdapter adapted(document_);
+        validation_errors errors;
+        if (validator.validate(schema_, adapted, &results))
+            return errors;
+        valijson::ValidationResults::Error failure;
+        while (results.popError(failure)) {
+            const std::string pointer = to_json_pointer(failure.context);
+            errors.emplace_back(pointer == "/" ? "" : pointer,
+                                failure.description);
+        }
+        return errors;
+    }
+
+    bool remove_unknown_fields()
+    {
+        bool removed = false;
+        for (const auto& [pointer, description] : validate()) {
+            const std::string name = unknown_field_in(description);
+            if (name.empty())
+                continue;
+            nlohmann::json& object =
+                document_.at(nlohmann::json::json_pointer(pointer));
+            removed = object.erase(name) > 0 || removed;
+            found_.emplace(std::string(pointer).append("/").append(name),
+                           "the field is not known");
+        }
+        return removed;
+    }
+
+    void collect_others()
+    {
+        const validation_errors errors = validate();
+        for (const auto& [pointer, description] : errors) {
+            if (!is_consequence(description))
+                found_.emplace(pointer, description +
+                                            describe_value(document_, pointer));
+        }
+        // Covers errors of which valijson reports only the consequence.
+        if (found_.empty() && !errors.empty())
+            found_.emplace(errors.front());
+    }
+
+    /// Of the alternatives for a value, those of another type are not errors if
+    /// there are errors inside the value.
+    void remove_rejected_alternatives()
+    {
+        std::erase_if(found_, [&](const auto& outer) {
+            const auto& [pointer, message] = outer;
+            const bool type_mismatch =
+                message.starts_with("Failed to match against any enum") ||
+                message.starts_with("Value type not permitted");
+            const auto inner = found_.upper_bound(pointer + "/");
+            return type_mismatch && inner != found_.end() &&
+                   inner->first.starts_with(pointer + "/");
+        });
+    }
+
+    nlohmann::json document_;
+    const valijson::Schema& schema_;
+    /// Message of each pointer.
+    std::map<std::string, std::string> found_;
+};
+
+} // namespace
+
+std::vector<schema_violation>
+find_schema_violations(const nlohmann::json& document, const char* schema)
+{
+    return violation_collector(document, schema).run();
+}
+
 support::result<nlohmann::json> parse_and_check(std::string_view text,
                                                 std::string_view file,
                                                 const char* schema)
--- a/lib/config/source_lines.cpp
+++ b/lib/config/source_lines.cpp
@@ -1,7 +1,8 @@
-// Finds the line of a value by parsing the text again while counting newlines.
+// Finds the lines of values by parsing the text again while counting newlines.
 #include "galenarudder/config/check.hpp"
 
 #include <iterator>
+#include <map>
 
 namespace galenarudder::config {
 
@@ -55,17 +56,25 @@
     line_counter* line_counter_;
 };
 
-/// Receives the parser's events and stops the parser at the value with the
-/// wanted JSON pointer.
+/// Receives the parser's events and stops the parser once it has passed all
+/// values with the wanted JSON pointers.
 class pointer_finder : public nlohmann::json_sax<json>
 {
 public:
-    pointer_finder(std::string_view target_pointer, const line_counter& counter)
-        : target_pointer_(target_pointer), line_counter_(counter)
+    pointer_finder(std::span<const std::string> targets,
+                   const line_counter& counter)
+        : line_counter_(counter)
     {
+        // "/" stands for the whole document, as in schema errors.
+        for (const std::string& target : targets)
+            lines_.emplace(target == "/" ? "" : target, 0);
+        missing_ = lines_.size();
     }
 
-    std::size_t line() const { return line_; }
+    std::size_t line_of(const std::string& target) const
+    {
+        return lines_.at(target == "/" ? "" : target);
+    }
 
     bool null() override { return visit_scalar(); }
     bool boolean(bool) override { return visit_scalar(); }
@@ -112,9 +121,12 @@
         std::string current_pointer;
         for (const parent& ancestor : parents_)
             current_pointer += "/" + ancestor.token;
-        if (current_pointer == target_pointer_)
-            line_ = line_counter_.line();
-        return line_ == 0;
+        const auto found = lines_.find(current_pointer);
+        if (found != lines_.end() && found->second == 0) {
+            found->second = line_counter_.line();
+            --missing_;
+        }
+        return missing_ > 0;
     }
     bool visit_scalar() { return visit(); }
     bool visit_container(bool is_array)
@@ -129,22 +141,33 @@
         return true;
     }
 
-    std::string_view target_pointer_;
     const line_counter& line_counter_;
     std::vector<parent> parents_;
-    std::size_t line_ = 0;
+    /// Line of each wanted pointer; 0 until its value is passed.
+    std::map<std::string, std::size_t> lines_;
+    std::size_t missing_ = 0;
 };
 
 } // namespace
 
-std::size_t line_of_pointer(std::string_view text, std::string_view pointer)
+std::vector<std::size_t>
+lines_of_pointers(std::string_view text, std::span<const std::string> pointers)
 {
     line_counter counter;
-    pointer_finder finder(pointer == "/" ? "" : pointer, counter);
+    pointer_finder finder(pointers, counter);
     json::sax_parse(counting_iterator(text.data(), &counter),
                     counting_iterator(text.data() + text.size(), &counter),
                     &finder);
-    return finder.line();
+    std::vector<std::size_t> lines;
+    for (const std::string& pointer : pointers)
+        lines.push_back(finder.line_of(pointer));
+    return lines;
+}
+
+std::size_t line_of_pointer(std::string_view text, std::string_view pointer)
+{
+    const std::string target(pointer);
+    return lines_of_pointers(text, {&target, 1}).front();
 }
 
 } // namespace galenarudder::config
--- a/lib/operators/command_support.hpp
+++ b/lib/operators/command_support.hpp
@@ -42,6 +42,7 @@
 exit_code validate_files(const options& flags, const console& output);
 exit_code diff_files(const options& flags, const console& output);
 exit_code apply_files(const options& flags, const console& output);
+exit_code check_files(const options& flags, const console& output);
 exit_code show_history(const options& flags, const console& output);
 
 } // namespace galenarudder::operators
--- a/lib/operators/commands.cpp
+++ b/lib/operators/commands.cpp
@@ -294,7 +294,9 @@
     return exit_code::done;
 }
 
-constexpr std::array<command, 10> command_table = {{
+constexpr std::array<command, 11> command_table = {{
+    {"check", "finds errors, parts without effect and changes in FILE...",
+     check_files},
     {"validate", "checks the base document and overlays together",
      validate_files},
     {"diff", "compares the files with the configuration in force", diff_files},
