Check the platform's document, and document the check

The customers' configurations are the tables in the platform's store, which galenarudderctl does not read, and the translation stopped at its first error.

The translation collects all problems; daemons still report the first one, now also with its path if a duration is malformed. galenarudderctl-platform reads the tables and locates each finding at the row and column that caused it.

--- a/test/process/test_configuration.py
+++ b/test/process/test_configuration.py
@@ -135,6 +135,48 @@
     expect(len(decisions["counts"]) == 21, decisions)
 
 
+def check_compares_with_the_fleet(fleet):
+    """The exit status, locations and differences of check against a daemon.
+
+    A check that ignored the fleet would pass a service that nobody runs.
+    """
+    base = json.loads((fleet.files / "base.json").read_text())
+    overlays = sorted((fleet.files / "overlays").glob("*.json"))
+
+    def check(document, *arguments):
+        path = fleet.files / "checked.json"
+        path.write_text(json.dumps(document, indent=1))
+        result = fleet.ctl("check", path, *overlays, "--json", *arguments)
+        report = json.loads(result.stdout)
+        return result.returncode, {
+            (finding["code"], finding["pointer"]): finding
+            for finding in report["findings"]}
+
+    status, findings = check(base)
+    expect(status == 1, findings)
+    expect(("service-without-upstreams", "/services/0") in findings, findings)
+    expect(all(finding["severity"] != "error" for finding in
+               findings.values()), findings)
+    in_force = fleet.stored_configuration()["base"]["limits"]["retry_share"]
+    changed = base | {"limits": base["limits"] | {
+        "retry_share": in_force | {"value": 0.19}}}
+    status, findings = check(changed)
+    expect(status == 1, findings)
+    difference = findings["changed", "/limits/retry_share"]
+    expect(difference["before"]["value"] == in_force["value"]
+           and difference["after"]["value"] == 0.19
+           and difference["line"] > 1, difference)
+    status, findings = check(base | {"colour": 1, "shade": 2})
+    expect(status == 2 and ("schema", "/colour") in findings
+           and ("schema", "/shade") in findings, findings)
+    # Without --daemon nothing is compared, not even with the default address.
+    local = subprocess.run(
+        [fleet.build / "galenarudderctl", "check", fleet.files / "base.json"],
+        capture_output=True, text=True, timeout=30, check=False)
+    expect(local.returncode == 0 and "[fleet-not-known]" in local.stdout,
+           local.stdout)
+
+
 def unsigned_documents_are_refused(fleet):
     forged = fleet.stored_configuration()
     forged["version"] = 99
@@ -156,6 +198,7 @@
         for step in (first_change_and_reports, store_down_after_acceptance,
                      store_reset_to_old_value, lost_store_answer,
                      replaced_vm_takes_configuration_from_peer, ctl_reports,
+                     check_compares_with_the_fleet,
                      unsigned_documents_are_refused):
             step(fleet)
             print(f"ok: {step.__name__}", flush=True)
--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -1,6 +1,7 @@
 // Reading check-ins, the operators' configuration and upstreams' answers in the
 // platform's formats, and the statuses of refusals.
 #include "check_in_port.hpp"
+#include "checked_configuration.hpp"
 #include "dialect.hpp"
 #include "operator_configuration.hpp"
 
@@ -229,6 +230,33 @@
     CHECK_FALSE(translate_configuration("{"));
 }
 
+TEST_CASE("check locates every fault in the operators' tables")
+{
+    // The translation of a version stops at the first fault, and its paths are
+    // those of another document.
+    const operators::source_form& form = checked_form();
+    json written = complete_configuration();
+    REQUIRE(form.translate(written).errors.empty());
+    CHECK(form.locate(written, "/hosts/1/deadline_ms") == "/routes/rows/1/4");
+    CHECK(form.locate(written, "/hosts/0/services") == "/routes/rows/0/7");
+    CHECK(form.locate(written, "/hosts/1/services") == "/routes/rows/1/9");
+    CHECK(form.locate(written, "/services/0/cold_calls_per_s") ==
+          "/services/rows/0");
+    CHECK(form.locate(written, "/ranks/0/name").empty());
+    written["routes"]["rows"][0][4] = "later";
+    written["routes"]["rows"][0][6] = -1;
+    written["routes"]["rows"][1] = "none";
+    written["limits"].erase("idle");
+    written.erase("services");
+    std::vector<std::string> pointers;
+    for (const config::finding& found : form.translate(written).errors)
+        pointers.push_back(found.pointer);
+    CHECK(pointers == std::vector<std::string>{
+                          "/limits/idle", "/routes/rows/0/4",
+                          "/routes/rows/0/6", "/routes/rows/1", "/services"});
+    CHECK(form.translate(json("text")).errors.size() == 1);
+}
+
 TEST_CASE("only Not-Executed or status 421 states that a request did not run")
 {
     const auto& platform_dialect = dialect();
