Report columns that the platform's translation ignores

A misspelled column, or an optional value of another type, is left out by the translation without an error, so that an organisation's limit could be lost unnoticed. The check reports the first as a note, since the platform may add columns, and the second as a warning.

--- a/include/galenarudder/operators/check_files.hpp
+++ b/include/galenarudder/operators/check_files.hpp
@@ -18,8 +18,9 @@
 struct translated_source
 {
     config::document full_document;
-    /// Errors of the translation. Their pointers are those of the source.
-    std::vector<config::finding> errors;
+    /// What the translation found. The pointers are those of the source. With
+    /// an error the document is incomplete.
+    std::vector<config::finding> findings;
 };
 
 /// A form in which operators write the whole configuration in one file.
@@ -53,6 +54,8 @@
     const config::document& full_document() const { return full_document_; }
     /// Errors that prevent the rules across documents from being checked.
     const std::vector<located_finding>& errors() const { return errors_; }
+    /// Warnings and notes of the translation.
+    const std::vector<located_finding>& remarks() const { return remarks_; }
     bool has_overlays() const { return !full_document_.overlays.empty(); }
 
     /// Locates findings in the files.
@@ -87,6 +90,7 @@
     /// By site; the base document under "".
     std::map<std::string, source> sources_;
     std::vector<located_finding> errors_;
+    std::vector<located_finding> remarks_;
 };
 
 } // namespace galenarudder::operators
--- a/lib/operators/check_command.cpp
+++ b/lib/operators/check_command.cpp
@@ -107,6 +107,7 @@
         const auto compared = read_comparison();
         const auto fleet = read_fleet();
         append(files_.errors());
+        append(files_.remarks());
         if (!files_.errors().empty()) {
             check_schemas_only();
             return std::move(findings_);
--- a/lib/operators/check_files.cpp
+++ b/lib/operators/check_files.cpp
@@ -112,9 +112,11 @@
     }
     translated_source translated = form_->translate(read_source.written);
     full_document_ = std::move(translated.full_document);
-    const auto located =
-        locate_in(read_source, std::move(translated.errors), true);
-    errors_.insert(errors_.end(), located.begin(), located.end());
+    for (located_finding& located :
+         locate_in(read_source, std::move(translated.findings), true)) {
+        const bool is_error = located.found.level == severity::error;
+        (is_error ? errors_ : remarks_).push_back(std::move(located));
+    }
     sources_[""] = std::move(read_source);
 }
 
--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -236,7 +236,15 @@
     // those of another document.
     const operators::source_form& form = checked_form();
     json written = complete_configuration();
-    REQUIRE(form.translate(written).errors.empty());
+    // The columns "later" are not read.
+    const auto translated = form.translate(written).findings;
+    REQUIRE(translated.size() == 1);
+    CHECK(translated[0].code == "column-not-read");
+    CHECK(translated[0].pointer == "/routes/columns/10");
+    json ignored = written;
+    ignored["services"]["rows"][1][2] = "20";
+    CHECK(form.translate(ignored).findings[1].code == "value-ignored");
+    CHECK(form.translate(ignored).findings[1].pointer == "/services/rows/1/2");
     CHECK(form.locate(written, "/hosts/1/deadline_ms") == "/routes/rows/1/4");
     CHECK(form.locate(written, "/hosts/0/services") == "/routes/rows/0/7");
     CHECK(form.locate(written, "/hosts/1/services") == "/routes/rows/1/9");
@@ -249,12 +257,12 @@
     written["limits"].erase("idle");
     written.erase("services");
     std::vector<std::string> pointers;
-    for (const config::finding& found : form.translate(written).errors)
+    for (const config::finding& found : form.translate(written).findings)
         pointers.push_back(found.pointer);
     CHECK(pointers == std::vector<std::string>{
                           "/limits/idle", "/routes/rows/0/4",
                           "/routes/rows/0/6", "/routes/rows/1", "/services"});
-    CHECK(form.translate(json("text")).errors.size() == 1);
+    CHECK(form.translate(json("text")).findings.size() == 1);
 }
 
 TEST_CASE("only Not-Executed or status 421 states that a request did not run")
