Test check on the platform against a running daemon

Nothing showed that the tables an operator checks and the document that a daemon translated from them compare as equal. process_test_organisations now runs galenarudderctl-platform check against a daemon, with the same keys and with a changed one, and searches its output for keys.

--- a/test/process/test_organisations.py
+++ b/test/process/test_organisations.py
@@ -7,7 +7,9 @@
 """
 
 import http.client
+import json
 import pathlib
+import subprocess
 import sys
 import threading
 import time
@@ -55,6 +57,10 @@
     def put(self, *keys):
         """Return when the store acknowledged the version."""
         self.version += 1
+        self.rig.store.put_configuration(self.document(*keys))
+        return time.monotonic()
+
+    def document(self, *keys):
         written = configuration(self.version, ROUTES)
         written["routes"]["columns"].append("public")
         for row in written["routes"]["rows"]:
@@ -63,8 +69,7 @@
             "columns": COLUMNS,
             "rows": [["radio", list(keys), 0, 0, 0, None],
                      ["other", ["key-of-other"], 1, None, None, None]]}
-        self.rig.store.put_configuration(written)
-        return time.monotonic()
+        return written
 
 
 def keys_decide_who_may_call(rig):
@@ -169,6 +174,31 @@
     rig.store.set_mode("up")
 
 
+def check_compares_keys_by_digest(rig, operators):
+    """The tables are compared with what a daemon translated from them.
+
+    A check that compared other forms would report every row as changed.
+    """
+    def findings(*keys):
+        path = rig.folder / "checked.json"
+        path.write_text(json.dumps(operators.document(*keys)))
+        result = subprocess.run(
+            [rig.build / "galenarudderctl-platform", "check", path, "--json",
+             f"--daemon={rig.vms[0].ip}:9464"],
+            capture_output=True, text=True, timeout=30, check=False)
+        check("key-" not in result.stdout + result.stderr,
+              "check shows no key")
+        check(result.returncode == 0,
+              f"check exits with {result.returncode}")
+        return [finding["pointer"]
+                for finding in json.loads(result.stdout)["findings"]
+                if finding["code"] in ("added", "removed", "changed")]
+
+    check(findings("key-one") == [], "check finds what is in force unchanged")
+    check(findings("key-two") == ["/tenants/rows/0/1"],
+          "check finds the changed key and nothing else")
+
+
 def keys_stay_inside(rig):
     for vm in rig.vms:
         log = vm.log.read_text(errors="replace")
@@ -197,6 +227,7 @@
                                  for path in ("/a/x", "/b/x")),
                      f"{vm.name} serves both services")
         keys_decide_who_may_call(rig)
+        check_compares_keys_by_digest(rig, operators)
         withdrawal_reaches_kept_connections(rig, operators)
         withdrawal_holds_in_a_storm(rig, operators)
         restart_without_the_store_keeps_the_withdrawal(rig, operators)
