--- a/tools/galenarudderctl/tool.cpp
+++ b/tools/galenarudderctl/tool.cpp
@@ -56,9 +56,8 @@
     text << "\nExit codes: 0 done, 1 failed, 2 usage, 3 documents invalid, 4 "
             "store or daemon\nunreachable and nothing changed, 5 another "
             "operator's change won, 6 not known\nwhether the change was "
-            "accepted, 7 diff found differences. check: 0 at most notes, 1 "
-            "warnings, "
-            "2 errors.";
+            "accepted, 7 diff found differences.\ncheck: 0 at most notes, "
+            "1 warnings, 2 errors.";
     return text.str();
 }
 
