--- a/unittests/admission/cold_limit_test.cpp
+++ b/unittests/admission/cold_limit_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 
 namespace galenarudder::admission {
 
@@ -263,8 +264,9 @@
         limit.set_rate(rate);
         std::vector<support::time_point> starts;
         auto now = start_time;
-        // Begin of the cold time that is known at present.
-        auto cold_since = support::time_point::max();
+        // Number of starts before the cold time that is known at present.
+        // Starts at the instant of its statement, but before it, do not count.
+        std::optional<std::size_t> starts_before;
         const auto permitted =
             std::max<std::size_t>(1, static_cast<std::size_t>(rate));
         for (int step = 0; step < 400; ++step) {
@@ -277,9 +279,9 @@
                     now);
             }
             if (!limit.applies(now))
-                cold_since = support::time_point::max();
-            else
-                cold_since = std::min(cold_since, now);
+                starts_before.reset();
+            else if (!starts_before)
+                starts_before = starts.size();
             const int offered = *rc::gen::inRange(0, 8);
             for (int call = 0; call < offered; ++call) {
                 if (limit.wait(0, now) > 0s)
@@ -287,9 +289,12 @@
                 limit.on_start(now);
                 starts.push_back(now);
             }
-            if (cold_since > now)
+            if (!starts_before)
                 continue;
-            RC_ASSERT(most_in_a_second(starts, cold_since) <= permitted);
+            const std::vector<support::time_point> cold_starts(
+                starts.begin() + static_cast<std::ptrdiff_t>(*starts_before),
+                starts.end());
+            RC_ASSERT(most_in_a_second(cold_starts, start_time) <= permitted);
         }
     });
 }
