Claim idempotency keys under the organisation's name and the caller's key

Cause: a claim was kept under the name of the caller's organisation. After a rename the same call with the same key ran again.

Change: a call of an organisation is claimed under the name and then under the digest of the presented key, and runs if both are new. A response found under one is recorded under the other, so a rename followed by a rotation is covered too if the call was repeated in between. Costs one more claim for keyed calls of organisations; calls without an organisation are claimed as before.

--- a/include/galenarudder/proxy/entry.hpp
+++ b/include/galenarudder/proxy/entry.hpp
@@ -39,6 +39,9 @@
     /// Whether the configuration has organisations and the call carries no key,
     /// as calls do that upstreams make.
     bool lacks_key = false;
+    /// Digest of the caller's key if the call has an idempotency key; empty if
+    /// the call is of no organisation.
+    std::string key_digest;
 };
 
 using classification = std::variant<classified_call, support::refusal>;
@@ -96,7 +99,9 @@
     /// Claims the idempotency key of a call that is not repeatable, before it
     /// is dispatched.
     boost::asio::awaitable<claim_result>
-    claim(const support::call_head& head, support::time_point deadline) const;
+    claim(const support::call_head& head,
+          std::string_view key_digest,
+          support::time_point deadline) const;
 
     /// To be called before the first request. Without it, organisations have no
     /// limits.
--- a/include/galenarudder/proxy/keyed_calls.hpp
+++ b/include/galenarudder/proxy/keyed_calls.hpp
@@ -18,10 +18,24 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace galenarudder::proxy {
 
 class keyed_calls;
+class held_claim;
+
+/// The call has no idempotency key or is repeatable.
+struct no_claim_needed
+{
+};
+
+/// Decision on a call: it may be dispatched, without a claim or with the given
+/// one; or it gets a recorded response or a refusal.
+using claim_result = std::variant<no_claim_needed,
+                                  std::shared_ptr<held_claim>,
+                                  once::recorded_outcome,
+                                  support::refusal>;
 
 /// The claim of one admitted call. Records how the call ends; if it is
 /// destroyed before that, the outcome is recorded as unknown.
@@ -40,29 +54,23 @@
     /// off.
     void on_response_end(bool complete);
     void on_refusal(const support::refusal& reason);
+    /// Takes over the claim of the same call under another identity.
+    void join(held_claim& other);
+    /// The call will not be dispatched, since it was found under another
+    /// identity. Records the response that was found, if any, and otherwise
+    /// leaves the key free.
+    void on_found(const claim_result& found);
 
 private:
     void finish(once::call_outcome::kind result);
 
     std::shared_ptr<keyed_calls> owner_;
-    once::claim_request_id request_;
+    std::vector<once::claim_request_id> requests_;
     once::call_outcome outcome_;
     bool body_fits_ = true;
     bool finished_ = false;
 };
 
-/// The call has no idempotency key or is repeatable.
-struct no_claim_needed
-{
-};
-
-/// Decision on a call: it may be dispatched, without a claim or with the given
-/// one; or it gets a recorded response or a refusal.
-using claim_result = std::variant<no_claim_needed,
-                                  std::shared_ptr<held_claim>,
-                                  once::recorded_outcome,
-                                  support::refusal>;
-
 /// Claims the idempotency keys of calls. All members may be called from any
 /// thread. The executor must serialize its work, and the store's callbacks must
 /// run on it.
@@ -78,8 +86,12 @@
     void set_retention(support::duration retention);
 
     /// Waits for the decision whether the call may be dispatched. Resumes on
-    /// the executor of the calling coroutine.
+    /// the executor of the calling coroutine. A call of an organisation is
+    /// claimed under its name and under \p key_digest, that of the caller's
+    /// key: a renamed organisation keeps its keys, and one with new keys its
+    /// name.
     boost::asio::awaitable<claim_result> claim(const support::call_head& head,
+                                               std::string_view key_digest,
                                                support::time_point deadline);
 
     /// Returns whether a claim, an outcome or a release has not yet reached the
@@ -89,6 +101,8 @@
 private:
     friend class held_claim;
     class impl;
+    boost::asio::awaitable<claim_result>
+    claim_once(once::claim_request request);
     void record_outcome(once::claim_request_id request,
                         once::call_outcome outcome);
 
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -145,7 +145,7 @@
     : deadline(accepted.properties.deadline),
       flow(router, std::move(accepted.properties)),
       head(std::move(accepted.head)), events(executor, event_channel_capacity),
-      timer(executor)
+      timer(executor), key_digest(std::move(accepted.key_digest))
 {
 }
 
@@ -527,7 +527,8 @@
 asio::awaitable<bool>
 caller_session::claim(parser_ptr parser, call_ptr call, time_point deadline)
 {
-    claim_result result = co_await entry_.claim(call->head, deadline);
+    claim_result result =
+        co_await entry_.claim(call->head, call->key_digest, deadline);
     if (const auto* recorded = std::get_if<once::recorded_outcome>(&result)) {
         const bool keep_alive = call->body_complete && may_keep_alive(*parser);
         const response_framing framing = frame_response(*parser, keep_alive);
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -115,6 +115,8 @@
         /// be written unless a refusal is set.
         bool abandoned = false;
         std::shared_ptr<held_claim> claim;
+        /// See classified_call.
+        std::string key_digest;
         /// Counts against the limit of the caller's organisation.
         std::optional<organisations::token> token;
         std::optional<support::refusal> refusal;
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -154,6 +154,7 @@
     bool present = false;
     /// Null if the key is unknown or the field malformed or repeated.
     const config::organisation_policy* organisation = nullptr;
+    std::string_view key;
 };
 
 presented_key
@@ -167,11 +168,12 @@
             continue;
         // With several fields it is open which one the caller means.
         if (presented.present)
-            return {true, nullptr};
+            return {true, nullptr, {}};
         presented.present = true;
-        const std::string_view key = key_in(field.value, dialect.key_scheme);
-        if (!key.empty() && in_force.organisation_keys)
-            presented.organisation = in_force.organisation_keys->find(key);
+        presented.key = key_in(field.value, dialect.key_scheme);
+        if (!presented.key.empty() && in_force.organisation_keys)
+            presented.organisation =
+                in_force.organisation_keys->find(presented.key);
     }
     return presented;
 }
@@ -266,13 +268,15 @@
 }
 
 boost::asio::awaitable<claim_result>
-entry::claim(const call_head& head, support::time_point deadline) const
+entry::claim(const call_head& head,
+             std::string_view key_digest,
+             support::time_point deadline) const
 {
     if (head.idempotency_key.empty() || head.repeatable)
         co_return claim_result();
     if (!keyed_calls_)
         co_return claim_result(claims_unavailable());
-    co_return co_await keyed_calls_->claim(head, deadline);
+    co_return co_await keyed_calls_->claim(head, key_digest, deadline);
 }
 
 void entry::set_organisation_limits(std::shared_ptr<organisation_limits> limits)
@@ -408,6 +412,10 @@
                                  "organisation"
                                : "the request has no Authorization field");
     }
+    const bool keyed =
+        !find_field(head.fields, dialect_.idempotency_key).empty();
+    if (presented.organisation != nullptr && keyed)
+        classified.key_digest = organisations::digest_of(presented.key);
     return apply_organisation(in_force, presented.organisation, dialect_, head,
                               classified.properties);
 }
--- a/lib/proxy/keyed_calls.cpp
+++ b/lib/proxy/keyed_calls.cpp
@@ -280,19 +280,44 @@
 }
 
 asio::awaitable<claim_result> keyed_calls::claim(const support::call_head& head,
+                                                 std::string_view key_digest,
                                                  support::time_point deadline)
 {
     if (head.idempotency_key.empty() || head.repeatable)
         co_return claim_result();
-    once::claim_request request;
-    request.id = impl_->next_request_id();
-    request.service = head.service;
-    request.key = head.idempotency_key;
     // Organisations choose their keys independently, and one must not get the
-    // recorded response of another. A field's value has no line break.
+    // recorded response of another. A field's value has no line break, and a
+    // name is not empty.
+    once::claim_request by_name;
+    by_name.service = head.service;
+    by_name.key = head.idempotency_key;
+    by_name.deadline = deadline;
+    once::claim_request by_key = by_name;
     if (!head.organisation.empty())
-        request.key.insert(0, head.organisation + "\n");
-    request.deadline = deadline;
+        by_name.key.insert(0, head.organisation + "\n");
+    by_key.key.insert(0, "\n" + std::string(key_digest));
+    claim_result first = co_await claim_once(std::move(by_name));
+    if (key_digest.empty() || std::holds_alternative<refusal>(first))
+        co_return first;
+    // All callers claim in this order, so of two equal calls one is admitted
+    // wherever they share the name or the key.
+    claim_result second = co_await claim_once(std::move(by_key));
+    const auto* named = std::get_if<std::shared_ptr<held_claim>>(&first);
+    const auto* keyed = std::get_if<std::shared_ptr<held_claim>>(&second);
+    if (named != nullptr && keyed != nullptr)
+        (*named)->join(**keyed);
+    else if (named != nullptr)
+        (*named)->on_found(second);
+    else if (keyed != nullptr)
+        (*keyed)->on_found(first);
+    co_return named != nullptr&& keyed == nullptr ? std::move(second)
+                                                  : std::move(first);
+}
+
+asio::awaitable<claim_result>
+keyed_calls::claim_once(once::claim_request request)
+{
+    request.id = impl_->next_request_id();
     const asio::any_io_executor caller_executor =
         co_await asio::this_coro::executor;
     auto decision_channel = std::make_shared<claim_channel>(caller_executor, 1);
@@ -319,7 +344,7 @@
 
 held_claim::held_claim(std::shared_ptr<keyed_calls> owner,
                        once::claim_request_id request)
-    : owner_(std::move(owner)), request_(request)
+    : owner_(std::move(owner)), requests_{request}
 {
 }
 
@@ -360,13 +385,32 @@
                : once::call_outcome::kind::unknown);
 }
 
+void held_claim::join(held_claim& other)
+{
+    requests_.insert(requests_.end(), other.requests_.begin(),
+                     other.requests_.end());
+    other.requests_.clear();
+}
+
+void held_claim::on_found(const claim_result& found)
+{
+    const auto* recorded = std::get_if<once::recorded_outcome>(&found);
+    if (recorded == nullptr) {
+        finish(once::call_outcome::kind::not_run);
+        return;
+    }
+    outcome_.response = *recorded;
+    finish(once::call_outcome::kind::answered);
+}
+
 void held_claim::finish(once::call_outcome::kind result)
 {
     if (finished_)
         return;
     finished_ = true;
     outcome_.result = result;
-    owner_->record_outcome(request_, std::move(outcome_));
+    for (const once::claim_request_id request : requests_)
+        owner_->record_outcome(request, outcome_);
 }
 
 } // namespace galenarudder::proxy
--- a/test/process/test_once.py
+++ b/test/process/test_once.py
@@ -7,11 +7,13 @@
 """
 
 import concurrent.futures
+import hashlib
 import http.client
 import json
 import pathlib
 import signal
 import sys
+import tempfile
 import time
 import unittest
 
@@ -110,6 +112,44 @@
                          (401, "unknown-key"))
         self.assertEqual(unknown[1].get("WWW-Authenticate"), "Bearer")
 
+    def version_at(self, address):
+        return example.get_json(f"{address}:7105",
+                                "/v1/status")["configuration_version"]
+
+    def put_organisation(self, name, key):
+        """Put `name` with `key` in the place of the first organisation."""
+        version = max(map(self.version_at, self.addresses))
+        base = json.loads((TOPOLOGY / "base.json").read_text())
+        base["organisations"][0] = {
+            "name": name,
+            "keys": [hashlib.sha256(key.encode()).hexdigest()]}
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(base, file)
+            file.flush()
+            result = self.fleet.ctl("apply", "--store", self.fleet.store,
+                                    "--base", file.name, "--overlays",
+                                    TOPOLOGY / "overlays", "--author", "test",
+                                    "--note", name)
+        self.assertEqual(result.returncode, 0, result.stderr)
+        example.wait_for(
+            lambda: min(map(self.version_at, self.addresses)) > version,
+            f"all to know {name} with {key}")
+
+    def test_claims_outlive_a_new_name_and_new_keys(self):
+        """Calls ran again when claims depended on the name or the key alone."""
+        first = send(self.addresses[0], "renamed", body="the first")
+        self.assertEqual(first[0], 200)
+        try:
+            for name, key in [("renamed", "key-one"), ("renamed", "key-new")]:
+                self.put_organisation(name, key)
+                for address in self.addresses:
+                    again = send(address, "renamed", organisation_key=key)
+                    self.assertEqual((again[0], again[2]),
+                                     (200, "the first"))
+                self.assertEqual(self.runs("renamed"), 1)
+        finally:
+            self.put_organisation("first", "key-one")
+
     def test_second_call_gets_the_recorded_answer(self):
         first = send(self.addresses[0], "recorded", body="what was booked")
         self.assertEqual(first[0], 200)
