Do not let a daemon that knows no peer yet take whole limits

Cause: a daemon without introducers in its settings, as on the users' platform, did not expect peers. While it knew no other member it took the whole limit of each organisation after 1 s, so starting daemons together exceeded the bound. Found by the new process test of 6 daemons: 417, 314 and 260 calls in 5 s, 251 allowed.

Change: such a daemon waits 10 s for peers, and one with introducers still does not take a share alone.

test_organisation_limits.py plays a limit while half of the daemons are suspended, continued, killed and restarted, and withdrawals of a key from a daemon that is cut off from the store and then from all.

--- a/include/galenarudder/organisations/fleet.hpp
+++ b/include/galenarudder/organisations/fleet.hpp
@@ -19,6 +19,16 @@
     left
 };
 
+/// Whether the daemon is to assume that there are others while it knows none.
+enum class peer_expectation
+{
+    none,
+    /// For \c fleet::search_time: peers are found through the store.
+    searched,
+    /// Peers are named in the settings.
+    certain
+};
+
 /// A member as group membership reports it.
 struct observed_member
 {
@@ -31,8 +41,7 @@
 class fleet
 {
 public:
-    /// \p expects_peers states that the daemon is not the only one.
-    fleet(support::member_id self, bool expects_peers);
+    fleet(support::member_id self, peer_expectation expects_peers);
 
     /// Takes all records of group membership. Returns whether members were
     /// added, removed, or changed between live and absent.
@@ -79,6 +88,8 @@
     static constexpr support::duration removal_delay = std::chrono::seconds(2);
     static constexpr support::duration growth_time = std::chrono::minutes(1);
     static constexpr support::duration settling_time = std::chrono::seconds(1);
+    /// Starting daemons mostly find each other within 3 s.
+    static constexpr support::duration search_time = std::chrono::seconds(10);
 
 private:
     struct known_member
@@ -89,7 +100,7 @@
         support::time_point absent_since{};
     };
 
-    bool is_complete() const;
+    bool is_complete(support::time_point now) const;
     double
     share_among(organisation_hash organisation,
                 const limit& in_force,
@@ -100,7 +111,8 @@
     std::map<member_hash, support::time_point> removed_;
     support::time_point last_removal_{};
     member_hash self_;
-    bool expects_peers_;
+    peer_expectation expects_peers_;
+    support::time_point first_tick_ = support::time_point::max();
     std::size_t stated_count_ = 0;
     support::time_point stated_at_{};
     support::time_point complete_since_ = support::time_point::max();
--- a/include/galenarudder/organisations/limiter.hpp
+++ b/include/galenarudder/organisations/limiter.hpp
@@ -53,7 +53,7 @@
 {
 public:
     limiter(support::member_id self,
-            bool expects_peers,
+            peer_expectation expects_peers,
             const tolerance& allowed,
             std::uint64_t seed);
 
--- a/include/galenarudder/proxy/organisation_limits.hpp
+++ b/include/galenarudder/proxy/organisation_limits.hpp
@@ -53,7 +53,7 @@
 public:
     organisation_limits(limits_context context,
                         support::member_id self,
-                        bool expects_peers,
+                        organisations::peer_expectation expects_peers,
                         const organisations::tolerance& allowed,
                         std::uint64_t seed);
     ~organisation_limits();
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -502,7 +502,10 @@
     std::random_device random;
     const std::uint64_t seed = (std::uint64_t{random()} << 32) | random();
     organisation_limits_ = std::make_shared<organisation_limits>(
-        std::move(context), settings_.member, !settings_.introducers.empty(),
+        std::move(context), settings_.member,
+        settings_.introducers.empty()
+            ? organisations::peer_expectation::searched
+            : organisations::peer_expectation::certain,
         organisations::tolerance{settings_.organisation_window,
                                  settings_.organisation_overrun_share,
                                  settings_.organisation_overrun_calls},
--- a/lib/organisations/fleet.cpp
+++ b/lib/organisations/fleet.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-fleet::fleet(support::member_id self, bool expects_peers)
+fleet::fleet(support::member_id self, peer_expectation expects_peers)
     : self_(hash_of(self)), expects_peers_(expects_peers)
 {
     members_[self_].id = std::move(self);
@@ -81,14 +81,17 @@
     }
 }
 
-bool fleet::is_complete() const
+bool fleet::is_complete(support::time_point now) const
 {
     // A new member that a part m of the fleet cannot see adds m/N of its own
     // share to the sum of all shares, so a few absent members are tolerated.
     // Otherwise one that stays dead would keep restarted ones from a share.
     constexpr double required_part = 0.8;
     const std::size_t live = live_count();
-    const bool alone = live == 1 && expects_peers_;
+    const bool expects_peers = expects_peers_ == peer_expectation::certain ||
+                               (expects_peers_ == peer_expectation::searched &&
+                                now - first_tick_ < search_time);
+    const bool alone = live == 1 && expects_peers;
     const std::size_t known = std::max(members_.size(), stated_count_);
     return !alone && static_cast<double>(live) >=
                          required_part * static_cast<double>(known);
@@ -96,6 +99,7 @@
 
 bool fleet::on_tick(support::time_point now)
 {
+    first_tick_ = std::min(first_tick_, now);
     bool removed_any = false;
     for (auto position = members_.begin(); position != members_.end();) {
         const known_member& known = position->second;
@@ -114,7 +118,7 @@
     std::erase_if(removed_, [&](const auto& entry) {
         return now - entry.second > growth_time;
     });
-    if (!is_complete())
+    if (!is_complete(now))
         complete_since_ = support::time_point::max();
     else if (complete_since_ == support::time_point::max())
         complete_since_ = now;
--- a/lib/organisations/limiter.cpp
+++ b/lib/organisations/limiter.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 limiter::limiter(support::member_id self,
-                 bool expects_peers,
+                 peer_expectation expects_peers,
                  const tolerance& allowed,
                  std::uint64_t seed)
     : allowed_(allowed), members_(std::move(self), expects_peers),
--- a/lib/proxy/organisation_limits.cpp
+++ b/lib/proxy/organisation_limits.cpp
@@ -96,7 +96,7 @@
 public:
     impl(limits_context environment,
          support::member_id self,
-         bool expects_peers,
+         organisations::peer_expectation expects_peers,
          const organisations::tolerance& allowed,
          std::uint64_t seed)
         : context(std::move(environment)),
@@ -259,7 +259,7 @@
 organisation_limits::organisation_limits(
     limits_context context,
     support::member_id self,
-    bool expects_peers,
+    organisations::peer_expectation expects_peers,
     const organisations::tolerance& allowed,
     std::uint64_t seed)
     : impl_(std::make_unique<impl>(
--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -454,6 +454,8 @@
         self.rig = rig
         self.process = None
         self.outbound = f"{self.ip}:8304"
+        # A test may set another one before it starts the daemon.
+        self.store_address = rig.store_address
         self.upstream = Upstream((self.ip, 8301), service, f"{self.ip}:8306")
         self.settings = rig.folder / f"{self.name}.json"
         self.log = rig.folder / f"{self.name}.log"
@@ -469,7 +471,7 @@
                 "region": "inland",
                 "zones": {"east": "inland", "west": "inland"},
                 "bounds": self.rig.bounds,
-                "infra": {"address": self.rig.store_address}}
+                "infra": {"address": self.store_address}}
 
     def start(self):
         self.settings.write_text(render(
--- /dev/null
+++ b/test/process/test_organisation_limits.py
@@ -0,0 +1,237 @@
+#!/usr/bin/env python3
+"""Limits and keys of organisations while parts of the fleet are cut off.
+
+Guards against daemons that together let more calls run than the limit allows,
+against calls below the limit that are refused for long after a fault, and
+against a withdrawn key that a daemon takes which is cut off from the store.
+"""
+
+import itertools
+import pathlib
+import signal
+import socket
+import sys
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from platform_rig import HOST, Rig, check, configuration, request, wait_for
+
+NETWORK = "127.42"
+WINDOW_S = 5
+RATE, BURST, OVER, SLACK = 40, 10, 0.1, 20
+BOUND = (RATE * WINDOW_S + BURST) * (1 + OVER) + SLACK
+# Time from the store's acknowledgement of a version until a key that it
+# withdraws must be refused.
+WITHDRAWAL_S = 2.5
+# Leases of stopped daemons end after 1.5 s, and shares are in use again 3 s
+# after the members are there.
+RECOVERY_S = 4
+
+
+class Link:
+    """Forwards connections to the store until it is cut."""
+
+    def __init__(self, address, target):
+        self.target = target
+        self.is_cut = False
+        self.sockets = []
+        self.listener = socket.create_server(address)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            near, _ = self.listener.accept()
+            if self.is_cut:
+                near.close()
+                continue
+            far = socket.create_connection(self.target)
+            self.sockets += [near, far]
+            for ends in ((near, far), (far, near)):
+                threading.Thread(target=self.copy, args=ends,
+                                 daemon=True).start()
+
+    @staticmethod
+    def copy(source, sink):
+        try:
+            while data := source.recv(65536):
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+    def cut(self):
+        self.is_cut = True
+        for end in self.sockets:
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
+def put(rig, version, keys):
+    written = configuration(version, {"/a/": ("alpha", "idempotent")})
+    written["tenants"] = {
+        "columns": ["name", "apiKeys", "priority", "ratePerS", "burst"],
+        "rows": [["large", keys, 0, RATE, BURST],
+                 ["small", ["key-small"], 0, 60, 10]]}
+    rig.store.put_configuration(written)
+    return time.monotonic()
+
+
+NUMBERS = itertools.count()
+
+
+def status_of(vm, key):
+    return request(vm.outbound, "GET", "/a/x", timeout=3, fields={
+        "Host": HOST, "Timeout-Ms": "2000", "Authorization": f"Token {key}",
+        "Attempt-Id": f"{key}-{next(NUMBERS)}"})[0]
+
+
+class Callers:
+    """Send calls with one key to each VM; `results` has the time of the
+    answer and the status of each. A stopped daemon answers once it goes on."""
+
+    def __init__(self, vms, key, pause_s):
+        self.ended = threading.Event()
+        self.results = []
+        self.threads = [threading.Thread(target=self.run,
+                                         args=(vm, key, pause_s), daemon=True)
+                        for vm in vms]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, vm, key, pause_s):
+        while not self.ended.wait(pause_s):
+            try:
+                status = status_of(vm, key)
+            except OSError:
+                continue
+            self.results.append((time.monotonic(), status))
+
+    def stop(self):
+        self.ended.set()
+        for thread in self.threads:
+            thread.join()
+
+    def statuses(self, begin, end):
+        return [status for answered, status in self.results
+                if begin <= answered < end]
+
+
+def run_times(rig, organisation):
+    """Return when each call of an organisation first reached an upstream."""
+    first = {}
+    for vm in rig.vms:
+        for call in vm.upstream.received_calls:
+            if ("Tenant", organisation) in call["fields"]:
+                at = call["received_at_s"]
+                first[call["id"]] = min(at, first.get(call["id"], at))
+    return sorted(first.values())
+
+
+def most_in_window(times):
+    """Return the most calls in a window, and the end of that window."""
+    most, begin = (0, 0), 0
+    for end, time_s in enumerate(times):
+        while time_s - times[begin] >= WINDOW_S:
+            begin += 1
+        most = max(most, (end + 1 - begin, time_s))
+    return most
+
+
+def limit_holds_while_half_is_cut_off(rig):
+    half = rig.vms[len(rig.vms) // 2:]
+    large = Callers(rig.vms, "key-three", 0.02)
+    small = Callers(rig.vms, "key-small", 0.25)
+    changes = [time.monotonic()]
+    time.sleep(RECOVERY_S + 4)
+    changes.append(time.monotonic())
+    for vm in half:
+        vm.process.send_signal(signal.SIGSTOP)
+    time.sleep(RECOVERY_S + 3)
+    changes.append(time.monotonic())
+    for vm in half:
+        vm.process.send_signal(signal.SIGCONT)
+    time.sleep(RECOVERY_S + 3)
+    for vm in half:
+        vm.stop()
+        vm.start()
+    for vm in half:
+        wait_for(vm.is_ready, f"{vm.name} is ready again")
+    changes.append(time.monotonic())
+    time.sleep(RECOVERY_S + 4)
+    ended = time.monotonic()
+    large.stop()
+    small.stop()
+    times = run_times(rig, "large")
+    most, at_s = most_in_window(times)
+    print(f"at most {most} calls in {WINDOW_S} s, bound {BOUND:.0f}, "
+          f"{[round(at_s - change, 2) for change in changes]} s after the "
+          "changes")
+    check(most <= BOUND, "the limit holds over all daemons")
+    phases = zip(("at first", "half stopped", "half continued",
+                  "half restarted"), changes, changes[1:] + [ended])
+    for name, begin, end in phases:
+        begin += RECOVERY_S
+        statuses = small.statuses(begin, end)
+        served = sum(begin <= at < end for at in times) / (end - begin)
+        print(f"{name}: below the limit {statuses.count(200)} of "
+              f"{len(statuses)} served, {statuses.count(429)} refused by it; "
+              f"above it {served:.0f} calls/s run")
+        check(statuses and 429 not in statuses,
+              f"{name}: no call below the limit is refused because of it")
+        if name != "half stopped":
+            check(statuses.count(200) == len(statuses),
+                  f"{name}: calls below the limit are served")
+            check(served > 0.8 * RATE, f"{name}: the limit is used")
+
+
+def withdrawn_key_stops_where_in_touch(rig, link):
+    cut_off, others = rig.vms[0], rig.vms[1:]
+
+    def refused(vms, key, acknowledged):
+        for vm in vms:
+            wait_for(lambda: status_of(vm, key) == 401,
+                     f"{vm.name} refuses {key}", 2 * WITHDRAWAL_S)
+        return time.monotonic() - acknowledged
+
+    link.cut()
+    took_s = refused(rig.vms, "key-one", put(rig, 2, ["key-two", "key-three"]))
+    print(f"refused after {took_s:.2f} s")
+    check(took_s < WITHDRAWAL_S,
+          "a daemon that is cut off from the store learns it from peers")
+    cut_off.process.send_signal(signal.SIGSTOP)
+    took_s = refused(others, "key-two", put(rig, 3, ["key-three"]))
+    check(took_s < WITHDRAWAL_S, "all that are in touch refuse the key")
+    time.sleep(3)
+    continued = time.monotonic()
+    cut_off.process.send_signal(signal.SIGCONT)
+    took_s = refused([cut_off], "key-two", continued)
+    print(f"refused {took_s:.2f} s after it was in touch with peers again")
+    check(took_s < WITHDRAWAL_S, "the daemon that was cut off refuses it too")
+    for vm in rig.vms:
+        check(status_of(vm, "key-three") == 200, f"{vm.name} takes the other")
+
+
+def main():
+    bounds = {"quotaWindow": f"{WINDOW_S}s", "quotaOver": OVER,
+              "quotaSlack": SLACK}
+    with Rig(sys.argv[1], ["alpha"] * 6, network=NETWORK,
+             bounds=bounds) as rig:
+        link = Link((f"{NETWORK}.1.2", 8309), (f"{NETWORK}.1.1", 8309))
+        rig.vms[0].store_address = f"{NETWORK}.1.2:8309"
+        put(rig, 1, ["key-one", "key-two"])
+        for vm in rig.vms:
+            vm.upstream.check_ins_enabled.set()
+            vm.start()
+        for vm in rig.vms:
+            wait_for(lambda: status_of(vm, "key-small") == 200,
+                     f"{vm.name} serves")
+        withdrawn_key_stops_where_in_touch(rig, link)
+        limit_holds_while_half_is_cut_off(rig)
+
+
+if __name__ == "__main__":
+    main()
--- a/unittests/organisations/fake_fleet.hpp
+++ b/unittests/organisations/fake_fleet.hpp
@@ -46,7 +46,8 @@
         started.started_at = now;
         started.clock_offset = std::chrono::seconds(random() % 100'000);
         started.machine = std::make_unique<limiter>(
-            "member-" + std::to_string(index), true, allowed_, random());
+            "member-" + std::to_string(index), peer_expectation::certain,
+            allowed_, random());
         started.machine->configure({&rate, 1}, local(index));
     }
     void set_rate(double calls_per_s)
--- a/unittests/organisations/hook_test.cpp
+++ b/unittests/organisations/hook_test.cpp
@@ -41,7 +41,8 @@
         limits_context context{io.get_executor(), &in_force, &metrics,
                                &decisions, [](const auto&, std::string) {}};
         limits = std::make_shared<organisation_limits>(
-            context, "only", false, organisations::tolerance{}, 1);
+            context, "only", organisations::peer_expectation::none,
+            organisations::tolerance{}, 1);
         limits->configure(first);
         limits->on_members({});
         // The only member gets its share after this time.
--- a/unittests/organisations/limiter_test.cpp
+++ b/unittests/organisations/limiter_test.cpp
@@ -346,7 +346,7 @@
 TEST_CASE("a token that is given back serves a call before it expires")
 {
     const support::time_point start(100s);
-    limiter alone("one", false, platform_tolerance, 1);
+    limiter alone("one", peer_expectation::none, platform_tolerance, 1);
     const organisation_rate rate{"one", 1, 0};
     alone.configure({&rate, 1}, start);
     alone.on_members({}, start);
