--- a/include/galenarudder/organisations/fleet.hpp
+++ b/include/galenarudder/organisations/fleet.hpp
@@ -19,6 +19,16 @@
     left
 };
 
+/// Whether the daemon is to assume that there are others while it knows none.
+enum class peer_expectation
+{
+    none,
+    /// For \c fleet::search_time: peers are found through the store.
+    searched,
+    /// Peers are named in the settings.
+    certain
+};
+
 /// A member as group membership reports it.
 struct observed_member
 {
@@ -31,8 +41,7 @@
 class fleet
 {
 public:
-    /// \p expects_peers states that the daemon is not the only one.
-    fleet(support::member_id self, bool expects_peers);
+    fleet(support::member_id self, peer_expectation expects_peers);
 
     /// Takes all records of group membership. Returns whether members were
     /// added, removed, or changed between live and absent.
@@ -88,6 +97,8 @@
     /// pauses of up to 0.2 s between two messages.
     static constexpr support::duration steady_time =
         std::chrono::milliseconds(250);
+    /// Starting daemons mostly find each other within 3 s.
+    static constexpr support::duration search_time = std::chrono::seconds(10);
 
 private:
     struct known_member
@@ -98,7 +109,7 @@
         support::time_point absent_since{};
     };
 
-    bool is_complete() const;
+    bool is_complete(support::time_point now) const;
     bool is_steady_without_shares(support::time_point now) const;
     double
     share_among(organisation_hash organisation,
@@ -110,7 +121,8 @@
     std::map<member_hash, support::time_point> removed_;
     support::time_point last_removal_{};
     member_hash self_;
-    bool expects_peers_;
+    peer_expectation expects_peers_;
+    support::time_point first_tick_ = support::time_point::max();
     std::size_t stated_count_ = 0;
     support::time_point stated_at_{};
     /// When members were first asked for their count; max for not yet.
