--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -251,6 +251,19 @@
     CHECK(form.locate(written, "/services/0/cold_calls_per_s") ==
           "/services/rows/0");
     CHECK(form.locate(written, "/ranks/0/name").empty());
+    // A row may end before a column, and a read beyond its end is undefined.
+    json short_row = written;
+    short_row["routes"]["rows"][0] = json::array({"h", "/"});
+    for (const char* field : {"services", "regions", "deadline_ms"}) {
+        CHECK(form.locate(short_row, std::string("/hosts/0/") + field) ==
+              "/routes/rows/0");
+    }
+    // Daemons accept null in place of the optional table.
+    json without_tenants = written;
+    without_tenants["tenants"] = nullptr;
+    CHECK(form.translate(without_tenants).findings.size() == 1);
+    CHECK(form.locate(without_tenants, "/organisations/0/name") ==
+          "/tenants/rows/0");
     written["routes"]["rows"][0][4] = "later";
     written["routes"]["rows"][0][6] = -1;
     written["routes"]["rows"][1] = "none";
