Report unusable files and failures of check, and compare given overlays

A file that holds no object passed as an absent base document, and a number out of range ended the command with an abort. Against a daemon, overlays are compared only if one is named; otherwise each one in force was listed as removed.

--- a/lib/operators/check_command.cpp
+++ b/lib/operators/check_command.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <iterator>
 #include <optional>
 #include <ostream>
@@ -24,7 +25,9 @@
 struct comparison
 {
     config::document in_force;
-    bool has_overlays = true;
+    /// Whether overlays were named among its files. A daemon has those of all
+    /// sites in force, whichever files are checked.
+    bool has_overlays = false;
 };
 
 /// Returns the mean service time by service, as the daemon measured it.
@@ -112,9 +115,13 @@
             check_schemas_only();
             return std::move(findings_);
         }
+        const bool overlays_given =
+            files_.has_overlays() || (compared && compared->has_overlays);
+        if (compared && !overlays_given)
+            report_overlays_not_compared();
         append(files_.locate(config::check_configuration(
             {files_.full_document(), compared ? &compared->in_force : nullptr,
-             !compared || compared->has_overlays, fleet ? &*fleet : nullptr})));
+             overlays_given, fleet ? &*fleet : nullptr})));
         return std::move(findings_);
     }
 
@@ -141,6 +148,19 @@
               failure.message, failure.remedy, nullptr, nullptr}});
     }
 
+    void report_overlays_not_compared()
+    {
+        // A document in another form holds the whole configuration.
+        if (flags_.form != nullptr)
+            return;
+        findings_.push_back(
+            {"",
+             0,
+             {"overlays-not-compared", severity::note, "", "",
+              "overlays were not compared, since none was given",
+              "name the overlays, too, to compare them", nullptr, nullptr}});
+    }
+
     std::optional<comparison> read_comparison()
     {
         if (!flags_.against.empty())
@@ -149,7 +169,7 @@
             return std::nullopt;
         auto in_force = fetch_document_in_force(flags_);
         if (in_force)
-            return comparison{std::move(in_force).value(), true};
+            return comparison{std::move(in_force).value(), false};
         report_unavailable(flags_.daemon, in_force.error());
         return std::nullopt;
     }
@@ -258,15 +278,8 @@
                << "\n";
 }
 
-} // namespace
-
-exit_code check_files(const options& flags, const console& output)
+exit_code check_and_print(const options& flags, const console& output)
 {
-    if (flags.files.empty()) {
-        output.err << "galenarudderctl: no file was given; remedy: run "
-                      "galenarudderctl check BASE.json [SITE.json...]\n";
-        return exit_code::usage;
-    }
     std::vector<located_finding> findings = check_run(flags).run();
     std::stable_sort(findings.begin(), findings.end(),
                      [](const auto& left, const auto& right) {
@@ -280,4 +293,24 @@
     return codes.at(static_cast<std::size_t>(worst));
 }
 
+} // namespace
+
+exit_code check_files(const options& flags, const console& output)
+{
+    if (flags.files.empty()) {
+        output.err << "galenarudderctl: no file was given; remedy: run "
+                      "galenarudderctl check BASE.json [SITE.json...]\n";
+        return exit_code::usage;
+    }
+    try {
+        return check_and_print(flags, output);
+    } catch (const std::exception& failure) {
+        // Scripts would take an abort for another exit status than that of
+        // errors.
+        output.err << "galenarudderctl: the check failed: " << failure.what()
+                   << "; remedy: report this error with the files\n";
+        return exit_code::check_errors;
+    }
+}
+
 } // namespace galenarudder::operators
--- a/lib/operators/check_files.cpp
+++ b/lib/operators/check_files.cpp
@@ -72,6 +72,12 @@
         report(path, line_at_byte(read_source.text, failure.byte), "not-json",
                "the file is not JSON", "correct the syntax at this line");
         return;
+    } catch (const json::exception& failure) {
+        // Numbers out of range are reported without a position.
+        report(path, 0, "not-json",
+               std::string("the file cannot be parsed: ") + failure.what(),
+               "correct the value");
+        return;
     }
     if (form_ != nullptr)
         accept_translated(std::move(read_source));
@@ -81,6 +87,13 @@
 
 void source_files::accept(source read_source)
 {
+    // A base document that is null counts as absent in the checks that follow.
+    if (!read_source.written.is_object()) {
+        report(read_source.path, 0, "not-an-object",
+               "the file holds no JSON object",
+               "write the fields of a base document or an overlay");
+        return;
+    }
     const bool overlay = is_overlay(read_source.written);
     const std::string site =
         overlay ? std::filesystem::path(read_source.path).stem().string() : "";
