Report all schema violations of a value in check

Only the first message for each pointer was kept. Names with / or ~ in objects with free names are accessed by their parts, since the pointers shown are not escaped.

--- a/lib/config/schema.cpp
+++ b/lib/config/schema.cpp
@@ -14,6 +14,8 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
+#include <utility>
 
 namespace galenarudder::config {
 
@@ -29,18 +31,38 @@
     return std::to_string(newlines + 1);
 }
 
-/// Converts valijson's context ("<root>", "[keys]", "[0]") into a JSON pointer.
-std::string to_json_pointer(const std::vector<std::string>& context)
+/// Returns the names and positions in valijson's context ("<root>", "[keys]",
+/// "[0]").
+std::vector<std::string> path_of(const std::vector<std::string>& context)
 {
-    std::string pointer;
+    std::vector<std::string> path;
     for (const std::string& component : context) {
-        if (component.size() < 2 || component.front() != '[')
-            continue;
-        pointer += "/" + component.substr(1, component.size() - 2);
+        if (component.size() >= 2 && component.front() == '[')
+            path.push_back(component.substr(1, component.size() - 2));
     }
+    return path;
+}
+
+/// Returns the pointer that is shown for a context. Its names are not escaped,
+/// so that it cannot be used to access values.
+std::string to_json_pointer(const std::vector<std::string>& context)
+{
+    std::string pointer;
+    for (const std::string& name : path_of(context))
+        pointer += "/" + name;
     return pointer.empty() ? "/" : pointer;
 }
 
+/// Returns the pointer that accesses the value of a context.
+nlohmann::json::json_pointer
+access_pointer(const std::vector<std::string>& context)
+{
+    nlohmann::json::json_pointer pointer;
+    for (const std::string& name : path_of(context))
+        pointer /= name;
+    return pointer;
+}
+
 /// Returns the error at the deepest path, which is the cause. The errors at the
 /// enclosing values only follow from it.
 valijson::ValidationResults::Error
@@ -58,16 +80,14 @@
 /// Returns "; found VALUE", or an empty string if the value is missing or too
 /// long to print.
 std::string describe_value(const nlohmann::json& document,
-                           const std::string& pointer)
+                           const std::vector<std::string>& context)
 {
     // A key that was written in place of its digest must not be printed.
-    if (pointer.starts_with("/organisations"))
+    if (to_json_pointer(context).starts_with("/organisations"))
         return "";
     constexpr std::size_t max_printed_bytes = 60;
     try {
-        const nlohmann::json::json_pointer value_pointer(
-            pointer == "/" ? "" : pointer);
-        const std::string text = document.at(value_pointer).dump();
+        const std::string text = document.at(access_pointer(context)).dump();
         return text.size() <= max_printed_bytes ? "; found " + text : "";
     } catch (const nlohmann::json::exception&) {
         return "";
@@ -115,7 +135,7 @@
     }
     return error{error_kind::invalid_document,
                  location + ": " + pointer + ": " + deepest.description +
-                     describe_value(document, pointer),
+                     describe_value(document, deepest.context),
                  "correct the value at this path; unknown fields are "
                  "rejected"};
 }
@@ -143,6 +163,12 @@
     return description.starts_with("Failed to validate");
 }
 
+bool is_type_mismatch(const std::string& message)
+{
+    return message.starts_with("Failed to match against any enum") ||
+           message.starts_with("Value type not permitted");
+}
+
 /// Collects all violations. valijson reports one unknown field of each object,
 /// so these are removed and the rest is validated again.
 class violation_collector
@@ -160,15 +186,24 @@
         collect_others();
         remove_rejected_alternatives();
         std::vector<schema_violation> violations;
-        for (const auto& [pointer, message] : found_)
-            violations.push_back({pointer, message});
+        for (const auto& [pointer, messages] : found_) {
+            for (const std::string& message : messages)
+                violations.push_back({pointer, message});
+        }
         return violations;
     }
 
 private:
-    using validation_errors = std::vector<std::pair<std::string, std::string>>;
+    using validation_errors = std::vector<valijson::ValidationResults::Error>;
+
+    /// Returns the pointer to the value of an error, empty for the document.
+    static std::string
+    pointer_of(const valijson::ValidationResults::Error& failure)
+    {
+        const std::string pointer = to_json_pointer(failure.context);
+        return pointer == "/" ? "" : pointer;
+    }
 
-    /// Returns the pointers and descriptions of the errors.
     validation_errors validate() const
     {
         valijson::ValidationResults results;
@@ -178,26 +213,22 @@
         if (validator.validate(schema_, adapted, &results))
             return errors;
         valijson::ValidationResults::Error failure;
-        while (results.popError(failure)) {
-            const std::string pointer = to_json_pointer(failure.context);
-            errors.emplace_back(pointer == "/" ? "" : pointer,
-                                failure.description);
-        }
+        while (results.popError(failure))
+            errors.push_back(failure);
         return errors;
     }
 
     bool remove_unknown_fields()
     {
         bool removed = false;
-        for (const auto& [pointer, description] : validate()) {
-            const std::string name = unknown_field_in(description);
-            if (name.empty())
+        for (const auto& failure : validate()) {
+            const std::string name = unknown_field_in(failure.description);
+            const auto pointer = access_pointer(failure.context);
+            if (name.empty() || !document_.contains(pointer))
                 continue;
-            nlohmann::json& object =
-                document_.at(nlohmann::json::json_pointer(pointer));
-            removed = object.erase(name) > 0 || removed;
-            found_.emplace(std::string(pointer).append("/").append(name),
-                           "the field is not known");
+            removed = document_.at(pointer).erase(name) > 0 || removed;
+            found_[pointer_of(failure) + "/" + name].insert(
+                "the field is not known");
         }
         return removed;
     }
@@ -205,35 +236,40 @@
     void collect_others()
     {
         const validation_errors errors = validate();
-        for (const auto& [pointer, description] : errors) {
-            if (!is_consequence(description))
-                found_.emplace(pointer, description +
-                                            describe_value(document_, pointer));
+        for (const auto& failure : errors) {
+            if (!is_consequence(failure.description))
+                found_[pointer_of(failure)].insert(
+                    failure.description +
+                    describe_value(document_, failure.context));
         }
         // Covers errors of which valijson reports only the consequence.
         if (found_.empty() && !errors.empty())
-            found_.emplace(errors.front());
+            found_[pointer_of(errors.front())].insert(
+                errors.front().description);
     }
 
     /// Of the alternatives for a value, those of another type are not errors if
-    /// there are errors inside the value.
+    /// there are errors inside the value or properties that it lacks.
     void remove_rejected_alternatives()
     {
-        std::erase_if(found_, [&](const auto& outer) {
-            const auto& [pointer, message] = outer;
-            const bool type_mismatch =
-                message.starts_with("Failed to match against any enum") ||
-                message.starts_with("Value type not permitted");
+        for (auto& [pointer, messages] : found_) {
             const auto inner = found_.upper_bound(pointer + "/");
-            return type_mismatch && inner != found_.end() &&
-                   inner->first.starts_with(pointer + "/");
-        });
+            const bool has_inner = inner != found_.end() &&
+                                   inner->first.starts_with(pointer + "/");
+            const bool lacks_property =
+                std::any_of(messages.begin(), messages.end(),
+                            [](const std::string& message) {
+                                return message.starts_with("Missing required");
+                            });
+            if (has_inner || lacks_property)
+                std::erase_if(messages, is_type_mismatch);
+        }
     }
 
     nlohmann::json document_;
     const valijson::Schema& schema_;
-    /// Message of each pointer.
-    std::map<std::string, std::string> found_;
+    /// Messages of each pointer. Alternatives may repeat a message.
+    std::map<std::string, std::set<std::string>> found_;
 };
 
 } // namespace
--- a/unittests/config/configuration_check_test.cpp
+++ b/unittests/config/configuration_check_test.cpp
@@ -225,6 +225,29 @@
     CHECK(findings.back().code == "rules-not-checked");
 }
 
+// Guards against a report of one of several faults of a value, and against a
+// lookup of names that a JSON pointer has to escape.
+TEST_CASE("all violations of one value are reported, whatever its name",
+          "[config]")
+{
+    const auto findings = check(patched(R"([
+        {"op":"add","path":"/base/hosts/-","value":{"prefix":"/"}},
+        {"op":"add","path":"/base/automation/eject","value":{"mode":"bounded"}},
+        {"op":"add","path":"/base/limits/a~1b~0c",
+         "value":{"value":1,"min":0,"max":2,"mover":"base","shade":1}}])"));
+    std::map<std::string, std::size_t> counts;
+    for (const config::finding& found : findings) {
+        ++counts[found.pointer];
+        CHECK_FALSE(found.message.starts_with("Failed to match"));
+        CHECK_FALSE(found.message.starts_with("Value type"));
+    }
+    CHECK(counts ==
+          std::map<std::string, std::size_t>{{"", 1},
+                                             {"/automation/eject", 2},
+                                             {"/hosts/1", 3},
+                                             {"/limits/a/b~c/shade", 1}});
+}
+
 TEST_CASE("differences name what was added, removed or changed", "[config]")
 {
     const config::document before = clean_document();
