--- a/unittests/platform/messages_test.cpp
+++ b/unittests/platform/messages_test.cpp
@@ -276,6 +276,12 @@
                           "/limits/idle", "/routes/rows/0/4",
                           "/routes/rows/0/6", "/routes/rows/1", "/services"});
     CHECK(form.translate(json("text")).findings.size() == 1);
+    // Without a bound, a daemon pays for each row of a rejected document.
+    written["routes"]["rows"] = json(1000, "none");
+    const auto bounded = form.translate(written).findings;
+    REQUIRE(bounded.size() == 101);
+    CHECK(bounded[99].pointer == "/routes/rows/98");
+    CHECK_THAT(bounded[100].message, Catch::Contains("further problems"));
 }
 
 TEST_CASE("only Not-Executed or status 421 states that a request did not run")
