--- a/lib/organisations/fleet.cpp
+++ b/lib/organisations/fleet.cpp
@@ -136,9 +136,9 @@
         complete_since_ = support::time_point::max();
     else if (complete_since_ == support::time_point::max())
         complete_since_ = now;
-    const bool is_settled = complete_since_ <= now - settling_time ||
-                            (complete_since_ <= now - steady_time &&
-                             is_steady_without_shares(now));
+    const bool is_settled =
+        complete_since_ <= now - settling_time ||
+        (complete_since_ <= now - steady_time && is_steady_without_shares(now));
     if (!established_ && is_settled) {
         established_ = true;
         established_at_ = now;
