--- a/test/process/test_configuration.py
+++ b/test/process/test_configuration.py
@@ -169,6 +169,12 @@
     status, findings = check(base | {"colour": 1, "shade": 2})
     expect(status == 2 and ("schema", "/colour") in findings
            and ("schema", "/shade") in findings, findings)
+    # Overlays in force are not removed by a check that names none.
+    unnamed = json.loads(fleet.ctl("check", fleet.files / "base.json",
+                                   "--json").stdout)["findings"]
+    expect([finding["code"] for finding in unnamed
+            if finding["code"] in ("overlays-not-compared", "removed")]
+           == ["overlays-not-compared"], unnamed)
     # Without --daemon nothing is compared, not even with the default address.
     local = subprocess.run(
         [fleet.build / "galenarudderctl", "check", fleet.files / "base.json"],
