Bound Retry-After at cold upstreams by the end of the cold time

Cause: under steady excess the places reserved for refused calls lay up to 60 s ahead, also when the upstream was cold for 3 s only. Callers stayed away from an upstream with room. unit_routing showed it (50 s).

Change: places are at most 1 s after the end of the cold time.

Numbers that are out of range in a configuration (1e999) are an error; they ended the process, since nlohmann reports them with another type than parse errors.

--- a/lib/admission/gate_refusals.cpp
+++ b/lib/admission/gate_refusals.cpp
@@ -18,8 +18,10 @@
 /// Bounds of the Retry-After value that refusals carry.
 constexpr support::milliseconds min_retry_after{100};
 constexpr support::milliseconds max_retry_after{10'000};
-/// Refusals of a cold upstream state when there is room, which may be later.
-constexpr support::milliseconds max_cold_retry_after{60'000};
+/// Refusals of a cold upstream state when there is room, but at most this time
+/// after the end of the cold time: an upstream that is not cold has room for
+/// many times as many calls, and callers should not stay away from it.
+constexpr support::milliseconds max_wait_after_cold{1'000};
 /// Retry-After of refusals while the upstream is draining or absent.
 constexpr support::milliseconds unavailable_retry_after{1'000};
 
@@ -95,14 +97,17 @@
         now + std::max<support::duration>({min_retry_after,
                                            start_wait(queue.size(), now),
                                            expected_wait(queue.size())});
+    const support::duration max_wait =
+        std::max<support::duration>(first - now, cold.remaining(now)) +
+        max_wait_after_cold;
     const support::time_point place = returns.reserve(
         {first, now + cold.remaining(now), cold_rate,
          std::max(cold_rate,
                   std::min(warm_rate,
                            stated_limit.calls_per_s().value_or(warm_rate)))},
-        now, max_cold_retry_after);
-    return std::clamp(std::chrono::ceil<support::milliseconds>(place - now),
-                      min_retry_after, max_cold_retry_after);
+        now, max_wait);
+    return std::max(std::chrono::ceil<support::milliseconds>(place - now),
+                    min_retry_after);
 }
 
 refuse gate::state::refuse_for_deadline(const attempt& call,
--- a/lib/config/schema.cpp
+++ b/lib/config/schema.cpp
@@ -292,6 +292,11 @@
                      std::string(file) + ": line " +
                          line_at_byte(text, failure.byte) + ": is not JSON",
                      "correct the syntax at this line"};
+    } catch (const nlohmann::json::exception& failure) {
+        // A number out of range, for example. It has no position.
+        return error{error_kind::invalid_document,
+                     std::string(file) + ": " + failure.what(),
+                     "correct the value"};
     }
     auto validation = validate_document(document, text, file, schema);
     if (!validation)
