--- a/unittests/config/check_test.cpp
+++ b/unittests/config/check_test.cpp
@@ -202,6 +202,18 @@
                Catch::Contains("bilbao.json: line 7: /limits/retry_share"));
 }
 
+// Guards against a daemon that ends at such a number: the JSON library reports
+// it with another exception than other faults of the syntax.
+TEST_CASE("a number out of range is an error", "[config]")
+{
+    const auto overlay = config::parse_overlay(
+        R"({"format":"galenarudder-overlay-1","site":"bilbao",)"
+        R"("limits":{"eject_ms":1e999}})",
+        "bilbao.json");
+    REQUIRE_FALSE(overlay);
+    CHECK_THAT(overlay.error().message, Catch::Contains("out_of_range"));
+}
+
 TEST_CASE(
     "a serialized document is parsed back unchanged, including its history",
     "[config]")
