Answer keyed calls with the recorded outcome during a rename

A claim of the name that is refused as running is now followed by a lookup under the key, which never writes a claim. The process test asks all three entries at once; before it asked one after the other and met the time between claim and record only by chance.

--- a/include/galenarudder/once/claims.hpp
+++ b/include/galenarudder/once/claims.hpp
@@ -39,6 +39,9 @@
     std::string service;
     std::string key;
     support::time_point deadline;
+    /// Whether the request only looks for a recorded outcome. It then never
+    /// writes a claim; without a recorded outcome it is refused.
+    bool lookup = false;
 };
 
 /// How an admitted call ended.
@@ -163,6 +166,8 @@
         std::string digest;
         std::string token;
         support::time_point deadline;
+        /// See claim_request::lookup.
+        bool lookup = false;
         call_outcome outcome;
         /// Whether the write in flight contains this operation.
         bool in_current_write = false;
--- a/lib/once/claims.cpp
+++ b/lib/once/claims.cpp
@@ -94,6 +94,7 @@
     operation.digest = claim_digest(request.service, request.key);
     operation.token = next_unique_id();
     operation.deadline = request.deadline;
+    operation.lookup = request.lookup;
     return enqueue(std::move(operation), now);
 }
 
@@ -258,6 +259,12 @@
                 refuse_claim{operation.request, first_call_failed()});
         return;
     }
+    if (operation.lookup) {
+        update.completed_without_write = true;
+        update.actions.emplace_back(
+            refuse_claim{operation.request, already_running()});
+        return;
+    }
     if (update.bytes + estimated_claim_bytes > max_shard_bytes_for_claims) {
         refuse(operation,
                store_unavailable("the store's value for this key is full of "
--- a/lib/proxy/keyed_calls.cpp
+++ b/lib/proxy/keyed_calls.cpp
@@ -297,8 +297,19 @@
         by_name.key.insert(0, head.organisation + "\n");
     by_key.key.insert(0, "\n" + std::string(key_digest));
     claim_result first = co_await claim_once(std::move(by_name));
-    if (key_digest.empty() || std::holds_alternative<refusal>(first))
+    if (key_digest.empty())
         co_return first;
+    if (const auto* refused = std::get_if<refusal>(&first)) {
+        if (refused->kind != refusal_kind::already_running)
+            co_return first;
+        // After a rename, another daemon may be copying the outcome that is
+        // recorded under the key to the new name.
+        by_key.lookup = true;
+        claim_result recorded = co_await claim_once(std::move(by_key));
+        co_return std::holds_alternative<once::recorded_outcome>(recorded)
+            ? std::move(recorded)
+            : std::move(first);
+    }
     // All callers claim in this order, so of two equal calls one is admitted
     // wherever they share the name or the key.
     claim_result second = co_await claim_once(std::move(by_key));
--- a/test/process/test_once.py
+++ b/test/process/test_once.py
@@ -136,14 +136,22 @@
             f"all to know {name} with {key}")
 
     def test_claims_outlive_a_new_name_and_new_keys(self):
-        """Calls ran again when claims depended on the name or the key alone."""
+        """Calls ran again when claims depended on the name or the key alone.
+
+        Entries asked together answered 409 while one of them copied the
+        recorded outcome to the new name.
+        """
         first = send(self.addresses[0], "renamed", body="the first")
         self.assertEqual(first[0], 200)
         try:
             for name, key in [("renamed", "key-one"), ("renamed", "key-new")]:
                 self.put_organisation(name, key)
-                for address in self.addresses:
-                    again = send(address, "renamed", organisation_key=key)
+                with concurrent.futures.ThreadPoolExecutor(3) as pool:
+                    answers = list(pool.map(
+                        lambda address, key=key: send(
+                            address, "renamed", organisation_key=key),
+                        self.addresses))
+                for again in answers:
                     self.assertEqual((again[0], again[2]),
                                      (200, "the first"))
                 self.assertEqual(self.runs("renamed"), 1)
--- a/unittests/once/claims_test.cpp
+++ b/unittests/once/claims_test.cpp
@@ -71,13 +71,15 @@
     void call(std::uint64_t id,
               const std::string& key,
               const instant& now,
-              support::duration time_left = std::chrono::seconds(1))
+              support::duration time_left = std::chrono::seconds(1),
+              bool lookup = false)
     {
         claim_request request;
         request.id = static_cast<claim_request_id>(id);
         request.service = "reservas";
         request.key = key;
         request.deadline = now.monotonic + time_left;
+        request.lookup = lookup;
         execute(machine.on_call(request, now));
     }
 
@@ -164,6 +166,47 @@
     CHECK(daemon_b.admitted.empty());
 }
 
+// A claim written by a lookup would keep the key of a call that never runs.
+TEST_CASE("a lookup gets a recorded outcome and never claims a key")
+{
+    enum class earlier_call
+    {
+        none,
+        running,
+        ended
+    };
+    struct row
+    {
+        earlier_call earlier;
+        bool found;
+    };
+    for (const row& row :
+         {row{earlier_call::none, false}, row{earlier_call::running, false},
+          row{earlier_call::ended, true}}) {
+        CAPTURE(static_cast<int>(row.earlier));
+        fake_store store;
+        daemon first("first");
+        daemon second("second");
+        if (row.earlier != earlier_call::none) {
+            first.call(1, "k", start());
+            first.complete_store_calls(store, start());
+        }
+        if (row.earlier == earlier_call::ended) {
+            first.execute(first.machine.on_outcome(
+                first_request, answered(200, "the first"), start()));
+            first.complete_store_calls(store, start());
+        }
+        const std::uint64_t writes_before = store.last_index;
+        second.call(1, "k", start(), std::chrono::seconds(1), true);
+        second.complete_store_calls(store, start());
+        CHECK(second.replays.size() == (row.found ? 1U : 0U));
+        CHECK(second.refusals.size() == (row.found ? 0U : 1U));
+        CHECK(second.admitted.empty());
+        CHECK(store.last_index == writes_before);
+        CHECK_FALSE(second.machine.pending());
+    }
+}
+
 TEST_CASE("a key becomes free only if its call is known not to have run")
 {
     struct row
