--- a/lib/config/schema.cpp
+++ b/lib/config/schema.cpp
@@ -2,7 +2,7 @@
 #include "galenarudder/config/schema.hpp"
 
 #include "galenarudder/config/check.hpp"
-#include "galenarudder/config/json_text.hpp"
+#include "galenarudder/support/json.hpp"
 
 #include <nlohmann/json.hpp>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
@@ -24,13 +24,6 @@
 
 namespace {
 
-std::string line_at_byte(std::string_view text, std::size_t byte)
-{
-    const std::size_t end = std::min(byte, text.size());
-    const auto newlines = std::count(text.begin(), text.begin() + end, '\n');
-    return std::to_string(newlines + 1);
-}
-
 /// Returns the names and positions in valijson's context ("<root>", "[keys]",
 /// "[0]").
 std::vector<std::string> path_of(const std::vector<std::string>& context)
@@ -284,20 +277,9 @@
                                                 std::string_view file,
                                                 const char* schema)
 {
-    nlohmann::json document;
-    try {
-        document = parse_json(text);
-    } catch (const nlohmann::json::parse_error& failure) {
-        return error{error_kind::invalid_document,
-                     std::string(file) + ": line " +
-                         line_at_byte(text, failure.byte) + ": is not JSON",
-                     "correct the syntax at this line"};
-    } catch (const nlohmann::json::exception& failure) {
-        // A number out of range, for example. It has no position.
-        return error{error_kind::invalid_document,
-                     std::string(file) + ": " + failure.what(),
-                     "correct the value"};
-    }
+    BOOST_OUTCOME_TRY(
+        nlohmann::json document,
+        support::parse_json(text, file, error_kind::invalid_document));
     auto validation = validate_document(document, text, file, schema);
     if (!validation)
         return std::move(validation).error();
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -238,19 +238,23 @@
 support::result<support::milliseconds> parse_duration(std::string_view text)
 {
     constexpr double ms_per_s = 1000;
+    // Ten years. The clock's nanoseconds overflow after 292.
+    constexpr double max_ms = 10.0 * 365 * 24 * 3600 * ms_per_s;
     double number = 0;
     const auto [end, status] =
         std::from_chars(text.data(), text.data() + text.size(), number);
     const std::string_view unit =
         text.substr(static_cast<std::size_t>(end - text.data()));
     const bool known = unit == "ms" || unit == "s";
-    if (status != std::errc() || !known || number < 0) {
+    const double ms = unit == "s" ? number * ms_per_s : number;
+    // from_chars also reads "inf" and "nan".
+    const bool in_range = ms >= 0 && ms <= max_ms;
+    if (status != std::errc() || !known || !in_range) {
         return error{error_kind::invalid_document,
                      "\"" + std::string(text) + "\" is not a time span",
                      "write it as 1500ms or 2.5s"};
     }
-    return support::milliseconds(
-        std::llround(unit == "s" ? number * ms_per_s : number));
+    return support::milliseconds(std::llround(ms));
 }
 
 support::result<daemon_settings> parse_settings(std::string_view text,
--- a/lib/config/shared_document.cpp
+++ b/lib/config/shared_document.cpp
@@ -7,6 +7,7 @@
 #include "galenarudder/config/json_text.hpp"
 #include "galenarudder/config/raw_json.hpp"
 #include "galenarudder/config/schema.hpp"
+#include "galenarudder/support/json.hpp"
 #include "galenarudder/support/pause_point.hpp"
 
 #include <xxhash.h>
@@ -175,8 +176,8 @@
     {
         if (form_.translate)
             return form_.translate(text);
-        json value = json::parse(text, nullptr, false);
-        return value.is_discarded() ? std::nullopt : std::optional(value);
+        auto value = support::parse_json(text);
+        return value ? std::optional(std::move(value).value()) : std::nullopt;
     }
 
     bool check_new_rows()
@@ -549,11 +550,11 @@
     if (!head)
         return std::nullopt;
     shared_document shared;
-    json parsed_head = json::parse(*head, nullptr, false);
-    if (parsed_head.is_discarded() ||
-        !check_schema(parsed_head, "stored configuration", stored_schema))
+    auto parsed_head = support::parse_json(*head);
+    if (!parsed_head || !check_schema(parsed_head.value(),
+                                      "stored configuration", stored_schema))
         return std::nullopt;
-    shared.head = to_json(read_parts(std::move(parsed_head)));
+    shared.head = to_json(read_parts(std::move(parsed_head).value()));
     for (const shared_table table : shared_tables) {
         const auto& of_table = texts.at(static_cast<std::size_t>(table));
         if (!of_table)
--- a/lib/daemon/node_report.cpp
+++ b/lib/daemon/node_report.cpp
@@ -1,6 +1,8 @@
 // Renders the counters with prometheus-cpp and everything else as JSON.
 #include "galenarudder/daemon/node_report.hpp"
 
+#include "galenarudder/support/json.hpp"
+
 #include <nlohmann/json.hpp>
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
@@ -266,8 +268,11 @@
     for (const auto& record : taken.members)
         members.push_back(encode_member(record));
     state["members"] = std::move(members);
-    if (taken.configuration)
-        state["configuration"] = json::parse(taken.configuration->text);
+    if (taken.configuration) {
+        auto configuration = support::parse_json(taken.configuration->text);
+        if (configuration)
+            state["configuration"] = std::move(configuration).value();
+    }
     const json line = {{"t_ms", 0}, {"snapshot", std::move(state)}};
     return trace_header(taken).dump() + "\n" + line.dump() + "\n";
 }
--- a/lib/http/problem.cpp
+++ b/lib/http/problem.cpp
@@ -1,7 +1,7 @@
 // Problem documents with the members title, status, detail and remedy.
 #include "galenarudder/http/problem.hpp"
 
-#include <nlohmann/json.hpp>
+#include "galenarudder/support/json.hpp"
 
 namespace galenarudder::http {
 
@@ -11,7 +11,9 @@
                                  {"status", status},
                                  {"detail", failure.message},
                                  {"remedy", failure.remedy}};
-    return {status, "application/problem+json", body.dump(), {}};
+    // The detail may quote bytes of a request that are not valid UTF-8.
+    return {
+        status, "application/problem+json", support::dump_replacing(body), {}};
 }
 
 } // namespace galenarudder::http
--- a/lib/membership/introducer_directory.cpp
+++ b/lib/membership/introducer_directory.cpp
@@ -3,6 +3,7 @@
 #include "galenarudder/membership/introducer_directory.hpp"
 
 #include "galenarudder/store/backoff.hpp"
+#include "galenarudder/support/json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -56,7 +57,10 @@
 
 support::result<introducer> parse_introducer(const std::string& value)
 {
-    const json fields = json::parse(value, nullptr, false);
+    BOOST_OUTCOME_TRY(
+        const json fields,
+        support::parse_json(value, "the value of an introducer slot",
+                            support::error_kind::invalid_document));
     const bool complete = fields.is_object() && fields.contains("member") &&
                           fields["member"].is_string() &&
                           fields.contains("gossip") &&
--- a/lib/membership/wire.cpp
+++ b/lib/membership/wire.cpp
@@ -3,6 +3,7 @@
 #include "galenarudder/membership/wire.hpp"
 
 #include "galenarudder/support/hmac.hpp"
+#include "galenarudder/support/json.hpp"
 
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
@@ -353,7 +354,10 @@
 
 message decode_message(std::string_view bytes)
 {
-    const json fields = json::from_cbor(bytes);
+    const auto parsed = support::parse_cbor(bytes);
+    if (!parsed)
+        throw invalid_value();
+    const json& fields = *parsed;
     message decoded;
     const std::uint64_t kind =
         decode_number(element(fields, 0), std::size(body_decoders) - 1);
--- a/lib/once/claim_shard.cpp
+++ b/lib/once/claim_shard.cpp
@@ -1,6 +1,8 @@
 // Encodes a shard in CBOR: the id of the change and an array for each claim.
 #include "galenarudder/once/claim_shard.hpp"
 
+#include "galenarudder/support/json.hpp"
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -105,10 +107,12 @@
     if (text.empty())
         return shard;
     try {
-        const json document = json::from_cbor(text);
-        if (document.at("format") != format_name)
+        const auto document = support::parse_cbor(text);
+        if (!document)
+            return malformed("it is not CBOR");
+        if (document->at("format") != format_name)
             return malformed("its format is not galenarudder-claims-1");
-        for (const json& fields : document.at("claims"))
+        for (const json& fields : document->at("claims"))
             shard.put(from_binary(fields.at(0)), read_record(fields));
         return shard;
     } catch (const json::exception& failure) {
--- a/lib/operators/check_command.cpp
+++ b/lib/operators/check_command.cpp
@@ -52,26 +52,13 @@
     return means;
 }
 
-/// Returns the second line of a snapshot, which holds the state.
-json snapshot_state(const std::string& text)
-{
-    const std::size_t line_end = text.find('\n');
-    const json line = json::parse(
-        line_end == std::string::npos ? "" : text.substr(line_end + 1), nullptr,
-        false);
-    return line.is_object() ? line.value("snapshot", json::object())
-                            : json::object();
-}
-
-config::fleet_capacity read_capacity(const json& state)
+config::fleet_capacity read_capacity(const snapshot_parts& taken)
 {
     constexpr std::array<std::string_view, 3> not_serving = {"left", "dead",
                                                              "draining"};
-    const json members = state.value("members", json::array());
-    const auto service_ms =
-        mean_service_ms(members, state.value("load", json::array()));
+    const auto service_ms = mean_service_ms(taken.members, taken.loads);
     config::fleet_capacity fleet;
-    for (const json& member : members) {
+    for (const json& member : taken.members) {
         const std::string service = member.value("service", "");
         const std::string member_state = member.value("state", "");
         if (service.empty() || std::find(not_serving.begin(), not_serving.end(),
@@ -90,10 +77,8 @@
 
 support::result<config::fleet_capacity> fetch_fleet(const options& flags)
 {
-    BOOST_OUTCOME_TRY(
-        const std::string text,
-        request_text(flags.daemon, "GET", "/v1/snapshot", flags.timeout));
-    return read_capacity(snapshot_state(text));
+    BOOST_OUTCOME_TRY(const snapshot_parts taken, request_snapshot(flags));
+    return read_capacity(taken);
 }
 
 /// Runs the check for one set of flags.
--- a/lib/operators/check_files.cpp
+++ b/lib/operators/check_files.cpp
@@ -2,8 +2,8 @@
 #include "galenarudder/operators/check_files.hpp"
 
 #include "galenarudder/config/check.hpp"
-#include "galenarudder/config/json_text.hpp"
 #include "galenarudder/config/settings.hpp"
+#include "galenarudder/support/json.hpp"
 
 #include <algorithm>
 #include <filesystem>
@@ -22,13 +22,6 @@
            written.value("format", json()) == "galenarudder-overlay-1";
 }
 
-std::size_t line_at_byte(const std::string& text, std::size_t byte)
-{
-    const auto end =
-        text.begin() + static_cast<std::ptrdiff_t>(std::min(byte, text.size()));
-    return static_cast<std::size_t>(std::count(text.begin(), end, '\n')) + 1;
-}
-
 } // namespace
 
 source_files source_files::read(const std::vector<std::string>& paths,
@@ -66,19 +59,16 @@
         return;
     }
     source read_source{path, std::move(text).value(), {}};
-    try {
-        read_source.written = config::parse_json(read_source.text);
-    } catch (const json::parse_error& failure) {
-        report(path, line_at_byte(read_source.text, failure.byte), "not-json",
-               "the file is not JSON", "correct the syntax at this line");
-        return;
-    } catch (const json::exception& failure) {
-        // Numbers out of range are reported without a position.
-        report(path, 0, "not-json",
-               std::string("the file cannot be parsed: ") + failure.what(),
-               "correct the value");
+    auto parsed = support::parse_json(read_source.text);
+    if (!parsed) {
+        const support::json_problem& problem = parsed.error();
+        report(path, problem.line, "not-json",
+               "the file cannot be parsed: column " +
+                   std::to_string(problem.column) + ": " + problem.text,
+               problem.remedy);
         return;
     }
+    read_source.written = std::move(parsed).value();
     if (form_ != nullptr)
         accept_translated(std::move(read_source));
     else
--- a/lib/operators/command_support.cpp
+++ b/lib/operators/command_support.cpp
@@ -2,7 +2,9 @@
 // error.
 #include "command_support.hpp"
 
+#include "galenarudder/config/schema.hpp"
 #include "galenarudder/http/client.hpp"
+#include "galenarudder/support/json.hpp"
 
 #include <ostream>
 
@@ -64,18 +66,155 @@
                  "configuration is in force"};
 }
 
+namespace {
+
+/// Types of the fields that the commands read. Daemons of other versions may
+/// leave out fields or send further ones.
+constexpr const char* members_schema = R"({
+  "type": "array",
+  "items": {
+    "type": "object",
+    "properties": {
+      "id": {"type": "string"}, "state": {"type": "string"},
+      "domain": {"type": "string"}, "service": {"type": "string"},
+      "operators": {"type": "string"},
+      "slots": {"type": "integer", "minimum": 0, "maximum": 4294967295},
+      "configuration_version": {"type": "integer", "minimum": 0}
+    }
+  }
+})";
+
+constexpr const char* domains_schema = R"({
+  "type": "object",
+  "properties": {
+    "running": {"type": "integer", "minimum": 0},
+    "emptied": {
+      "type": "array",
+      "items": {
+        "type": "object",
+        "properties": {
+          "domain": {"type": "string"},
+          "for_ms": {"type": "number", "minimum": 0, "maximum": 1e15}
+        }
+      }
+    }
+  }
+})";
+
+constexpr const char* decisions_schema = R"({
+  "type": "object",
+  "properties": {
+    "counts": {
+      "type": "array",
+      "items": {
+        "type": "object",
+        "properties": {
+          "automation": {"type": "string"}, "effect": {"type": "string"},
+          "count": {"type": "integer"}
+        }
+      }
+    },
+    "latest": {
+      "type": "array",
+      "items": {
+        "type": "object",
+        "properties": {
+          "automation": {"type": "string"}, "effect": {"type": "string"},
+          "subject": {"type": "string"}, "reason": {"type": "string"},
+          "age_ms": {"type": "number"}
+        }
+      }
+    }
+  }
+})";
+
+constexpr const char* loads_schema = R"({
+  "type": "array",
+  "items": {
+    "type": "object",
+    "properties": {
+      "member": {"type": "string"}, "service_ms": {"type": "number"}
+    }
+  }
+})";
+
+struct response_schema
+{
+    std::string_view path;
+    const char* schema;
+};
+
+constexpr response_schema response_schemas[] = {
+    {"/v1/members", members_schema},
+    {"/v1/domains", domains_schema},
+    {"/v1/decisions", decisions_schema},
+};
+
+constexpr const char* response_remedy =
+    "check that --daemon names an operator port of this version";
+
+support::result<void>
+check_part(const json& part, const std::string& source, const char* schema)
+{
+    const auto valid = config::check_schema(part, source, schema);
+    if (valid)
+        return boost::outcome_v2::success();
+    return error{error_kind::malformed_message, valid.error().message,
+                 response_remedy};
+}
+
+/// Returns the second line of a snapshot.
+std::string_view state_line(std::string_view snapshot)
+{
+    const std::size_t line_end = snapshot.find('\n');
+    return line_end == std::string_view::npos ? std::string_view()
+                                              : snapshot.substr(line_end + 1);
+}
+
+} // namespace
+
 support::result<json> request_json(const options& flags,
                                    const std::string& method,
                                    const std::string& path)
 {
     BOOST_OUTCOME_TRY(const std::string text,
                       request_text(flags.daemon, method, path, flags.timeout));
-    json parsed_json = json::parse(text, nullptr, false);
-    if (!parsed_json.is_discarded())
-        return parsed_json;
-    return error{error_kind::malformed_message,
-                 "the daemon's response is not JSON",
-                 "check that --daemon names an operator port"};
+    const std::string source =
+        "the response of " + flags.daemon + " to " + path;
+    const auto parsed = support::parse_json(text);
+    if (!parsed) {
+        return error{error_kind::malformed_message,
+                     source + ": " + describe(parsed.error()), response_remedy};
+    }
+    for (const response_schema& row : response_schemas) {
+        if (row.path != path)
+            continue;
+        BOOST_OUTCOME_TRYV(check_part(parsed.value(), source, row.schema));
+    }
+    return parsed.value();
+}
+
+support::result<snapshot_parts> request_snapshot(const options& flags)
+{
+    BOOST_OUTCOME_TRY(
+        const std::string text,
+        request_text(flags.daemon, "GET", "/v1/snapshot", flags.timeout));
+    const std::string source = "the snapshot of " + flags.daemon;
+    BOOST_OUTCOME_TRY(const json line,
+                      support::parse_json(state_line(text), source + ": state",
+                                          error_kind::malformed_message));
+    const json state =
+        line.is_object() ? line.value("snapshot", json()) : json();
+    snapshot_parts parts;
+    if (!state.is_object())
+        return parts;
+    parts.members = state.value("members", json::array());
+    parts.loads = state.value("load", json::array());
+    BOOST_OUTCOME_TRYV(
+        check_part(parts.members, source + ": members", members_schema));
+    BOOST_OUTCOME_TRYV(
+        check_part(parts.loads, source + ": load", loads_schema));
+    return parts;
 }
 
 support::result<config::document> fetch_document_in_force(const options& flags)
--- a/lib/operators/command_support.hpp
+++ b/lib/operators/command_support.hpp
@@ -24,11 +24,23 @@
                                           const std::string& path,
                                           support::milliseconds timeout);
 /// Sends a request to the daemon that the flags name. Returns the body, which
-/// must be JSON.
+/// must be JSON. The fields that the commands read have the types that they
+/// expect, or are absent.
 support::result<nlohmann::json> request_json(const options& flags,
                                              const std::string& method,
                                              const std::string& path);
 
+/// Parts of a daemon's snapshot. Their fields have the types that the commands
+/// expect, or are absent.
+struct snapshot_parts
+{
+    nlohmann::json members = nlohmann::json::array();
+    nlohmann::json loads = nlohmann::json::array();
+};
+
+/// Returns the snapshot of the daemon that the flags name.
+support::result<snapshot_parts> request_snapshot(const options& flags);
+
 /// Returns the document in force at the daemon that the flags name.
 support::result<config::document> fetch_document_in_force(const options& flags);
 
--- a/lib/operators/commands.cpp
+++ b/lib/operators/commands.cpp
@@ -111,7 +111,7 @@
         options of_member = flags;
         of_member.daemon = member.value("operators", "");
         const auto response = request_json(of_member, "GET", "/v1/domains");
-        if (response && response.value().is_object())
+        if (response)
             running += response.value().value("running", 0ULL);
         else
             silent.push_back(member.value("id", ""));
@@ -120,12 +120,18 @@
 }
 
 /// Returns the emptied domains that the daemon knows, with what still runs in
-/// them. A daemon of an older version knows none.
-json collect_emptied(const json& members, const options& flags)
+/// them. A daemon of an older version knows none. A malformed response is
+/// reported and counts as one without emptied domains.
+json collect_emptied(const json& members,
+                     const options& flags,
+                     const console& output)
 {
     const auto response = request_json(flags, "GET", "/v1/domains");
-    if (!response || !response.value().is_object())
+    if (!response) {
+        if (response.error().kind == support::error_kind::malformed_message)
+            report_error(response.error(), output);
         return json::array();
+    }
     json emptied = response.value().value("emptied", json::array());
     for (json& domain : emptied)
         domain.update(
@@ -153,7 +159,7 @@
         return report_error(response.error(), output);
     const auto sites = collect_sites(response.value());
     const std::uint64_t newest = newest_version(response.value());
-    const json emptied = collect_emptied(response.value(), flags);
+    const json emptied = collect_emptied(response.value(), flags, output);
     if (flags.json) {
         output.out << json{{"version", newest},
                            {"sites", encode(sites)},
--- a/lib/proxy/problem.cpp
+++ b/lib/proxy/problem.cpp
@@ -1,7 +1,7 @@
 // Writes refusals as problem documents.
 #include "galenarudder/proxy/problem.hpp"
 
-#include <nlohmann/json.hpp>
+#include "galenarudder/support/json.hpp"
 
 namespace galenarudder::proxy {
 
@@ -17,8 +17,7 @@
         {"outcome", to_string(reason.outcome)},
         {"remedy", remedy(reason.kind)}};
     // The detail may quote bytes of a request that are not valid UTF-8.
-    return document.dump(-1, ' ', false,
-                         nlohmann::json::error_handler_t::replace);
+    return support::dump_replacing(document);
 }
 
 } // namespace galenarudder::proxy
--- a/lib/rollout/shared_patch.cpp
+++ b/lib/rollout/shared_patch.cpp
@@ -4,6 +4,7 @@
 
 #include "galenarudder/rollout/array_edit.hpp"
 #include "galenarudder/rollout/transfer.hpp"
+#include "galenarudder/support/json.hpp"
 #include "galenarudder/support/pause_point.hpp"
 
 #include <charconv>
@@ -186,12 +187,12 @@
 std::optional<shared_document> apply_shared(const shared_document& current,
                                             std::string_view operations)
 {
-    const json parsed = json::parse(operations, nullptr, false);
-    if (!parsed.is_array())
+    const auto parsed = support::parse_json(operations);
+    if (!parsed || !parsed.value().is_array())
         return std::nullopt;
     shared_document patched = current;
     json head_operations = json::array();
-    for (const json& operation : parsed) {
+    for (const json& operation : parsed.value()) {
         support::pause_point();
         if (!has_text(operation, "op") || !has_text(operation, "path"))
             return std::nullopt;
--- a/lib/rollout/transfer.cpp
+++ b/lib/rollout/transfer.cpp
@@ -5,6 +5,7 @@
 #include "galenarudder/config/schema.hpp"
 #include "galenarudder/rollout/array_edit.hpp"
 #include "galenarudder/support/hmac.hpp"
+#include "galenarudder/support/json.hpp"
 #include "galenarudder/support/pause_point.hpp"
 
 #include <nlohmann/json.hpp>
@@ -219,12 +220,13 @@
     built.body = std::string(to);
     if (from.empty())
         return built;
-    const json from_json = json::parse(from, nullptr, false);
-    const json to_json = json::parse(to, nullptr, false);
-    if (from_json.is_discarded() || to_json.is_discarded())
+    const auto from_json = support::parse_json(from);
+    const auto to_json = support::parse_json(to);
+    if (!from_json || !to_json)
         return built;
     std::string patch =
-        make_patch(from_json, to_json, json::json_pointer()).dump();
+        make_patch(from_json.value(), to_json.value(), json::json_pointer())
+            .dump();
     if (patch.size() >= built.body.size())
         return built;
     built.from = {from_version, hash_of(from)};
@@ -237,9 +239,16 @@
 {
     if (current_id.hash != received.from.hash)
         return patch_base_mismatch(received);
+    const auto operations = support::parse_json(received.body);
+    if (!operations) {
+        return error{error_kind::malformed_message,
+                     "the patch cannot be applied: " +
+                         describe(operations.error()),
+                     "fetch the full document"};
+    }
     try {
         support::pause_point();
-        current.patch_inplace(json::parse(received.body));
+        current.patch_inplace(operations.value());
         support::pause_point();
     } catch (const json::exception& patch_error) {
         return error{error_kind::malformed_message,
--- a/lib/store/consul_store.cpp
+++ b/lib/store/consul_store.cpp
@@ -5,6 +5,7 @@
 #include "galenarudder/store/reachability.hpp"
 #include "galenarudder/support/background.hpp"
 #include "galenarudder/support/base64.hpp"
+#include "galenarudder/support/json.hpp"
 #include "galenarudder/support/token_bucket.hpp"
 #include "galenarudder/telemetry/log.hpp"
 
@@ -66,6 +67,15 @@
     return encoded;
 }
 
+support::result<json> parse_answer(const http_result& response)
+{
+    auto parsed = support::parse_json(response.value().body);
+    if (!parsed)
+        return unavailable("the store's answer is malformed: " +
+                           describe(parsed.error()));
+    return std::move(parsed).value();
+}
+
 support::result<indexed_value> parse_entry(const json& entry)
 {
     indexed_value parsed;
@@ -92,9 +102,10 @@
         return unavailable("the store answered status " +
                            std::to_string(response.value().status));
     }
+    BOOST_OUTCOME_TRY(const json entries, parse_answer(response));
     try {
         std::vector<listed_value> found;
-        for (const json& entry : json::parse(response.value().body)) {
+        for (const json& entry : entries) {
             BOOST_OUTCOME_TRY(indexed_value item, parse_entry(entry));
             found.push_back({entry.at("Key"), std::move(item)});
         }
@@ -114,8 +125,9 @@
         return unavailable("the store answered status " +
                            std::to_string(response.value().status));
     }
+    BOOST_OUTCOME_TRY(const json entries, parse_answer(response));
     try {
-        return parse_entry(json::parse(response.value().body).at(0));
+        return parse_entry(entries.at(0));
     } catch (const json::exception&) {
         return unavailable("the store's answer is malformed");
     }
@@ -140,8 +152,9 @@
 {
     if (!response)
         return write_failed(response.error());
+    BOOST_OUTCOME_TRY(const json session, parse_answer(response));
     try {
-        return json::parse(response.value().body).at("ID").get<std::string>();
+        return session.at("ID").get<std::string>();
     } catch (const json::exception&) {
         return unavailable("the store's answer is malformed");
     }
--- a/tools/galenarudder-load/generator.cpp
+++ b/tools/galenarudder-load/generator.cpp
@@ -1,6 +1,8 @@
 // One coroutine per connection takes due calls from a shared queue.
 #include "generator.hpp"
 
+#include "galenarudder/support/json.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,7 +13,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <nlohmann/json.hpp>
 
 #include <deque>
 #include <memory>
@@ -51,10 +52,17 @@
 /// Returns the kind and outcome of a problem document, or an empty string.
 std::string refusal_of(const std::string& body)
 {
-    const auto problem = nlohmann::json::parse(body, nullptr, false);
-    if (!problem.is_object() || !problem.contains("kind"))
+    const auto parsed = support::parse_json(body);
+    if (!parsed || !parsed.value().is_object())
         return {};
-    return problem.value("kind", "") + "/" + problem.value("outcome", "");
+    const auto text_of = [&](const char* field) -> std::string {
+        const auto found = parsed.value().find(field);
+        return found != parsed.value().end() && found->is_string()
+                   ? found->get<std::string>()
+                   : std::string();
+    };
+    const std::string kind = text_of("kind");
+    return kind.empty() ? kind : kind + "/" + text_of("outcome");
 }
 
 class generator
--- a/tools/galenarudder-replay/trace.cpp
+++ b/tools/galenarudder-replay/trace.cpp
@@ -2,6 +2,7 @@
 #include "trace.hpp"
 
 #include "galenarudder/config/document.hpp"
+#include "galenarudder/support/json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -166,7 +167,13 @@
         if (line.empty())
             continue;
         try {
-            const json fields = json::parse(line);
+            const auto parsed = support::parse_json(line);
+            if (!parsed)
+                return malformed(line_number,
+                                 "column " +
+                                     std::to_string(parsed.error().column) +
+                                     ": " + parsed.error().text);
+            const json& fields = parsed.value();
             if (!result) {
                 auto head = read_head(fields);
                 if (!head)
--- a/unittests/config/check_test.cpp
+++ b/unittests/config/check_test.cpp
@@ -211,7 +211,8 @@
         R"("limits":{"eject_ms":1e999}})",
         "bilbao.json");
     REQUIRE_FALSE(overlay);
-    CHECK_THAT(overlay.error().message, Catch::Contains("out_of_range"));
+    CHECK(overlay.error().message ==
+          "bilbao.json: line 1, column 73: the number 1e999 is out of range");
 }
 
 TEST_CASE(
