Free the keys of canceled calls that were not sent

A call whose caller left, or whose connection an earlier response closed, while the limit of its organisation was asked got an attempt that was canceled at once. The entry now also polls the connection before the first attempt and sends none.

A call with an idempotency key whose caller left while its attempt waited at a gate kept its key as running, since the entry forgot the attempt with its cancellation. The entry now waits until the gate of each attempt has stated how it ended, at most 3 s past the deadline, and releases the claim only if all were refused as not run. Links keep canceled calls with a key for that.

--- a/include/galenarudder/proxy/call_flow.hpp
+++ b/include/galenarudder/proxy/call_flow.hpp
@@ -125,6 +125,12 @@
     /// Records the size of the request and of the forwarded response.
     void on_bytes(std::uint64_t bytes);
 
+    /// Returns whether any attempt may have run, by what the gates stated:
+    /// \c not_run if all attempts were refused as not run or none was sent.
+    /// \c nullopt while a gate has not stated the end of an attempt; events of
+    /// canceled attempts must be passed on for that.
+    std::optional<support::run_outcome> outcome_of_attempts() const;
+
 private:
     struct attempt_record
     {
@@ -134,8 +140,8 @@
         unsigned status = 0;
         /// Whether the attempt has neither ended nor been canceled.
         bool open = true;
-        /// Whether the attempt was refused before an upstream ran it.
-        bool not_run = false;
+        /// Outcome that the gate stated with a refusal.
+        std::optional<support::run_outcome> refused_outcome;
         /// Whether its gate may hand it back.
         bool may_hand_back = false;
     };
--- a/lib/link/entry_links.cpp
+++ b/lib/link/entry_links.cpp
@@ -40,6 +40,14 @@
                        "no link to the gate of " + member);
 }
 
+exchange_event canceled_before_sending()
+{
+    return refused{{refusal_kind::canceled, run_outcome::not_run, true,
+                    support::milliseconds(0),
+                    "the call was canceled before it was sent"},
+                   {}};
+}
+
 exchange_event deadline_passed(const member_id& member)
 {
     return refused{
@@ -92,21 +100,30 @@
         connect(link, now);
 }
 
+/// The outcome of a call with a claim is still awaited, so that its key becomes
+/// free if it did not run. Other calls are forgotten at once.
 void entry_links::cancel(const member_id& member, const exchange_ptr& attempt)
 {
     const auto found = links_.find(member);
     if (found == links_.end())
         return;
     outbound_link& link = found->second;
-    std::erase(link.pending, attempt);
-    std::erase_if(link.unresolved_calls, [&](const unresolved_call& call) {
-        return call.attempt == attempt;
-    });
+    const bool outcome_wanted =
+        !attempt->head.idempotency_key.empty() && !attempt->head.repeatable;
+    if (std::erase(link.pending, attempt) != 0 && outcome_wanted)
+        attempt->deliver(canceled_before_sending());
+    if (!outcome_wanted) {
+        std::erase_if(link.unresolved_calls, [&](const unresolved_call& call) {
+            return call.attempt == attempt;
+        });
+    }
     const auto call = link.calls.find(attempt->head.id);
     if (call == link.calls.end())
         return;
     stop_request_body(call->second);
-    link.calls.erase(call);
+    call->second.canceled = true;
+    if (!outcome_wanted || call->second.response_begun)
+        link.calls.erase(call);
     context_->send(link.connection, call_cancel{attempt->head.id});
 }
 
@@ -392,7 +409,9 @@
         return false;
     call.response_begun = true;
     const exchange_ptr attempt = call.attempt;
-    if (begin.body_complete) {
+    if (call.canceled) {
+        link.calls.erase(found);
+    } else if (begin.body_complete) {
         attempt->response_body.try_write(
             make_chunk(std::move(begin.body), true));
         stop_request_body(call);
--- a/lib/link/entry_links.hpp
+++ b/lib/link/entry_links.hpp
@@ -63,6 +63,8 @@
         std::shared_ptr<body_receive_window> window;
         std::uint64_t sequence_number = 0;
         bool response_begun = false;
+        /// Whether only the outcome is awaited, not the response.
+        bool canceled = false;
     };
 
     /// A call that may not run twice and whose link broke before the response
--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -131,9 +131,9 @@
 {
     attempt_record& record = attempts_[attempt];
     router_.on_report(record.target, load, now - record.sent_at, now);
+    record.status = status;
     if (decided_ || !record.open)
         return {};
-    record.status = status;
     const bool failed = status >= first_server_error;
     if (failed && properties_.repeatable) {
         std::vector<call_action> replacement =
@@ -180,9 +180,9 @@
     attempt_record& record = attempts_[attempt];
     if (load.limit != 0)
         router_.on_report(record.target, load, now - record.sent_at, now);
+    record.refused_outcome = reason.outcome;
     if (!record.open)
         return {};
-    record.not_run = reason.outcome == run_outcome::not_run;
     end_attempt(attempt, to_attempt_result(reason), now);
     if (decided_)
         return {};
@@ -250,6 +250,18 @@
     router_.on_bytes(attempts_[forwarded_attempt_].target, bytes);
 }
 
+std::optional<run_outcome> call_flow::outcome_of_attempts() const
+{
+    bool pending = false;
+    for (const attempt_record& record : attempts_) {
+        if (record.status != 0 ||
+            record.refused_outcome == run_outcome::unknown)
+            return run_outcome::unknown;
+        pending = pending || !record.refused_outcome;
+    }
+    return pending ? std::nullopt : std::optional(run_outcome::not_run);
+}
+
 /// Picks an upstream that was not tried. If there is none, those that handed
 /// the call back may be tried again.
 std::optional<routing::choice> call_flow::pick(support::time_point now,
@@ -339,8 +351,9 @@
     if (properties_.max_runs == 0)
         return true;
     const auto runs = std::count_if(
-        attempts_.begin(), attempts_.end(),
-        [](const attempt_record& attempt) { return !attempt.not_run; });
+        attempts_.begin(), attempts_.end(), [](const attempt_record& attempt) {
+            return attempt.refused_outcome != run_outcome::not_run;
+        });
     return static_cast<std::size_t>(runs) < properties_.max_runs;
 }
 
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -38,6 +38,9 @@
 constexpr std::size_t max_replayable_body_bytes = 64 * 1024;
 /// More than the number of events of one call.
 constexpr std::size_t event_channel_capacity = 16;
+/// Time after the deadline of a canceled call within which its gate states
+/// whether an attempt ran. Links wait up to 2 s for that after they broke.
+constexpr support::duration claim_settle_time = std::chrono::seconds(3);
 
 support::random_engine& thread_random_engine()
 {
@@ -91,23 +94,21 @@
     return reason;
 }
 
-refusal caller_disconnected_refusal()
+refusal caller_disconnected_refusal(run_outcome outcome)
 {
-    return {refusal_kind::canceled, run_outcome::unknown, true,
-            support::milliseconds(0), "the caller closed its connection"};
+    return {refusal_kind::canceled, outcome, true, support::milliseconds(0),
+            "the caller closed its connection"};
 }
 
-refusal dropped_refusal()
+refusal dropped_refusal(run_outcome outcome)
 {
-    return {refusal_kind::canceled, run_outcome::unknown, true,
-            support::milliseconds(0),
+    return {refusal_kind::canceled, outcome, true, support::milliseconds(0),
             "an earlier response closed the connection"};
 }
 
 refusal disconnected_before_start()
 {
-    return {refusal_kind::canceled, run_outcome::not_run, true,
-            support::milliseconds(0), "the caller closed its connection"};
+    return caller_disconnected_refusal(run_outcome::not_run);
 }
 
 session_event make_body_failed_event(refusal reason)
@@ -337,7 +338,7 @@
 {
     if (!call->head.organisation.empty())
         co_await apply_organisation_limit(call);
-    if (call->disconnected && call->token) {
+    if (!may_get_response(call)) {
         give_back_token(call);
         call->abandoned = true;
     }
@@ -357,18 +358,54 @@
     call_ended_.cancel();
 }
 
+/// Returns whether a response to a call that was not sent yet can be written.
+/// While the limit of an organisation was asked, the caller may have left
+/// without this process having read that.
+bool caller_session::may_get_response(const call_ptr& call)
+{
+    if (!call->head.organisation.empty() && connection_->has_closed())
+        call->disconnected = true;
+    return !call->disconnected && !closing_;
+}
+
 /// Ends a call to which no response can be written, because the caller
 /// disconnected or the connection is being closed.
 void caller_session::drop_call(const call_ptr& call)
 {
     perform(call, call->flow.on_caller_disconnected(monotonic_clock::now()));
-    call->refusal =
-        call->disconnected ? caller_disconnected_refusal() : dropped_refusal();
+    const run_outcome outcome =
+        call->attempts.empty() ? run_outcome::not_run : run_outcome::unknown;
+    call->refusal = call->disconnected ? caller_disconnected_refusal(outcome)
+                                       : dropped_refusal(outcome);
     log_refusal(*call);
     entry_.metrics().record_refusal(call->head.service, call->head.rank,
                                     *call->refusal);
 }
 
+/// Waits until the gates have stated how the attempts of a canceled call ended,
+/// and records a call that certainly did not run as such, so that its key is
+/// free.
+asio::awaitable<void> caller_session::settle_claim(call_ptr call)
+{
+    // A drain may move the deadline meanwhile.
+    const auto expired = [&call] {
+        return monotonic_clock::now() >= call->deadline + claim_settle_time;
+    };
+    while (!call->flow.outcome_of_attempts() && !expired()) {
+        set_call_timer(call, call->deadline + claim_settle_time);
+        auto [failure, event] =
+            co_await call->events.async_receive(use_nothrow_awaitable);
+        if (!failure && std::holds_alternative<attempt_event>(event))
+            handle_event(call, event);
+    }
+    call->timer.cancel();
+    const run_outcome outcome =
+        call->flow.outcome_of_attempts().value_or(run_outcome::unknown);
+    call->claim->on_refusal(caller_disconnected_refusal(outcome));
+    if (outcome == run_outcome::not_run)
+        give_back_token(call);
+}
+
 /// Waits until every call of concurrent_calls_ was answered or dropped.
 asio::awaitable<void> caller_session::wait_for_concurrent_calls()
 {
@@ -488,6 +525,8 @@
     call->timer.cancel();
     const bool keep_open = co_await finish_call(parser, call);
     co_await stop_body_stream();
+    if (call->claim && call->abandoned)
+        co_await settle_claim(call);
     co_return keep_open;
 }
 
@@ -527,6 +566,10 @@
 asio::awaitable<bool>
 caller_session::claim(parser_ptr parser, call_ptr call, time_point deadline)
 {
+    if (!may_get_response(call)) {
+        call->body_complete = false;
+        co_return false;
+    }
     claim_result result =
         co_await entry_.claim(call->head, call->key_digest, deadline);
     if (const auto* recorded = std::get_if<once::recorded_outcome>(&result)) {
@@ -542,7 +585,7 @@
     if (auto* admitted_claim =
             std::get_if<std::shared_ptr<held_claim>>(&result))
         call->claim = std::move(*admitted_claim);
-    if (!call->disconnected)
+    if (may_get_response(call))
         co_return true;
     if (call->claim)
         call->claim->on_refusal(disconnected_before_start());
@@ -571,7 +614,7 @@
     const support::call_head& head = call->head;
     if (call->refusal) {
         log_refusal(*call);
-        if (call->claim)
+        if (call->claim && !call->abandoned)
             call->claim->on_refusal(*call->refusal);
         if (call->refusal->outcome == run_outcome::not_run)
             give_back_token(call);
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -157,7 +157,9 @@
                           std::shared_ptr<void> open_count_guard);
     boost::asio::awaitable<void> serve_concurrent(parser_ptr parser,
                                                   call_ptr call);
+    bool may_get_response(const call_ptr& call);
     void drop_call(const call_ptr& call);
+    boost::asio::awaitable<void> settle_claim(call_ptr call);
     boost::asio::awaitable<void> wait_for_concurrent_calls();
     void abandon_concurrent_calls();
     void close_after_response();
--- a/unittests/link/link_manager_test.cpp
+++ b/unittests/link/link_manager_test.cpp
@@ -54,9 +54,10 @@
         return handlers;
     }
 
-    exchange_ptr submit()
+    exchange_ptr submit(const std::string& idempotency_key = {})
     {
         support::call_head head;
+        head.idempotency_key = idempotency_key;
         head.id = static_cast<support::attempt_id>(1);
         head.method = "GET";
         head.target = "/";
@@ -93,10 +94,10 @@
     }
 
     template <typename Condition>
-    bool run_until(Condition met)
+    bool run_until(Condition met,
+                   support::duration timeout = std::chrono::seconds(5))
     {
-        const auto end =
-            support::monotonic_clock::now() + std::chrono::seconds(5);
+        const auto end = support::monotonic_clock::now() + timeout;
         while (!met() && support::monotonic_clock::now() < end) {
             io.restart();
             io.run_one_for(std::chrono::milliseconds(5));
@@ -129,6 +130,33 @@
     CHECK(given.run_until([&] { return given.write_failed; }));
 }
 
+// Guards against keys that stay taken since nobody learns that their canceled
+// calls did not run.
+TEST_CASE("the outcome of a canceled call is delivered if it has a key")
+{
+    const auto [key, is_sent, is_delivered] =
+        GENERATE(table<const char*, bool, bool>({{"k1", true, true},
+                                                 {"k1", false, true},
+                                                 {"", true, false},
+                                                 {"", false, false}}));
+    CAPTURE(key, is_sent);
+    fixture given;
+    const exchange_ptr attempt = given.submit(key);
+    if (is_sent)
+        REQUIRE(given.run_until([&] { return given.received != nullptr; }));
+    given.remote->cancel(attempt);
+    if (is_sent) {
+        REQUIRE(given.run_until([&] { return given.canceled; }));
+        given.received->deliver(refused{{support::refusal_kind::canceled,
+                                         support::run_outcome::not_run, true,
+                                         support::milliseconds(0), "canceled"},
+                                        {}});
+    }
+    given.run_until([&] { return given.answered; },
+                    std::chrono::milliseconds(is_delivered ? 5000 : 100));
+    CHECK(given.answered == is_delivered);
+}
+
 TEST_CASE("canceling a call whose response has not begun ends its body")
 {
     fixture given;
