Keep at cold gates only calls that can be in time

A cold gate admitted every call that could start before its deadline, so that its queue held as many calls as the deadline allows and each was late.

Entries send the time until a call is late with each attempt, for routes with a goal and services with cold_calls_per_s. The gate of a cold upstream turns away at once what cannot be answered before that, keeps a late call only if no other waits, and reviews the waiting calls before each start. Load reports state the cold time; an entry picks upstreams that can start a call in time, refuses it if none can, and bounds the moves between cold gates by a budget. The automation cold_admission has the modes observe, bounded and automatic.

--- a/include/galenarudder/admission/attempt.hpp
+++ b/include/galenarudder/admission/attempt.hpp
@@ -39,6 +39,8 @@
     /// Whether it goes before the calls of its rank that are not nested, since
     /// its parent holds a slot until it ends.
     bool nested = false;
+    /// When the call is late; max() if that is not known.
+    support::time_point in_time_until = support::time_point::max();
 };
 
 } // namespace galenarudder::admission
--- a/include/galenarudder/admission/cold_limit.hpp
+++ b/include/galenarudder/admission/cold_limit.hpp
@@ -4,6 +4,7 @@
 
 #include "galenarudder/support/time.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <deque>
@@ -48,6 +49,16 @@
         return calls_per_s_ > 0 &&
                (is_unknown(now) || remaining(now) > support::duration(0));
     }
+    /// Returns for how long entries are to expect that the limit applies; 0 if
+    /// it does not. While the state is unknown, until the next query.
+    support::duration reported_remaining(support::time_point now) const
+    {
+        if (!applies(now))
+            return support::duration(0);
+        return is_unknown(now)
+                   ? std::max<support::duration>(remaining(now), query_interval)
+                   : remaining(now);
+    }
     /// Returns how long the call that starts after \p ahead others must wait.
     support::duration wait(std::size_t ahead, support::time_point now) const;
     /// Counts a call that starts.
--- a/include/galenarudder/admission/gate.hpp
+++ b/include/galenarudder/admission/gate.hpp
@@ -73,6 +73,11 @@
     /// Of these and of \c handed_back, the calls that were turned away while
     /// the upstream was cold.
     std::uint64_t turned_away_cold = 0;
+    /// Of \c turned_away_cold, the calls that would have been late.
+    std::uint64_t turned_away_late = 0;
+    /// Calls that automation `cold_admission` would have turned away on their
+    /// arrival if it were not in mode observe.
+    std::uint64_t late_observed = 0;
     /// Queries whether the upstream has become cold.
     std::uint64_t cold_queries = 0;
     /// Admitted although automation `shed` would have refused them, since it
--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -42,9 +42,11 @@
     adapt_limit,
     reroute,
     /// Refuses calls of organisations above their rate limits.
-    organisation_limit
+    organisation_limit,
+    /// Refuses calls that a cold upstream cannot answer before they are late.
+    cold_admission
 };
-inline constexpr std::size_t automation_count = 7;
+inline constexpr std::size_t automation_count = 8;
 
 /// The numeric limits that operators can change.
 enum class limit
--- a/include/galenarudder/link/exchange.hpp
+++ b/include/galenarudder/link/exchange.hpp
@@ -44,6 +44,8 @@
     /// When the caller stops waiting; the time that remains then is taken from
     /// it wherever the call waits. Max if only \c head states the time.
     support::time_point deadline = support::time_point::max();
+    /// When the call is late, in the same way; max if it has no such time.
+    support::time_point in_time_until = support::time_point::max();
     /// Body from caller to upstream.
     body_pipe request_body;
     /// Body from upstream to caller.
--- a/include/galenarudder/proxy/call_flow.hpp
+++ b/include/galenarudder/proxy/call_flow.hpp
@@ -153,6 +153,8 @@
     std::size_t open_attempt_count() const;
     std::optional<routing::choice> pick(support::time_point now,
                                         support::random_engine& random);
+    routing::pick_request make_request() const;
+    bool may_move_from(const routing::choice& target) const;
     bool may_run_again() const;
     bool can_send_again(support::time_point now) const;
     bool may_retry(const support::refusal& reason, support::time_point now);
--- a/include/galenarudder/routing/fleet_view.hpp
+++ b/include/galenarudder/routing/fleet_view.hpp
@@ -27,6 +27,12 @@
     std::vector<candidate> candidates;
     /// Number of candidates in this entry's failure domain.
     std::size_t local_count = 0;
+    /// Calls per second that each upstream takes while it is cold; 0 for no
+    /// limit.
+    double cold_calls_per_s = 0;
+    /// This entry's share of the starts of all cold upstreams, as the time
+    /// between two of its calls.
+    support::duration cold_interval{0};
 };
 
 /// The limits and modes of the configuration that apply to picks and attempts.
@@ -52,6 +58,7 @@
     config::automation_mode reroute_mode = config::automation_mode::automatic;
     config::automation_mode retry_mode = config::automation_mode::automatic;
     config::automation_mode hedge_mode = config::automation_mode::automatic;
+    config::automation_mode cold_mode = config::automation_mode::automatic;
 };
 
 /// Returns the limits and modes set by a configuration.
--- a/include/galenarudder/routing/router.hpp
+++ b/include/galenarudder/routing/router.hpp
@@ -34,6 +34,9 @@
     /// Number of other upstreams that could have been picked.
     std::size_t alternatives = 0;
     distance length = distance::same_domain;
+    /// Whether the upstream counts as cold, so that its gate decides by when
+    /// the call is late.
+    bool cold = false;
 };
 
 struct pick_request
@@ -129,6 +132,15 @@
                                support::time_point now,
                                support::random_engine& random) const;
 
+    /// Returns the time after which a call may return that is refused because
+    /// no upstream that it has not tried can start it in time; nullopt if one
+    /// may, or if that is not decided here: the service has no cold limit, the
+    /// call no goal, or the mode does not permit it.
+    std::optional<support::milliseconds>
+    turn_away_cold(const pick_request& request, support::time_point now) const;
+    /// Returns the number of calls for which turn_away_cold returned a time.
+    std::uint64_t turned_away_cold() const;
+
     /// Records that an attempt was sent to \p chosen.
     void on_sent(const choice& chosen, support::time_point now) const;
     /// Records how an attempt sent to \p chosen ended.
--- a/include/galenarudder/routing/upstream_state.hpp
+++ b/include/galenarudder/routing/upstream_state.hpp
@@ -77,6 +77,18 @@
     /// Whether many calls leave for a gain, as last recorded.
     std::atomic<bool> known_leaving{false};
 
+    /// Latest end of a cold time that an upstream reported.
+    std::atomic<std::int64_t> cold_until_ns{0};
+    /// Attempts that cold gates may hand back: each call that a cold upstream
+    /// answered allows for some, so that calls for which there is no room are
+    /// not sent to one full gate after the other.
+    extra_attempt_budget cold_moves;
+    /// Earliest return of the call that this entry refuses next.
+    std::atomic<std::int64_t> next_return_ns{0};
+    /// Calls that this entry refused since that was last recorded, and when.
+    std::atomic<std::uint32_t> cold_refusals{0};
+    std::atomic<std::int64_t> cold_refusals_recorded_ns{0};
+
     /// Records that an upstream is excluded until \p until_ns.
     void extend_exclusion(std::int64_t until_ns)
     {
@@ -131,6 +143,8 @@
     /// When the gate is expected to start further calls, which a slowdown or a
     /// limit of the upstream delays; 0 when nothing does.
     std::atomic<std::int64_t> starts_calls_at_ns{0};
+    /// End of the cold time by the last report; 0 if it stated none.
+    std::atomic<std::int64_t> cold_until_ns{0};
     /// Time since which the upstream serves calls; 0 when not known.
     std::atomic<std::int64_t> serving_since_ns{0};
 
--- a/include/galenarudder/support/call.hpp
+++ b/include/galenarudder/support/call.hpp
@@ -40,6 +40,10 @@
     std::string organisation;
     /// Time until the caller's deadline, measured when the head is sent.
     milliseconds remaining_time{0};
+    /// Time until the call is late, measured when the head is sent. Absent if
+    /// the call has no goal, its service no cold limit, or the entry is of an
+    /// earlier version.
+    std::optional<milliseconds> time_until_late;
     /// Whether the call may run more than once without harm.
     bool repeatable = false;
     /// Whether the gate may hand the attempt back before it starts, so that the
@@ -78,6 +82,9 @@
     /// of a slowdown of the upstream or the limit that it states; 0 if neither
     /// delays it.
     double start_delay_ms = 0;
+    /// Milliseconds for which the upstream is still cold and therefore takes
+    /// few calls per second; 0 if it is not.
+    double cold_ms = 0;
 };
 
 /// A response without its body.
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -13,9 +13,21 @@
 
 namespace {
 
-/// Shed calls within this time are recorded as one decision, so that they do
+/// Refused calls within this time are recorded as one decision, so that they do
 /// not displace other decisions from the log.
-constexpr support::milliseconds shed_record_interval{1'000};
+constexpr support::milliseconds refusal_record_interval{1'000};
+
+/// Returns whether \p actions return \p call to its entry, which sends it to
+/// another upstream.
+bool is_handed_back(const attempt& call, const std::vector<action>& actions)
+{
+    return call.may_hand_back &&
+           std::any_of(
+               actions.begin(), actions.end(), [&](const action& taken) {
+                   const auto* refused = std::get_if<refuse>(&taken);
+                   return refused != nullptr && refused->key == call.key;
+               });
+}
 
 } // namespace
 
@@ -87,7 +99,7 @@
     const decision_effect effect =
         telemetry::effect_of(in_force->mode(automation::shed), true);
     const bool acts = effect == decision_effect::acted;
-    shed_tally& tally = acts ? sheds_acted : sheds_observed;
+    refusal_tally& tally = acts ? sheds_acted : sheds_observed;
     if (tally.count == 0)
         tally.since = now;
     ++tally.count;
@@ -104,6 +116,7 @@
 void gate::state::start_waiting(support::time_point now,
                                 std::vector<action>& actions)
 {
+    review_timeliness(now, actions);
     if (!slowdown_report_allows_start(now))
         return;
     const auto eligible = [this, now](std::size_t rank) {
@@ -145,17 +158,18 @@
              std::to_string(change->to) + ": " + std::string(change->reason)});
 }
 
-void gate::state::record_sheds(shed_tally& tally,
-                               decision_effect effect,
-                               support::time_point now)
+void gate::state::record_refusals(refusal_tally& tally,
+                                  automation kind,
+                                  decision_effect effect,
+                                  std::string_view reason,
+                                  support::time_point now)
 {
-    if (tally.count == 0 || now - tally.since < shed_record_interval)
+    if (tally.count == 0 || now - tally.since < refusal_record_interval)
         return;
     if (decisions != nullptr) {
-        decisions->record({now, automation::shed, effect, "waiting calls",
-                           std::to_string(tally.count) +
-                               " calls that cannot meet their deadline or "
-                               "found the queue full"});
+        decisions->record(
+            {now, kind, effect, "waiting calls",
+             std::to_string(tally.count) + " calls " + std::string(reason)});
     }
     tally = {};
 }
@@ -236,17 +250,21 @@
     // A shorter wait is about what the entry expected when it chose this gate.
     const bool waits_long =
         state_->start_wait(ahead, now) > state_->expected_service_time(call);
-    if (call.may_hand_back && waits_long)
+    state_->observe_timeliness(call, ahead, now);
+    const bool judged = state_->judges_timeliness(call, now);
+    if (call.may_hand_back && waits_long && !judged)
         return {state_->hand_back(call, refusal_kind::rate_limited, now)};
-    if (state_->cold.applies(now))
-        state_->returns.on_offer(now);
     const support::duration wait = state_->expected_wait(ahead);
-    if (state_->misses_deadline(call, wait, now) && state_->try_shed(now)) {
+    if (!judged && state_->misses_deadline(call, wait, now) &&
+        state_->try_shed(now)) {
         return {state_->refuse_for_deadline(
             call, "the queue leaves too little time before the deadline", now)};
     }
     std::vector<action> actions;
     state_->queue.push(call);
+    state_->review_timeliness(now, actions);
+    if (state_->cold.applies(now) && !is_handed_back(call, actions))
+        state_->returns.on_offer(now);
     state_->start_waiting(now, actions);
     state_->refuse_beyond_limit(now, actions);
     while (const auto dropped = state_->queue.drop_overflow())
@@ -454,9 +472,18 @@
     }
     state_->start_waiting(now, actions);
     state_->refuse_beyond_limit(now, actions);
-    state_->record_sheds(state_->sheds_acted, decision_effect::acted, now);
-    state_->record_sheds(state_->sheds_observed, decision_effect::observed,
-                         now);
+    constexpr std::string_view shed_reason =
+        "that cannot meet their deadline or found the queue full";
+    constexpr std::string_view late_reason =
+        "that a cold upstream cannot answer before they are late";
+    state_->record_refusals(state_->sheds_acted, automation::shed,
+                            decision_effect::acted, shed_reason, now);
+    state_->record_refusals(state_->sheds_observed, automation::shed,
+                            decision_effect::observed, shed_reason, now);
+    state_->record_refusals(state_->lates_acted, automation::cold_admission,
+                            decision_effect::acted, late_reason, now);
+    state_->record_refusals(state_->lates_observed, automation::cold_admission,
+                            decision_effect::observed, late_reason, now);
     return actions;
 }
 
@@ -514,6 +541,7 @@
     report.start_delay_ms =
         support::to_ms(std::max(state_->slowdowns.remaining(now),
                                 state_->start_wait(state_->queue.size(), now)));
+    report.cold_ms = support::to_ms(state_->cold.reported_remaining(now));
     if (state_->upstream_present)
         report.age_ms = support::to_ms(now - state_->serving_since);
     return report;
--- a/lib/admission/gate_refusals.cpp
+++ b/lib/admission/gate_refusals.cpp
@@ -155,6 +155,7 @@
 }
 
 refuse gate::state::refuse_for_limit(const attempt& call,
+                                     std::string detail,
                                      support::time_point now)
 {
     ++counts.refused_limit;
@@ -166,9 +167,7 @@
                                            start_wait(queue.size(), now)),
                                        min_retry_after, max_retry_after);
     refuse refused{
-        call.key,
-        not_run(refusal_kind::rate_limited, wait,
-                "the upstream's limit leaves no room before the deadline")};
+        call.key, not_run(refusal_kind::rate_limited, wait, std::move(detail))};
     // The call has a place here. Tried elsewhere it would get one at each gate,
     // so that all places would lie several times too late.
     refused.refusal.retry_exhausted = is_cold;
@@ -193,7 +192,103 @@
         return late;
     };
     for (const attempt& queued : queue.remove_in_order(has_no_room))
-        actions.emplace_back(refuse_for_limit(queued, now));
+        actions.emplace_back(refuse_for_limit(
+            queued, "the upstream's limit leaves no room before the deadline",
+            now));
+}
+
+expected_run gate::state::expect(const attempt& call,
+                                 std::size_t ahead,
+                                 support::time_point now) const
+{
+    expected_run expected;
+    expected.wait = std::max(start_wait(ahead, now), expected_wait(ahead));
+    if (service_times.mean_ms() > 0)
+        expected.service_time = expected_service_time(call);
+    return expected;
+}
+
+bool gate::state::is_mode_observe(automation kind) const
+{
+    return in_force->mode(kind) == automation_mode::observe;
+}
+
+/// Returns whether it depends on the time until \p call is late whether it is
+/// kept.
+bool gate::state::judges_timeliness(const attempt& call,
+                                    support::time_point now) const
+{
+    return cold.applies(now) && service_times.mean_ms() > 0 &&
+           call.in_time_until != support::time_point::max() &&
+           !is_mode_observe(automation::cold_admission);
+}
+
+void gate::state::count_late(refusal_tally& tally, support::time_point now)
+{
+    if (tally.count == 0)
+        tally.since = now;
+    ++tally.count;
+}
+
+/// Counts a call that arrives and would be turned away in the other modes.
+void gate::state::observe_timeliness(const attempt& call,
+                                     std::size_t ahead,
+                                     support::time_point now)
+{
+    const bool would_act = is_mode_observe(automation::cold_admission) &&
+                           cold.applies(now) && queue.size() != 0 &&
+                           timeliness_of(call, expect(call, ahead, now), now) !=
+                               timeliness::in_time;
+    if (!would_act)
+        return;
+    ++counts.late_observed;
+    count_late(lates_observed, now);
+}
+
+/// The entry tries a call that is handed back at another upstream that can
+/// start it in time; the refusal of any other states when there is room here.
+refuse gate::state::turn_away_late(const attempt& call, support::time_point now)
+{
+    ++counts.turned_away_late;
+    count_late(lates_acted, now);
+    if (call.may_hand_back)
+        return hand_back(call, refusal_kind::rate_limited, now);
+    return refuse_for_limit(
+        call, "the cold upstream has no room before the call is late", now);
+}
+
+/// Turns away the waiting calls that a cold upstream cannot answer before they
+/// are late. If no other call waits, one of them is kept, so that no start
+/// remains unused.
+void gate::state::review_timeliness(support::time_point now,
+                                    std::vector<action>& actions)
+{
+    if (!cold.applies(now) || queue.size() == 0 ||
+        is_mode_observe(automation::cold_admission))
+        return;
+    timely_review review(
+        [this, now](const attempt& call, std::size_t ahead) {
+            return expect(call, ahead, now);
+        },
+        now);
+    std::vector<attempt> late = queue.remove_in_order(
+        [&](const attempt& call) { return review.removes(call); });
+    if (late.empty())
+        return;
+    if (!review.keeps_any()) {
+        // While nothing runs any call is kept: its answer corrects an estimate
+        // that would otherwise turn all calls away.
+        const auto filler =
+            std::find_if(late.begin(), late.end(), [&](const attempt& call) {
+                return queue.running() == 0 || review.may_fill(call);
+            });
+        if (filler != late.end()) {
+            queue.push(std::move(*filler));
+            late.erase(filler);
+        }
+    }
+    for (const attempt& call : late)
+        actions.emplace_back(turn_away_late(call, now));
 }
 
 void gate::state::refuse_waiting(refusal_kind kind,
--- a/lib/admission/gate_state.hpp
+++ b/lib/admission/gate_state.hpp
@@ -10,6 +10,7 @@
 #include "galenarudder/admission/rate_limit.hpp"
 #include "galenarudder/admission/service_estimate.hpp"
 #include "galenarudder/admission/slowdown_monitor.hpp"
+#include "galenarudder/admission/timely_admission.hpp"
 #include "galenarudder/telemetry/decision_log.hpp"
 
 #include <map>
@@ -35,9 +36,9 @@
     double charged_ms = 0;
 };
 
-/// Counts calls that automation `shed` refused, or would have refused in mode
+/// Counts calls that an automation refused, or would have refused in mode
 /// observe, since they were last recorded.
-struct shed_tally
+struct refusal_tally
 {
     std::uint64_t count = 0;
     /// Time of the first of them.
@@ -62,8 +63,10 @@
     /// Calls that were started and have not ended.
     std::map<attempt_key, running_call> running;
     gate_counters counts;
-    shed_tally sheds_acted;
-    shed_tally sheds_observed;
+    refusal_tally sheds_acted;
+    refusal_tally sheds_observed;
+    refusal_tally lates_acted;
+    refusal_tally lates_observed;
     bool upstream_present = false;
     bool draining = false;
     /// Operators have emptied the failure domain.
@@ -93,7 +96,21 @@
     void hand_back_waiting(support::refusal_kind kind,
                            support::time_point now,
                            std::vector<action>& actions);
-    refuse refuse_for_limit(const attempt& call, support::time_point now);
+    refuse refuse_for_limit(const attempt& call,
+                            std::string detail,
+                            support::time_point now);
+    expected_run expect(const attempt& call,
+                        std::size_t ahead,
+                        support::time_point now) const;
+    bool judges_timeliness(const attempt& call, support::time_point now) const;
+    bool is_mode_observe(config::automation kind) const;
+    void count_late(refusal_tally& tally, support::time_point now);
+    void observe_timeliness(const attempt& call,
+                            std::size_t ahead,
+                            support::time_point now);
+    refuse turn_away_late(const attempt& call, support::time_point now);
+    void review_timeliness(support::time_point now,
+                           std::vector<action>& actions);
     void refuse_beyond_limit(support::time_point now,
                              std::vector<action>& actions);
     refuse refuse_overflow(const attempt& call, support::time_point now);
@@ -104,9 +121,11 @@
                         std::vector<action>& actions);
     void record(const std::optional<limit_change>& change,
                 support::time_point now);
-    void record_sheds(shed_tally& tally,
-                      telemetry::decision_effect effect,
-                      support::time_point now);
+    void record_refusals(refusal_tally& tally,
+                         config::automation kind,
+                         telemetry::decision_effect effect,
+                         std::string_view reason,
+                         support::time_point now);
 };
 
 } // namespace galenarudder::admission
--- a/lib/daemon/collect_metrics.cpp
+++ b/lib/daemon/collect_metrics.cpp
@@ -37,7 +37,8 @@
     config::automation::retry,
     config::automation::adapt_limit,
     config::automation::reroute,
-    config::automation::organisation_limit};
+    config::automation::organisation_limit,
+    config::automation::cold_admission};
 
 constexpr telemetry::decision_effect effects[] = {
     telemetry::decision_effect::acted, telemetry::decision_effect::limited,
@@ -90,6 +91,10 @@
 {
     collect_crossings(daemon_node.router().crossings(), registry);
     collect_decision_counts(daemon_node.decisions(), registry);
+    registry.set_counter(
+        "galenarudder_entry_turned_away_cold_total",
+        "Calls refused because no cold upstream can start them in time", {},
+        static_cast<double>(daemon_node.router().turned_away_cold()));
     registry.set_gauge(
         "galenarudder_configuration_version",
         "Version of the configuration in force",
--- a/lib/link/entry_links.cpp
+++ b/lib/link/entry_links.cpp
@@ -322,6 +322,11 @@
         attempt->head.remaining_time =
             std::chrono::floor<support::milliseconds>(attempt->deadline - now);
     }
+    if (attempt->in_time_until != time_point::max()) {
+        attempt->head.time_until_late =
+            std::chrono::floor<support::milliseconds>(
+                attempt->in_time_until - support::monotonic_clock::now());
+    }
     const attempt_id id = attempt->head.id;
     open_call& call = link.calls[id];
     call.sequence_number = ++link.last_sequence_number;
--- a/lib/link/gate_links.cpp
+++ b/lib/link/gate_links.cpp
@@ -191,8 +191,11 @@
         std::make_shared<exchange>(std::move(begin.head), context_->strand);
     const support::duration waited = link.transit.on_message(
         time_point(begin.sent_at), support::boot_time());
-    attempt->deadline =
-        support::monotonic_clock::now() + attempt->head.remaining_time - waited;
+    const support::time_point sent_at =
+        support::monotonic_clock::now() - waited;
+    attempt->deadline = sent_at + attempt->head.remaining_time;
+    if (attempt->head.time_until_late)
+        attempt->in_time_until = sent_at + *attempt->head.time_until_late;
     open_call& call = link.calls[id];
     call.attempt = attempt;
     call.sequence_number = begin.sequence_number;
--- a/lib/link/message.cpp
+++ b/lib/link/message.cpp
@@ -121,13 +121,17 @@
 
 json encode_load(const support::load_report& load)
 {
-    return json::array({load.running, load.waiting, load.limit, load.service_ms,
-                        load.waiting_by_rank, load.age_ms, load.time_at_gate_ms,
-                        load.start_delay_ms});
+    json list = json::array({load.running, load.waiting, load.limit,
+                             load.service_ms, load.waiting_by_rank, load.age_ms,
+                             load.time_at_gate_ms, load.start_delay_ms});
+    if (load.cold_ms > 0)
+        list.push_back(load.cold_ms);
+    return list;
 }
 
 support::load_report decode_load(const json& list)
 {
+    constexpr std::size_t cold_ms = 8;
     support::load_report load;
     load.running = decode_number<std::uint32_t>(list.at(0));
     load.waiting = decode_number<std::uint32_t>(list.at(1));
@@ -138,6 +142,9 @@
     load.age_ms = list.at(5);
     load.time_at_gate_ms = list.at(6);
     load.start_delay_ms = list.at(7);
+    // Sent only while the upstream is cold, and not by earlier versions.
+    if (list.size() > cold_ms)
+        load.cold_ms = list.at(cold_ms);
     return load;
 }
 
@@ -214,15 +221,26 @@
     json operator()(const call_begin& msg) const
     {
         const support::call_head& head = msg.head;
-        return encode_message(
-            message_type::call_begin,
-            {encode_id(head.id), head.service, head.rank,
-             encode_milliseconds(head.remaining_time), head.repeatable,
-             head.idempotency_key, head.depth, head.method, head.target,
-             encode_fields(head.fields), encode_length(head.content_length),
-             msg.sequence_number, encode_bytes(msg.body), msg.body_complete,
-             head.may_hand_back, encode_milliseconds(msg.sent_at),
-             head.organisation});
+        json::array_t fields{encode_id(head.id),
+                             head.service,
+                             head.rank,
+                             encode_milliseconds(head.remaining_time),
+                             head.repeatable,
+                             head.idempotency_key,
+                             head.depth,
+                             head.method,
+                             head.target,
+                             encode_fields(head.fields),
+                             encode_length(head.content_length),
+                             msg.sequence_number,
+                             encode_bytes(msg.body),
+                             msg.body_complete,
+                             head.may_hand_back,
+                             encode_milliseconds(msg.sent_at),
+                             head.organisation};
+        if (head.time_until_late)
+            fields.push_back(encode_milliseconds(*head.time_until_late));
+        return encode_message(message_type::call_begin, std::move(fields));
     }
     json operator()(const body_part& msg) const
     {
@@ -309,6 +327,7 @@
 message decode_call_begin(const json& list)
 {
     constexpr std::size_t organisation = 17;
+    constexpr std::size_t time_until_late = 18;
     support::call_head head;
     head.id = decode_id(list.at(1));
     head.service = list.at(2);
@@ -325,6 +344,8 @@
     // Peers of earlier versions do not send it.
     if (list.size() > organisation)
         head.organisation = list.at(organisation);
+    if (list.size() > time_until_late)
+        head.time_until_late = decode_milliseconds(list.at(time_until_late));
     return call_begin{
         std::move(head), decode_number<std::uint64_t>(list.at(12)),
         decode_bytes(list.at(13)), list.at(14), decode_boot_time(list.at(16))};
--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -20,6 +20,8 @@
 /// this long.
 constexpr support::milliseconds deadline_grace{50};
 constexpr unsigned first_server_error = 500;
+/// Attempts that cold gates may hand back, for each answer of a cold upstream.
+constexpr double cold_moves_per_answer = 1;
 
 refusal no_upstream(const std::string& service)
 {
@@ -28,6 +30,14 @@
             "service " + service + " has no upstream that takes calls"};
 }
 
+refusal no_start_in_time(const std::string& service,
+                         support::milliseconds retry_after)
+{
+    return {refusal_kind::rate_limited, run_outcome::not_run, true, retry_after,
+            "no cold upstream of service " + service +
+                " can start the call before it is late"};
+}
+
 refusal server_error()
 {
     return {refusal_kind::upstream_failed, run_outcome::unknown, false,
@@ -111,6 +121,8 @@
 {
     started_at_ = now;
     std::vector<call_action> actions;
+    if (const auto retry_after = router_.turn_away_cold(make_request(), now))
+        return refuse(no_start_in_time(properties_.service, *retry_after));
     if (!send_to_next(now, random, actions))
         return refuse(no_upstream(properties_.service));
     service_ = attempts_.front().target.state->service;
@@ -141,6 +153,9 @@
         if (!replacement.empty())
             return replacement;
     }
+    if (record.target.cold)
+        service_->cold_moves.deposit(cold_moves_per_answer +
+                                     (record.may_hand_back ? 1 : 0));
     if (!failed)
         service_->latency(properties_.rank).record(now - started_at_);
     decided_ = true;
@@ -193,6 +208,12 @@
     }
     if (open_attempt_count() != 0)
         return {};
+    if (reason.kind == refusal_kind::rate_limited && load.cold_ms > 0 &&
+        !reason.retry_exhausted) {
+        if (const auto retry_after =
+                router_.turn_away_cold(make_request(), now))
+            return refuse(no_start_in_time(properties_.service, *retry_after));
+    }
     return retry_or_refuse(reason, now, random);
 }
 
@@ -250,20 +271,19 @@
     router_.on_bytes(attempts_[forwarded_attempt_].target, bytes);
 }
 
+routing::pick_request call_flow::make_request() const
+{
+    return {
+        properties_.service, properties_.rank,          tried_members_,
+        properties_.regions, properties_.in_time_until, properties_.deadline};
+}
+
 /// Picks an upstream that was not tried. If there is none, those that handed
 /// the call back may be tried again.
 std::optional<routing::choice> call_flow::pick(support::time_point now,
                                                support::random_engine& random)
 {
-    const auto request = [&] {
-        return routing::pick_request{properties_.service,
-                                     properties_.rank,
-                                     tried_members_,
-                                     properties_.regions,
-                                     properties_.in_time_until,
-                                     properties_.deadline};
-    };
-    auto target = router_.pick(request(), now, random);
+    auto target = router_.pick(make_request(), now, random);
     if (target || handed_back_by_.empty())
         return target;
     std::erase_if(tried_members_, [this](const support::member_id& member) {
@@ -271,7 +291,7 @@
                          member) != handed_back_by_.end();
     });
     handed_back_by_.clear();
-    return router_.pick(request(), now, random);
+    return router_.pick(make_request(), now, random);
 }
 
 bool call_flow::send_to_next(support::time_point now,
@@ -283,9 +303,9 @@
         return false;
     router_.on_sent(*target, now);
     tried_members_.push_back(target->member);
-    const bool may_hand_back = properties_.replayable &&
-                               target->alternatives > 0 &&
-                               handed_back_count_ < max_handed_back;
+    const bool may_hand_back =
+        properties_.replayable && target->alternatives > 0 &&
+        handed_back_count_ < max_handed_back && may_move_from(*target);
     attempts_.push_back({*target, now});
     attempts_.back().may_hand_back = may_hand_back;
     actions.emplace_back(
@@ -293,6 +313,13 @@
     return true;
 }
 
+/// Returns whether the budget lets a cold gate hand the attempt back. One that
+/// may not gets the time of its return from the gate.
+bool call_flow::may_move_from(const routing::choice& target) const
+{
+    return !target.cold || target.state->service->cold_moves.try_take();
+}
+
 void call_flow::end_attempt(std::size_t attempt,
                             attempt_result result,
                             support::time_point now)
--- a/lib/proxy/caller_session.cpp
+++ b/lib/proxy/caller_session.cpp
@@ -143,6 +143,9 @@
                                      classified_call accepted,
                                      const asio::any_io_executor& executor)
     : deadline(accepted.properties.deadline),
+      in_time_until(accepted.head.time_until_late
+                        ? accepted.properties.in_time_until
+                        : time_point::max()),
       flow(router, std::move(accepted.properties)),
       head(std::move(accepted.head)), events(executor, event_channel_capacity),
       timer(executor), key_digest(std::move(accepted.key_digest))
@@ -727,6 +730,7 @@
     auto exchange = std::make_shared<link::exchange>(std::move(head),
                                                      connection_->executor());
     exchange->deadline = call->deadline;
+    exchange->in_time_until = call->in_time_until;
     const std::weak_ptr<open_call> weak = call;
     exchange->deliver = [weak,
                          attempt = action.attempt](link::exchange_event event) {
--- a/lib/proxy/caller_session.hpp
+++ b/lib/proxy/caller_session.hpp
@@ -98,6 +98,8 @@
         void post(session_event event);
 
         support::time_point deadline;
+        /// When the call is late, as gates are told; max() if they are not.
+        support::time_point in_time_until;
         call_flow flow;
         support::call_head head;
         event_channel events;
--- a/lib/proxy/entry.cpp
+++ b/lib/proxy/entry.cpp
@@ -463,6 +463,12 @@
         std::min(now + head.remaining_time, latest_deadline());
     if (accepted.goal > support::milliseconds(0))
         properties.in_time_until = now + accepted.goal;
+    const config::service_policy* service =
+        in_force->find_service(properties.service);
+    // Only gates of such services use it; elsewhere it would cost bytes.
+    if (accepted.goal > support::milliseconds(0) && service != nullptr &&
+        service->cold_calls_per_s > 0)
+        head.time_until_late = accepted.goal;
     head.remaining_time = std::chrono::floor<support::milliseconds>(
         std::max(properties.deadline - now, support::duration(0)));
     head.service = properties.service;
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -281,7 +281,8 @@
                                attempt->head.repeatable,
                                attempt->head.may_hand_back,
                                attempt->head.organisation,
-                               is_nested(attempt->head)};
+                               is_nested(attempt->head),
+                               attempt->in_time_until};
     const bool is_for_upstream = attempt->head.service == upstream_.service;
     attempts_[key] = {std::move(attempt), deadline, nullptr, now, {}};
     // The entry may not know yet that an upstream of another service is at this
@@ -415,6 +416,13 @@
     add("galenarudder_gate_turned_away_cold_total",
         "Calls handed back or refused while the upstream was cold",
         counts.turned_away_cold, published_.turned_away_cold);
+    add("galenarudder_gate_turned_away_late_total",
+        "Calls turned away because the cold upstream cannot answer them before "
+        "they are late",
+        counts.turned_away_late, published_.turned_away_late);
+    add("galenarudder_gate_late_observed_total",
+        "Calls that cold admission in mode observe let through",
+        counts.late_observed, published_.late_observed);
     add("galenarudder_cold_queries_total",
         "Queries whether the upstream has become cold", counts.cold_queries,
         published_.cold_queries);
--- a/lib/routing/fleet_view.cpp
+++ b/lib/routing/fleet_view.cpp
@@ -50,6 +50,7 @@
     limits.reroute_mode = in_force.mode(automation::reroute);
     limits.retry_mode = in_force.mode(automation::retry);
     limits.hedge_mode = in_force.mode(automation::hedge);
+    limits.cold_mode = in_force.mode(automation::cold_admission);
     limits.leave_share = in_force.automation_limit(limit::leave_share);
     return limits;
 }
--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -4,11 +4,13 @@
 
 #include "galenarudder/routing/ejection.hpp"
 #include "galenarudder/routing/estimate.hpp"
+#include "galenarudder/routing/timely_start.hpp"
 #include "galenarudder/support/rcu_cell.hpp"
 #include "galenarudder/telemetry/decision_log.hpp"
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -25,6 +27,13 @@
 constexpr support::milliseconds draining_exclusion{5000};
 /// Size of a call's request and response until some were seen.
 constexpr double assumed_call_bytes = 4096;
+/// Refusals within this time are recorded as one decision.
+constexpr support::milliseconds refusal_record_interval{1000};
+/// Refused calls return within this time after the end of the cold time, when
+/// there is room for many times as many calls.
+constexpr support::milliseconds return_spread{1000};
+constexpr support::milliseconds max_return_time{60'000};
+constexpr support::milliseconds min_return_time{100};
 
 bool is_gone(const member_record& record)
 {
@@ -91,6 +100,16 @@
             add(upstream);
     }
     bool empty() const { return size_ == 0; }
+    /// Removes the candidates for which \p keeps does not hold, unless it holds
+    /// for none.
+    template <typename Predicate>
+    void prefer(Predicate keeps)
+    {
+        const auto end = std::stable_partition(
+            candidates_.begin(), candidates_.begin() + size_, keeps);
+        if (end != candidates_.begin())
+            size_ = static_cast<std::size_t>(end - candidates_.begin());
+    }
     std::span<const candidate*> all() { return {candidates_.data(), size_}; }
 
 private:
@@ -137,6 +156,26 @@
     return false;
 }
 
+/// Returns whether it depends on the load of cold upstreams where the call is
+/// sent.
+bool decides_cold(const service_view& service,
+                  const routing_limits& limits,
+                  const pick_request& request)
+{
+    return service.cold_calls_per_s > 0 &&
+           limits.cold_mode != automation_mode::observe &&
+           request.in_time_until != support::time_point::max();
+}
+
+timely_inputs inputs_of(const service_view& service,
+                        const pick_request& request,
+                        support::time_point now)
+{
+    constexpr double ms_per_s = 1000;
+    return {now, request.rank, request.in_time_until,
+            support::from_ms(ms_per_s / service.cold_calls_per_s)};
+}
+
 void set_draining(upstream_state& upstream, support::time_point now)
 {
     const std::int64_t until_ns =
@@ -170,6 +209,7 @@
     fleet_view next_view;
     crossing_settings crossings;
     mutable crossing_counters crossing_counts;
+    mutable std::atomic<std::uint64_t> turned_away_cold{0};
     // Read by any thread on the path of a call.
     support::rcu_cell<fleet_view> published_view{
         std::make_unique<fleet_view>()};
@@ -200,6 +240,8 @@
     void record_leaving(service_state& service,
                         automation_mode mode,
                         support::time_point now) const;
+    void record_cold_refusal(service_state& service,
+                             support::time_point now) const;
     void record_reroute(const service_view& service,
                         bool own_domain_unhealthy,
                         automation_mode mode,
@@ -265,6 +307,14 @@
     const config::service_policy* policy = in_force->find_service(name);
     auto view = std::make_shared<service_view>();
     view->state = all.front().state->service;
+    view->cold_calls_per_s = policy ? policy->cold_calls_per_s : 0;
+    if (view->cold_calls_per_s > 0) {
+        // Every member has an entry.
+        constexpr double ms_per_s = 1000;
+        view->cold_interval = support::from_ms(
+            ms_per_s * static_cast<double>(records.size()) /
+            (static_cast<double>(all.size()) * view->cold_calls_per_s));
+    }
     view->strategy = find_strategy(policy ? policy->strategy : "");
     if (view->strategy == nullptr)
         view->strategy = find_strategy("");
@@ -559,6 +609,13 @@
         select(candidates, request, now, usable);
     if (usable.empty())
         return std::nullopt;
+    const bool cold_decides = decides_cold(*service, limits, request);
+    if (cold_decides) {
+        const timely_inputs inputs = inputs_of(*service, request, now);
+        usable.prefer([&](const candidate* upstream) {
+            return may_start_in_time(*upstream->state, inputs);
+        });
+    }
     const pick_context context{now,
                                state_->own_domain,
                                request.rank,
@@ -571,8 +628,66 @@
             ? state_->pick_by_distance(
                   all, {*service, limits, request, context}, random)
             : *all[service->strategy->pick(all, context, random)];
-    return choice{picked.member, picked.link_endpoint, picked.state,
-                  all.size() - 1, picked.length};
+    return choice{
+        picked.member, picked.link_endpoint,
+        picked.state,  all.size() - 1,
+        picked.length, cold_decides && counts_as_cold(*picked.state, now)};
+}
+
+/// Records the refusals of a second as one decision.
+void router::state::record_cold_refusal(service_state& service,
+                                        support::time_point now) const
+{
+    turned_away_cold.fetch_add(1, std::memory_order_relaxed);
+    service.cold_refusals.fetch_add(1, std::memory_order_relaxed);
+    const std::int64_t now_ns = now.time_since_epoch().count();
+    std::int64_t recorded_ns = service.cold_refusals_recorded_ns.load();
+    if (decisions == nullptr ||
+        now_ns - recorded_ns <
+            support::duration(refusal_record_interval).count() ||
+        !service.cold_refusals_recorded_ns.compare_exchange_strong(recorded_ns,
+                                                                   now_ns))
+        return;
+    decisions->record({now, config::automation::cold_admission,
+                       telemetry::decision_effect::acted, service.name,
+                       std::to_string(service.cold_refusals.exchange(0)) +
+                           " calls that no cold upstream can start in time"});
+}
+
+std::optional<support::milliseconds>
+router::turn_away_cold(const pick_request& request,
+                       support::time_point now) const
+{
+    const auto view = state_->published_view.read();
+    const service_view* service = view->find(request.service);
+    if (service == nullptr || !decides_cold(*service, view->limits, request) ||
+        view->limits.cold_mode != automation_mode::automatic)
+        return std::nullopt;
+    const timely_inputs inputs = inputs_of(*service, request, now);
+    std::int64_t first_ns = std::numeric_limits<std::int64_t>::max();
+    for (const candidate& upstream :
+         state_->permitted_candidates(*service, view->limits, now)) {
+        if (is_permitted(upstream, request) &&
+            may_start_in_time(*upstream.state, inputs))
+            return std::nullopt;
+        if (is_known_cold(*upstream.state, now))
+            first_ns = std::min(first_ns, upstream.state->cold_until_ns.load());
+    }
+    if (first_ns == std::numeric_limits<std::int64_t>::max())
+        return std::nullopt;
+    state_->record_cold_refusal(*service->state, now);
+    const support::time_point first =
+        std::clamp(support::time_point(support::duration(first_ns)),
+                   now + min_return_time, now + max_return_time);
+    return std::chrono::ceil<support::milliseconds>(
+        reserve_return(*service->state, first, service->cold_interval,
+                       return_spread) -
+        now);
+}
+
+std::uint64_t router::turned_away_cold() const
+{
+    return state_->turned_away_cold.load(std::memory_order_relaxed);
 }
 
 void router::on_sent(const choice& chosen, support::time_point now) const
@@ -655,6 +770,10 @@
         support::from_ms(report.start_delay_ms).count();
     upstream.starts_calls_at_ns.store(
         start_delay_ns > 0 ? now_ns + start_delay_ns : 0, relaxed);
+    const std::int64_t cold_ns = support::from_ms(report.cold_ms).count();
+    upstream.cold_until_ns.store(cold_ns > 0 ? now_ns + cold_ns : 0, relaxed);
+    if (cold_ns > 0)
+        upstream.service->cold_until_ns.store(now_ns + cold_ns, relaxed);
     if (report.age_ms > 0) {
         const std::int64_t age_ns = support::from_ms(report.age_ms).count();
         upstream.serving_since_ns.store(now_ns - age_ns, relaxed);
--- a/tools/galenarudder-replay/fake_upstream.cpp
+++ b/tools/galenarudder-replay/fake_upstream.cpp
@@ -14,8 +14,6 @@
 
 /// Time in which an upstream with the fault fail_fast ends a call.
 constexpr double fail_fast_ms = 0.2;
-/// Slowdown right after a cold start; it falls linearly to 1 in the cold time.
-constexpr double cold_factor = 4;
 constexpr unsigned status_answered = 200;
 constexpr unsigned status_failed = 500;
 
@@ -198,7 +196,7 @@
         return slowdown;
     const double age = support::to_ms(clock_.now() - started_at_);
     const double cold = std::max(0.0, 1 - age / cold_ms_);
-    return slowdown * (1 + (cold_factor - 1) * cold);
+    return slowdown * (1 + (spec_.cold_slowdown - 1) * cold);
 }
 
 void fake_upstream::perform(const std::vector<admission::action>& actions)
--- a/tools/galenarudder-replay/scenario.cpp
+++ b/tools/galenarudder-replay/scenario.cpp
@@ -51,7 +51,8 @@
         "upstreams": {"type": "object", "additionalProperties": {
           "type": "integer", "minimum": 0, "maximum": 1000}},
         "slots": {"type": "integer", "minimum": 1, "maximum": 10000},
-        "speed_spread": {"type": "number", "minimum": 0, "maximum": 0.9}}}},
+        "speed_spread": {"type": "number", "minimum": 0, "maximum": 0.9},
+        "cold_slowdown": {"type": "number", "minimum": 1, "maximum": 100}}}},
     "calls": {"type": "object", "minProperties": 1, "additionalProperties": {
       "type": "object", "additionalProperties": false,
       "required": ["service", "work_ms", "goal_ms", "deadline_ms"],
@@ -250,6 +251,8 @@
             service.name = name;
             service.slots = fields.at("slots");
             service.speed_spread = fields.value("speed_spread", 0.0);
+            service.cold_slowdown =
+                fields.value("cold_slowdown", service.cold_slowdown);
             service.upstreams.resize(result_.domains.size());
             std::size_t total = 0;
             const std::string pointer = "/services/" + name + "/upstreams";
--- a/tools/galenarudder-replay/scenario.hpp
+++ b/tools/galenarudder-replay/scenario.hpp
@@ -54,6 +54,8 @@
     std::uint32_t slots = 1;
     /// Upstreams differ in speed by up to this share, slower and faster.
     double speed_spread = 0;
+    /// Factor right after a cold start; it falls linearly to 1.
+    double cold_slowdown = 4;
 };
 
 struct nested_call
--- a/tools/galenarudder-replay/scenario_run.cpp
+++ b/tools/galenarudder-replay/scenario_run.cpp
@@ -131,6 +131,7 @@
                 spec.slots = service.slots;
                 spec.slowness = 1 + service.speed_spread * unit;
                 spec.states_cold = true;
+                spec.cold_slowdown = service.cold_slowdown;
                 added->upstream =
                     std::make_unique<fake_upstream>(clock_, spec, *in_force);
                 added->upstream->on_call_started = [](std::uint64_t) {};
@@ -434,6 +435,8 @@
     sent.gate_attempt.rank = call->rank;
     sent.gate_attempt.deadline =
         call->received_at + support::from_ms(call->type->deadline_ms);
+    sent.gate_attempt.in_time_until =
+        call->received_at + support::from_ms(call->type->goal_ms);
     sent.gate_attempt.repeatable = call->type->repeatable;
     sent.gate_attempt.may_hand_back = action.may_hand_back;
     sent.gate_attempt.organisation = call->organisation;
--- a/tools/galenarudder-replay/trace.hpp
+++ b/tools/galenarudder-replay/trace.hpp
@@ -28,6 +28,9 @@
     double slowness = 1;
     /// Whether it tells its gate how long it is cold after a start.
     bool states_cold = false;
+    /// Slowdown right after a cold start; it falls linearly to 1 in the cold
+    /// time.
+    double cold_slowdown = 4;
 };
 
 /// A caller sends a call.
--- a/unittests/link/message_test.cpp
+++ b/unittests/link/message_test.cpp
@@ -18,6 +18,7 @@
     head.rank = "urgent";
     head.organisation = "deposit-house";
     head.remaining_time = support::milliseconds(250);
+    head.time_until_late = support::milliseconds(120);
     head.may_hand_back = true;
     head.idempotency_key = "k1";
     head.method = "POST";
@@ -31,6 +32,7 @@
     CHECK(begin.head.rank == head.rank);
     CHECK(begin.head.organisation == head.organisation);
     CHECK(begin.head.remaining_time == head.remaining_time);
+    CHECK(begin.head.time_until_late == head.time_until_late);
     CHECK(begin.head.may_hand_back);
     CHECK(begin.head.idempotency_key == head.idempotency_key);
     CHECK(begin.head.target == head.target);
@@ -56,6 +58,26 @@
     const auto& begin = std::get<link::call_begin>(decoded.value());
     CHECK(begin.head.service == head.service);
     CHECK(begin.head.organisation.empty());
+    CHECK_FALSE(begin.head.time_until_late);
+}
+
+// Guards against links that break because an entry sends a part that an earlier
+// version does not know, and against bytes for calls without a goal.
+TEST_CASE("the time until a call is late is a last part that may be absent",
+          "[link]")
+{
+    support::call_head head;
+    head.organisation = "deposit-house";
+    auto fields =
+        nlohmann::json::from_cbor(link::encode(link::call_begin{head}));
+    REQUIRE(fields.back() == head.organisation);
+    head.time_until_late = support::milliseconds(-5);
+    auto longer =
+        nlohmann::json::from_cbor(link::encode(link::call_begin{head}));
+    CHECK(longer.back() == 0);
+    // An earlier version reads the parts before it at the same places.
+    longer.erase(longer.size() - 1);
+    CHECK(longer == fields);
 }
 
 TEST_CASE("bytes that are no link message are a malformed-message error",
