Add a mode, metrics and decisions for turns of organisations

Turns of organisations at a gate could not be switched off, and nothing showed what they changed. Automation organisation_turns has a mode, automatic by default, so that deployments are served as before. In mode observe the order of starts, estimates, refusals and removals is that of arrival, nested calls included; the use of slots is still charged, so that each start and removal is compared with the one by turns. Bounded is the same as automatic: turns never change how many calls start, so the share of the rank and the length of the queue are the bound.

The gate exports the number of starts and removals by turns, and by organisation the slot time and how often it was passed over: 10 organisations by name, those with the highest limits first, and one series for the rest. At most one decision a second is recorded.

--- a/include/galenarudder/admission/fair_queue.hpp
+++ b/include/galenarudder/admission/fair_queue.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace galenarudder::admission {
@@ -25,6 +26,29 @@
     std::uint64_t sequence = 0;
 };
 
+/// By what the calls of a rank are ordered.
+enum class queue_order
+{
+    /// By turns of organisations, nested calls first.
+    turns,
+    /// By arrival. Turns are still accounted for, so that the difference can be
+    /// counted.
+    arrival
+};
+
+/// Decisions for which the two orders differ, whichever is in force.
+struct turn_tally
+{
+    std::uint64_t starts = 0;
+    std::uint64_t removals = 0;
+    /// By organisation: starts at which its call was the first that had
+    /// arrived, but another call has its turn.
+    std::map<std::string, std::uint64_t, std::less<>> passed_over;
+
+    bool empty() const { return starts == 0 && removals == 0; }
+    void add(const turn_tally& other);
+};
+
 /// Start-time fair queueing with equal weights: the next call is of the
 /// organisation that has used the least slot time. An organisation that had no
 /// waiting calls resumes at the present turn, so that it keeps no claim to what
@@ -40,6 +64,10 @@
 class fair_queue
 {
 public:
+    explicit fair_queue(queue_order order = queue_order::turns) : order_(order)
+    {
+    }
+
     /// Adds a call at its place in the order of arrival of its organisation.
     void insert(queued_call queued);
     bool empty() const { return size_ == 0; }
@@ -51,8 +79,8 @@
     /// Removes and returns the call to start next. The queue must not be empty.
     attempt pop();
     /// Removes and returns the newest call of the organisation that has the
-    /// most waiting calls; a nested one only if no other waits. The queue must
-    /// not be empty.
+    /// most waiting calls, a nested one only if no other waits; in the order of
+    /// arrival, the newest call. The queue must not be empty.
     attempt drop_newest();
     /// Removes the calls for which \p matches holds and appends them to
     /// \p removed. Calls are visited in the expected order of their starts.
@@ -71,6 +99,8 @@
     void take_excess(const fair_queue& previous);
     /// Returns whether \p matches holds for a waiting call.
     bool any_of(const std::function<bool(const attempt&)>& matches) const;
+    /// Returns what was counted since the last call.
+    turn_tally take_tally() { return std::exchange(tally_, {}); }
 
 private:
     using call_list = std::deque<queued_call>;
@@ -93,9 +123,29 @@
     {
         return call.nested ? 0 : 1;
     }
-    account_map::iterator find_next(std::size_t tier);
+    /// The place of a waiting call at one end of a list.
+    struct place
+    {
+        account_map::iterator owner;
+        std::size_t tier = 0;
+
+        call_list& waiting() const { return owner->second.waiting.at(tier); }
+    };
+
+    bool has_one_order() const
+    {
+        return accounts_.size() <= 1 &&
+               (size_by_tier_[0] == 0 || size_by_tier_[1] == 0);
+    }
+    place find_next();
+    place find_oldest();
+    place find_dropped();
+    place find_newest();
+    void count_start(const place& by_turns, const place& by_arrival);
     void forget_settled();
 
+    queue_order order_;
+    turn_tally tally_;
     account_map accounts_;
     /// Turn of the call that was removed last.
     double turn_ms_ = 0;
--- a/include/galenarudder/admission/gate.hpp
+++ b/include/galenarudder/admission/gate.hpp
@@ -24,6 +24,8 @@
 
 namespace galenarudder::admission {
 
+class turn_statistics;
+
 /// Action: send the attempt to the upstream now.
 struct start
 {
@@ -203,6 +205,7 @@
     /// Returns the load report that is sent to entries.
     support::load_report report(support::time_point now) const;
     const gate_counters& counters() const;
+    const turn_statistics& turns() const;
 
 private:
     struct state;
--- a/include/galenarudder/admission/rank_queue.hpp
+++ b/include/galenarudder/admission/rank_queue.hpp
@@ -44,6 +44,13 @@
                    std::size_t capacity,
                    support::duration window);
 
+    /// Sets the order of the calls of each rank, which the next configure
+    /// applies.
+    void set_order(queue_order order) { order_ = order; }
+    /// Returns the decisions, since the last call, for which the order by turns
+    /// and that of arrival differ.
+    turn_tally take_turn_tally();
+
     /// Returns the position of the rank \p name.
     std::size_t rank_of(std::string_view name) const;
     std::size_t rank_count() const { return lanes_.size(); }
@@ -115,6 +122,7 @@
     choose_rank(const rank_predicate& eligible) const;
     static void clear_credit_if_idle(lane& rank_lane);
 
+    queue_order order_ = queue_order::turns;
     std::vector<lane> lanes_;
     /// Started calls by the name of their rank, which may be unknown: it can
     /// become known, or be removed, before the call ends.
--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -42,9 +42,12 @@
     adapt_limit,
     reroute,
     /// Refuses calls of organisations above their rate limits.
-    organisation_limit
+    organisation_limit,
+    /// Starts and removes the waiting calls of a gate by turns of their
+    /// organisations instead of by arrival.
+    organisation_turns
 };
-inline constexpr std::size_t automation_count = 7;
+inline constexpr std::size_t automation_count = 8;
 
 /// The numeric limits that operators can change.
 enum class limit
--- a/lib/admission/fair_queue.cpp
+++ b/lib/admission/fair_queue.cpp
@@ -17,6 +17,14 @@
 
 } // namespace
 
+void turn_tally::add(const turn_tally& other)
+{
+    starts += other.starts;
+    removals += other.removals;
+    for (const auto& [organisation, count] : other.passed_over)
+        passed_over[organisation] += count;
+}
+
 void fair_queue::insert(queued_call queued)
 {
     account& own = accounts_[queued.call.organisation];
@@ -36,6 +44,8 @@
 
 std::size_t fair_queue::ahead_of(const attempt& call, double cost_ms) const
 {
+    if (order_ == queue_order::arrival)
+        return size_;
     const std::size_t tier = tier_of(call);
     const auto turn_after_nested = [&](const account& owner) {
         const std::size_t nested = tier == 0 ? 0 : owner.waiting[0].size();
@@ -71,8 +81,10 @@
     return ahead;
 }
 
-fair_queue::account_map::iterator fair_queue::find_next(std::size_t tier)
+/// Finds the call that has its turn.
+fair_queue::place fair_queue::find_next()
 {
+    const std::size_t tier = size_by_tier_[0] != 0 ? 0 : 1;
     auto next = accounts_.end();
     for (auto position = accounts_.begin(); position != accounts_.end();
          ++position) {
@@ -88,45 +100,115 @@
         if (is_earlier)
             next = position;
     }
-    return next;
+    return {next, tier};
 }
 
-attempt fair_queue::pop()
+/// Finds the call that arrived first.
+fair_queue::place fair_queue::find_oldest()
 {
-    assert(!empty() && "there must be a waiting call");
-    const std::size_t tier = size_by_tier_[0] != 0 ? 0 : 1;
-    account& next = find_next(tier)->second;
-    turn_ms_ = std::max(turn_ms_, next.turn_ms);
-    attempt popped = std::move(next.waiting[tier].front().call);
-    next.waiting[tier].pop_front();
-    --size_;
-    --size_by_tier_[tier];
-    forget_settled();
-    return popped;
+    place oldest{accounts_.end()};
+    for (auto position = accounts_.begin(); position != accounts_.end();
+         ++position) {
+        for (std::size_t tier = 0; tier < 2; ++tier) {
+            const call_list& waiting = position->second.waiting[tier];
+            if (waiting.empty())
+                continue;
+            if (oldest.owner == accounts_.end() ||
+                waiting.front().sequence < oldest.waiting().front().sequence)
+                oldest = {position, tier};
+        }
+    }
+    return oldest;
 }
 
-attempt fair_queue::drop_newest()
+/// Finds the call that a full queue removes by turns.
+fair_queue::place fair_queue::find_dropped()
 {
-    assert(!empty() && "there must be a waiting call");
     const std::size_t tier = size_by_tier_[1] != 0 ? 1 : 0;
-    account* largest = nullptr;
-    for (auto& [name, candidate] : accounts_) {
+    auto largest = accounts_.end();
+    for (auto position = accounts_.begin(); position != accounts_.end();
+         ++position) {
+        const account& candidate = position->second;
         const call_list& waiting = candidate.waiting[tier];
         if (waiting.empty())
             continue;
         const bool is_larger =
-            largest == nullptr ||
+            largest == accounts_.end() ||
             std::pair(candidate.size(), waiting.back().sequence) >
-                std::pair(largest->size(),
-                          largest->waiting[tier].back().sequence);
+                std::pair(largest->second.size(),
+                          largest->second.waiting[tier].back().sequence);
         if (is_larger)
-            largest = &candidate;
+            largest = position;
+    }
+    return {largest, tier};
+}
+
+/// Finds the call that arrived last.
+fair_queue::place fair_queue::find_newest()
+{
+    place newest{accounts_.end()};
+    for (auto position = accounts_.begin(); position != accounts_.end();
+         ++position) {
+        for (std::size_t tier = 0; tier < 2; ++tier) {
+            const call_list& waiting = position->second.waiting[tier];
+            if (waiting.empty())
+                continue;
+            if (newest.owner == accounts_.end() ||
+                waiting.back().sequence > newest.waiting().back().sequence)
+                newest = {position, tier};
+        }
     }
-    call_list& waiting = largest->waiting[tier];
-    attempt dropped = std::move(waiting.back().call);
-    waiting.pop_back();
+    return newest;
+}
+
+void fair_queue::count_start(const place& by_turns, const place& by_arrival)
+{
+    if (by_turns.waiting().front().sequence ==
+        by_arrival.waiting().front().sequence)
+        return;
+    ++tally_.starts;
+    ++tally_.passed_over[by_arrival.owner->first];
+}
+
+attempt fair_queue::pop()
+{
+    assert(!empty() && "there must be a waiting call");
+    const place by_turns = find_next();
+    // The least turn of the waiting organisations is the present one in both
+    // orders. With that of the call that starts, an organisation beyond its
+    // share would advance the others to its own turn.
+    turn_ms_ = std::max(turn_ms_, by_turns.owner->second.turn_ms);
+    place next = by_turns;
+    if (!has_one_order()) {
+        const place by_arrival = find_oldest();
+        count_start(by_turns, by_arrival);
+        if (order_ == queue_order::arrival)
+            next = by_arrival;
+    }
+    attempt popped = std::move(next.waiting().front().call);
+    next.waiting().pop_front();
+    --size_;
+    --size_by_tier_.at(next.tier);
+    forget_settled();
+    return popped;
+}
+
+attempt fair_queue::drop_newest()
+{
+    assert(!empty() && "there must be a waiting call");
+    place dropped_place = find_dropped();
+    if (!has_one_order()) {
+        const place newest = find_newest();
+        if (newest.waiting().back().sequence !=
+            dropped_place.waiting().back().sequence)
+            ++tally_.removals;
+        if (order_ == queue_order::arrival)
+            dropped_place = newest;
+    }
+    attempt dropped = std::move(dropped_place.waiting().back().call);
+    dropped_place.waiting().pop_back();
     --size_;
-    --size_by_tier_[tier];
+    --size_by_tier_.at(dropped_place.tier);
     forget_settled();
     return dropped;
 }
@@ -136,7 +218,7 @@
 {
     // Nested calls first, then by turns: the calls that have as many calls of
     // their organisation before them are of the same round.
-    struct place
+    struct visited_call
     {
         std::size_t tier;
         std::size_t round;
@@ -144,7 +226,7 @@
         std::uint64_t sequence;
         queued_call* queued;
     };
-    std::vector<place> places;
+    std::vector<visited_call> places;
     places.reserve(size_);
     for (auto& [name, owner] : accounts_) {
         for (std::size_t tier = 0; tier < 2; ++tier) {
@@ -156,9 +238,14 @@
             }
         }
     }
-    if (accounts_.size() > 1 || size_by_tier_[0] != 0) {
+    if (order_ == queue_order::arrival) {
+        std::sort(places.begin(), places.end(),
+                  [](const visited_call& left, const visited_call& right) {
+                      return left.sequence < right.sequence;
+                  });
+    } else if (accounts_.size() > 1 || size_by_tier_[0] != 0) {
         std::sort(places.begin(), places.end(),
-                  [](const place& left, const place& right) {
+                  [](const visited_call& left, const visited_call& right) {
                       return std::tie(left.tier, left.round, left.turn_ms,
                                       left.sequence) <
                              std::tie(right.tier, right.round, right.turn_ms,
@@ -166,7 +253,7 @@
                   });
     }
     constexpr std::uint64_t gone = 0;
-    for (const place& visited : places) {
+    for (const visited_call& visited : places) {
         if (!matches(visited.queued->call))
             continue;
         removed.push_back(std::move(visited.queued->call));
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -21,7 +21,13 @@
 
 void gate::state::configure(std::shared_ptr<const config::configuration> next)
 {
+    if (in_force)
+        count_turns();
     in_force = std::move(next);
+    turns.configure(*in_force);
+    const bool turns_act = in_force->mode(automation::organisation_turns) !=
+                           config::automation_mode::observe;
+    queue.set_order(turns_act ? queue_order::turns : queue_order::arrival);
     queue.configure(
         in_force->ranks,
         static_cast<std::size_t>(in_force->value(limit::queue_length)),
@@ -32,6 +38,14 @@
     probes.set_share(in_force->value(limit::probe_share));
 }
 
+/// Counts the decisions since the last call, which were taken under the
+/// configuration in force.
+void gate::state::count_turns()
+{
+    turns.add(queue.take_turn_tally(),
+              in_force->mode(automation::organisation_turns));
+}
+
 /// Returns whether a call of \p rank may start. Slots held for more urgent
 /// ranks are not available to it, but one slot always is.
 bool gate::state::may_start(std::size_t rank) const
@@ -267,6 +281,8 @@
     const running_call ended_call = std::move(found->second);
     const std::string& rank = ended_call.call.rank;
     state_->running.erase(found);
+    state_->turns.on_slot_time(ended_call.call.organisation,
+                               support::to_ms(service_time));
     state_->queue.release(
         rank, ended_call.charged_ms, support::to_ms(service_time),
         state_->concurrency.current(), ended_call.call.organisation);
@@ -454,6 +470,8 @@
     }
     state_->start_waiting(now, actions);
     state_->refuse_beyond_limit(now, actions);
+    state_->count_turns();
+    state_->turns.record_due(now, state_->decisions);
     state_->record_sheds(state_->sheds_acted, decision_effect::acted, now);
     state_->record_sheds(state_->sheds_observed, decision_effect::observed,
                          now);
@@ -519,6 +537,11 @@
     return report;
 }
 
+const turn_statistics& gate::turns() const
+{
+    return state_->turns;
+}
+
 const gate_counters& gate::counters() const
 {
     return state_->counts;
--- a/lib/admission/gate_state.hpp
+++ b/lib/admission/gate_state.hpp
@@ -10,6 +10,7 @@
 #include "galenarudder/admission/rate_limit.hpp"
 #include "galenarudder/admission/service_estimate.hpp"
 #include "galenarudder/admission/slowdown_monitor.hpp"
+#include "galenarudder/admission/turn_statistics.hpp"
 #include "galenarudder/telemetry/decision_log.hpp"
 
 #include <map>
@@ -64,6 +65,7 @@
     gate_counters counts;
     shed_tally sheds_acted;
     shed_tally sheds_observed;
+    turn_statistics turns;
     bool upstream_present = false;
     bool draining = false;
     /// Operators have emptied the failure domain.
@@ -71,6 +73,7 @@
     support::time_point serving_since;
 
     void configure(std::shared_ptr<const config::configuration> next);
+    void count_turns();
     bool may_start(std::size_t rank) const;
     support::duration expected_service_time(const attempt& call) const;
     std::optional<double> start_rate(support::time_point now) const;
--- a/lib/admission/rank_queue.cpp
+++ b/lib/admission/rank_queue.cpp
@@ -34,13 +34,14 @@
     window_ms_ = support::to_ms(window);
     for (const config::rank_policy& policy : ranks) {
         lane new_lane;
+        new_lane.waiting = fair_queue(order_);
         new_lane.name = policy.name;
         new_lane.minimum_share = policy.minimum_share;
         new_lane.reserved_places =
             reserved_places(policy.minimum_share, capacity_);
         lanes_.push_back(std::move(new_lane));
     }
-    lanes_.emplace_back();
+    lanes_.emplace_back().waiting = fair_queue(order_);
     for (lane& previous_lane : previous_lanes) {
         lane& new_lane = lanes_[rank_of(previous_lane.name)];
         new_lane.credit_ms = previous_lane.credit_ms;
@@ -52,6 +53,14 @@
         lanes_[rank_of(name)].running += count;
 }
 
+turn_tally rank_queue::take_turn_tally()
+{
+    turn_tally taken;
+    for (lane& rank_lane : lanes_)
+        taken.add(rank_lane.waiting.take_tally());
+    return taken;
+}
+
 std::size_t rank_queue::rank_of(std::string_view name) const
 {
     for (std::size_t rank = 0; rank + 1 < lanes_.size(); ++rank) {
--- a/lib/config/configuration.cpp
+++ b/lib/config/configuration.cpp
@@ -40,7 +40,8 @@
     "retry",
     "adapt_limit",
     "reroute",
-    "organisation_limit"};
+    "organisation_limit",
+    "organisation_turns"};
 
 constexpr std::array<std::string_view, 3> mode_names = {"automatic", "bounded",
                                                         "observe"};
--- a/lib/config/document_parts.hpp
+++ b/lib/config/document_parts.hpp
@@ -135,7 +135,8 @@
         "retry": {"$ref": "#/definitions/mode"},
         "adapt_limit": {"$ref": "#/definitions/mode"},
         "reroute": {"$ref": "#/definitions/mode"},
-        "organisation_limit": {"$ref": "#/definitions/mode"}}}
+        "organisation_limit": {"$ref": "#/definitions/mode"},
+        "organisation_turns": {"$ref": "#/definitions/mode"}}}
   },
   "definitions": {
     "regions": {"type": "array", "items": {"type": "string", "minLength": 1}},
@@ -168,7 +169,8 @@
         "retry": {"enum": ["automatic", "bounded", "observe"]},
         "adapt_limit": {"enum": ["automatic", "bounded", "observe"]},
         "reroute": {"enum": ["automatic", "bounded", "observe"]},
-        "organisation_limit": {"enum": ["automatic", "bounded", "observe"]}}}
+        "organisation_limit": {"enum": ["automatic", "bounded", "observe"]},
+        "organisation_turns": {"enum": ["automatic", "bounded", "observe"]}}}
   }
 })";
 
--- a/lib/daemon/collect_metrics.cpp
+++ b/lib/daemon/collect_metrics.cpp
@@ -37,7 +37,8 @@
     config::automation::retry,
     config::automation::adapt_limit,
     config::automation::reroute,
-    config::automation::organisation_limit};
+    config::automation::organisation_limit,
+    config::automation::organisation_turns};
 
 constexpr telemetry::decision_effect effects[] = {
     telemetry::decision_effect::acted, telemetry::decision_effect::limited,
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -1,6 +1,7 @@
 // Carries out the actions of admission::gate.
 #include "galenarudder/proxy/gate_runtime.hpp"
 
+#include "galenarudder/admission/turn_statistics.hpp"
 #include "galenarudder/http/client.hpp"
 #include "galenarudder/proxy/upstream_client.hpp"
 #include "galenarudder/telemetry/log.hpp"
@@ -138,6 +139,7 @@
     void probe_if_due(support::time_point now);
     asio::awaitable<void> probe(support::duration timeout);
     void publish_metrics(support::time_point now);
+    void publish_turns();
 
     asio::strand<asio::io_context::executor_type> strand_;
     asio::steady_timer timer_;
@@ -424,6 +426,7 @@
     add("galenarudder_gate_shed_observed_total",
         "Calls that shedding in mode observe let through", counts.shed_observed,
         published_.shed_observed);
+    publish_turns();
     add("galenarudder_probes_total", "Probes of the upstream",
         gate_.probes().count(), published_probes_);
     const support::duration cost = gate_.probes().total_cost();
@@ -433,6 +436,46 @@
     published_probe_cost_ = cost;
 }
 
+/// Publishes what turns of organisations decided; nothing where the
+/// configuration has no organisations.
+void gate_runtime::impl::publish_turns()
+{
+    if (in_force_->organisations.empty())
+        return;
+    const admission::turn_statistics& turns = gate_.turns();
+    const auto set_decided = [this](const char* effect,
+                                    const admission::turn_tally& total) {
+        constexpr const char* name = "galenarudder_gate_turns_total";
+        constexpr const char* help =
+            "Calls started or removed by turns of organisations although "
+            "another one was due by arrival";
+        metrics_->set_counter(name, help,
+                              {{"decision", "start"}, {"effect", effect}},
+                              static_cast<double>(total.starts));
+        metrics_->set_counter(name, help,
+                              {{"decision", "removal"}, {"effect", effect}},
+                              static_cast<double>(total.removals));
+    };
+    set_decided("acted", turns.acted());
+    set_decided("observed", turns.observed());
+    constexpr double ms_per_s = 1000;
+    for (const auto& [organisation, counted] : turns.counts()) {
+        const std::vector<telemetry::metric_label> labels = {
+            {"organisation", organisation}};
+        metrics_->set_counter(
+            "galenarudder_organisation_slot_seconds_total",
+            "Time for which calls of an organisation used slots of this gate; "
+            "organisation is empty for all but the 10 largest",
+            labels, counted.slot_ms / ms_per_s);
+        metrics_->set_counter(
+            "galenarudder_organisation_passed_over_total",
+            "Starts at which the first call by arrival was one of the "
+            "organisation, but another has its turn; organisation is empty for "
+            "all but the 10 largest",
+            labels, static_cast<double>(counted.passed_over));
+    }
+}
+
 /// Returns the gate's load and the time that \p attempt has spent at the gate.
 support::load_report
 gate_runtime::impl::load_report_of(const open_attempt& attempt) const
--- a/unittests/admission/fair_queue_test.cpp
+++ b/unittests/admission/fair_queue_test.cpp
@@ -2,10 +2,12 @@
 // usual load leaves to the others.
 #include "galenarudder/admission/fair_queue.hpp"
 #include "galenarudder/admission/gate.hpp"
+#include "galenarudder/admission/turn_statistics.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <set>
@@ -34,9 +36,10 @@
     return call;
 }
 
-fair_queue make_queue(const std::vector<arrival>& arrivals)
+fair_queue make_queue(const std::vector<arrival>& arrivals,
+                      queue_order order = queue_order::turns)
 {
-    fair_queue queue;
+    fair_queue queue(order);
     std::uint64_t id = 0;
     for (const arrival& arrived : arrivals) {
         ++id;
@@ -125,6 +128,102 @@
 }
 
 // The gate refuses calls early by this number.
+// Guards against mode observe that changes which calls start, are refused or
+// are removed.
+TEST_CASE("in the order of arrival nothing takes turns, and both are compared")
+{
+    const std::vector<arrival> arrivals = {{"a"}, {"a"}, {"b"}, {"a", true},
+                                           {"a"}, {"b"}, {"a"}, {"b"}};
+    const auto order = GENERATE(queue_order::arrival, queue_order::turns);
+    const bool by_arrival = order == queue_order::arrival;
+    CAPTURE(by_arrival);
+    fair_queue queue = make_queue(arrivals, order);
+    CHECK((queue.ahead_of(make_call(9, {"c"}), 10) == 8) == by_arrival);
+    CHECK((queue.ahead_of(make_call(9, {"c", true}), 10) == 8) == by_arrival);
+    std::vector<std::uint64_t> visited;
+    std::vector<attempt> removed;
+    queue.remove_if(
+        [&](const attempt& call) {
+            visited.push_back(id_of(call));
+            return id_of(call) == 2;
+        },
+        removed);
+    CHECK(std::is_sorted(visited.begin(), visited.end()) == by_arrival);
+    CHECK(removed.size() == 1);
+    CHECK(id_of(queue.drop_newest()) == (by_arrival ? 8 : 7));
+    const auto started = start_all(queue, {{"a", 10}, {"b", 10}});
+    CHECK(std::is_sorted(started.begin(), started.end()) == by_arrival);
+    const turn_tally tally = queue.take_tally();
+    CHECK(tally.removals == 1);
+    CHECK(tally.starts > 0);
+    CHECK(tally.passed_over.contains("a"));
+    CHECK(queue.take_tally().empty());
+}
+
+TEST_CASE(
+    "the gate takes turns unless they are only observed, and records that")
+{
+    using config::automation;
+    using config::automation_mode;
+    using telemetry::decision_effect;
+    const auto mode =
+        GENERATE(automation_mode::automatic, automation_mode::bounded,
+                 automation_mode::observe);
+    const bool observes = mode == automation_mode::observe;
+    CAPTURE(observes);
+    config::configuration in_force = config::default_configuration();
+    for (const char* name :
+         {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "largest"}) {
+        config::organisation_policy policy;
+        policy.name = name;
+        policy.calls_per_s = name == std::string("largest") ? 5 : 0;
+        in_force.organisations.push_back(
+            std::make_shared<const config::organisation_policy>(policy));
+    }
+    in_force.modes.at(
+        static_cast<std::size_t>(automation::organisation_turns)) = mode;
+    telemetry::decision_log decisions;
+    gate tested(in_force);
+    tested.set_decision_log(decisions);
+    time_point now{std::chrono::seconds(10)};
+    tested.on_upstream_announced(1, now);
+    std::vector<std::uint64_t> started;
+    const auto collect = [&](const std::vector<action>& actions) {
+        for (const action& next : actions) {
+            if (const auto* begun = std::get_if<start>(&next))
+                started.push_back(static_cast<std::uint64_t>(begun->key.id));
+        }
+    };
+    std::uint64_t id = 0;
+    for (const char* name : {"largest", "largest", "largest", "k", "largest"}) {
+        attempt call = make_call(++id, {name});
+        call.deadline = now + std::chrono::seconds(30);
+        collect(tested.offer(call, now));
+    }
+    for (std::size_t ended = 0; ended < started.size(); ++ended) {
+        now += milliseconds(10);
+        attempt_key key;
+        key.id = static_cast<support::attempt_id>(started[ended]);
+        collect(
+            tested.on_ended(key, run_result::answered, milliseconds(10), now));
+    }
+    CHECK(started == (observes ? std::vector<std::uint64_t>{1, 2, 3, 4, 5}
+                               : std::vector<std::uint64_t>{1, 4, 2, 3, 5}));
+    for (int tick = 0; tick < 20; ++tick)
+        tested.on_tick(now += milliseconds(50));
+    CHECK(decisions.count(automation::organisation_turns,
+                          observes ? decision_effect::observed
+                                   : decision_effect::acted) == 1);
+    CHECK(decisions.latest().front().subject == "calls of largest");
+    const turn_statistics& turns = tested.turns();
+    CHECK((observes ? turns.observed() : turns.acted()).starts > 0);
+    CHECK((observes ? turns.acted() : turns.observed()).empty());
+    CHECK(turns.counts().size() == turn_statistics::named_organisations + 1);
+    CHECK(turns.counts().at("largest").passed_over > 0);
+    CHECK(turns.counts().at("largest").slot_ms == Approx(40));
+    CHECK(turns.counts().at("").slot_ms == Approx(10));
+}
+
 TEST_CASE("the calls ahead are those that start earlier at equal cost")
 {
     rc::check([] {
--- a/unittests/config/check_test.cpp
+++ b/unittests/config/check_test.cpp
@@ -186,6 +186,30 @@
           expected);
 }
 
+// Guards against an automation that the schemas of the documents refuse.
+TEST_CASE("base and overlay may state the mode of every automation", "[config]")
+{
+    const auto index =
+        GENERATE(range(std::size_t{0}, config::automation_count));
+    const auto kind = static_cast<config::automation>(index);
+    const std::string name(to_string(kind));
+    CAPTURE(name);
+    json base = valid_base();
+    base["automation"] = {
+        {name,
+         {{"mode", "automatic"}, {"loosest", "automatic"}, {"mover", "site"}}}};
+    const json overlay = {{"automation", {{name, "observe"}}}};
+    const config::document full_document =
+        document_with_overlay(base, overlay.dump());
+    REQUIRE(config::validate(full_document));
+    const auto merged =
+        config::effective_configuration(full_document, "bilbao");
+    REQUIRE(merged);
+    CHECK(merged.value().mode(kind) == config::automation_mode::observe);
+    CHECK(config::default_configuration().mode(kind) ==
+          config::automation_mode::automatic);
+}
+
 TEST_CASE("an error names the line of the invalid value", "[config]")
 {
     const std::string text = "{\n \"format\": \"galenarudder-overlay-1\",\n"
