--- a/include/galenarudder/config/configuration.hpp
+++ b/include/galenarudder/config/configuration.hpp
@@ -44,9 +44,12 @@
     /// Refuses calls of organisations above their rate limits.
     organisation_limit,
     /// Refuses calls that a cold upstream cannot answer before they are late.
-    cold_admission
+    cold_admission,
+    /// Starts and removes the waiting calls of a gate by turns of their
+    /// organisations instead of by arrival.
+    organisation_turns
 };
-inline constexpr std::size_t automation_count = 8;
+inline constexpr std::size_t automation_count = 9;
 
 /// The numeric limits that operators can change.
 enum class limit
--- a/lib/config/configuration.cpp
+++ b/lib/config/configuration.cpp
@@ -41,7 +41,8 @@
     "adapt_limit",
     "reroute",
     "organisation_limit",
-    "cold_admission"};
+    "cold_admission",
+    "organisation_turns"};
 
 constexpr std::array<std::string_view, 3> mode_names = {"automatic", "bounded",
                                                         "observe"};
--- a/lib/config/document_parts.hpp
+++ b/lib/config/document_parts.hpp
@@ -136,7 +136,8 @@
         "adapt_limit": {"$ref": "#/definitions/mode"},
         "reroute": {"$ref": "#/definitions/mode"},
         "organisation_limit": {"$ref": "#/definitions/mode"},
-        "cold_admission": {"$ref": "#/definitions/mode"}}}
+        "cold_admission": {"$ref": "#/definitions/mode"},
+        "organisation_turns": {"$ref": "#/definitions/mode"}}}
   },
   "definitions": {
     "regions": {"type": "array", "items": {"type": "string", "minLength": 1}},
@@ -170,7 +171,8 @@
         "adapt_limit": {"enum": ["automatic", "bounded", "observe"]},
         "reroute": {"enum": ["automatic", "bounded", "observe"]},
         "organisation_limit": {"enum": ["automatic", "bounded", "observe"]},
-        "cold_admission": {"enum": ["automatic", "bounded", "observe"]}}}
+        "cold_admission": {"enum": ["automatic", "bounded", "observe"]},
+        "organisation_turns": {"enum": ["automatic", "bounded", "observe"]}}}
   }
 })";
 
