Soak: play keys, limits, cold domains and evacuations

The soak did not play the parts for organisations, cold upstreams and emptied domains, so faults of daemons and of the store never overlapped with them.

Three lanes of faults, beside the present ones, play surges of an organisation with a limit, failure domains whose upstreams return cold, with or without their daemons, and evacuations. Callers use keys, send calls without a valid one and forge the organisation. Checks: 401 for calls without a valid key, no key at an upstream or in a log, the organisation's name at the upstream, the limit in each window, the rate of cold upstreams, nothing at an emptied domain after 2 s. A refusal that states that a call did not run is checked for repeatable calls, too.

platform_checks.py has what the tests of limits, cold upstreams and emptied domains had each on its own.

--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -83,6 +83,8 @@
     `restore` raises by one.
     """
 
+    name = "store"
+
     def __init__(self, address):
         self.mode = "up"
         self.write_answers_to_lose = 0
@@ -350,6 +352,7 @@
 class UpstreamHandler(QuietHandler):
     def serve(self):
         upstream = self.server
+        begun_at_s = time.monotonic()
         early = upstream.early_status if self.command == "POST" else None
         if self.command == "POST":
             time.sleep(upstream.body_delay_s)
@@ -369,8 +372,10 @@
                 "time_left_ms": self.headers.get("Timeout-Ms"),
                 "caller": self.headers.get("Caller-Service"),
                 "fields": self.headers.items(),
-                "received_at_s": time.monotonic(),
-                "instance": upstream.instance, "early": early, "status": None}
+                "begun_at_s": begun_at_s, "received_at_s": time.monotonic(),
+                "instance": upstream.instance,
+                "started_ms": upstream.started_ms, "early": early,
+                "status": None}
         upstream.received_calls.append(call)
         time.sleep(upstream.delay_s)
         fields = load + [("Attempt-Id", attempt),
@@ -423,21 +428,29 @@
     print(f"ok: {description}", flush=True)
 
 
-def configuration(version, routes, timeout_ms=2000):
+def configuration(version, routes, timeout_ms=2000, organisations=None,
+                  cold_per_s=None):
     """Return a configuration document of the platform.
 
-    `routes` maps a path prefix to (service, kind).
+    `routes` maps a path prefix to (service, kind), `organisations` a name to
+    (keys, calls per second, burst).
     """
     rows = [[f"r{number}", HOST, prefix, kind, f"{timeout_ms}ms", "500ms", 0,
              None, 2, service]
             for number, (prefix, (service, kind)) in enumerate(routes.items())]
     services = sorted({service for service, _ in routes.values()})
-    return {"version": version,
+    tenants = {} if organisations is None else {"tenants": {
+        "columns": ["name", "apiKeys", "priority", "ratePerS", "burst"],
+        "rows": [[name, list(keys), 0, calls_per_s, burst] for
+                 name, (keys, calls_per_s, burst) in organisations.items()]}}
+    cold = [] if cold_per_s is None else [cold_per_s]
+    return {"version": version, **tenants,
             "routes": {"columns": ["name", "authority", "prefix", "type",
                                    "timeout", "goal", "priority", "split",
                                    "attempts", "service"], "rows": rows},
-            "services": {"columns": ["name", "healthPath", "maxConns"],
-                         "rows": [[name, "/healthz", 50]
+            "services": {"columns": ["name", "healthPath", "maxConns",
+                                     "coldPerS"][:3 + len(cold)],
+                         "rows": [[name, "/healthz", 50, *cold]
                                   for name in services]},
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576,
                        "header": "3000ms", "idle": "15000ms"}}
@@ -490,13 +503,15 @@
         return request(f"{self.ip}:8302", "GET",
                        "/galenarudder/readyz")[0] == 200
 
-    def call(self, path, method="GET", body=b"", time_left_ms=2000):
+    def call(self, path, method="GET", body=b"", time_left_ms=2000, key=None):
         """Send one call; return its attempt id, status, fields and body."""
         attempt = f"call-{next(self.rig.attempt_numbers)}"
-        return (attempt, *request(
-            self.outbound, method, path, body,
-            {"Host": HOST, "Attempt-Id": attempt,
-             "Timeout-Ms": str(time_left_ms), "Caller-Service": "forged"}))
+        fields = {"Host": HOST, "Attempt-Id": attempt,
+                  "Timeout-Ms": str(time_left_ms), "Caller-Service": "forged"}
+        if key:
+            fields["Authorization"] = f"Token {key}"
+        return (attempt,
+                *request(self.outbound, method, path, body, fields))
 
 
 def render(template, template_values):
--- a/test/process/soak.py
+++ b/test/process/soak.py
@@ -24,9 +24,13 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
+from platform_checks import LIMIT_BOUNDS, empty_domain, take_back_domain
 from platform_rig import Rig, configuration, wait_for
-from soak_checks import metric, resources, violations_of_call
-from soak_clients import ROUTES, Clients
+from soak_checks import (COLD_PER_S, metric, resources, violations_of_call,
+                         violations_of_cold_upstreams,
+                         violations_of_emptied_domains, violations_of_keys,
+                         violations_of_limit)
+from soak_clients import KEYS, ORGANISATIONS, ROUTES, STEADY, Clients
 
 GRACE_S = 6
 # What a daemon without callers may hold beyond what it held at first, when it
@@ -47,8 +51,12 @@
         self.version = 1
         self.version_lock = threading.Lock()
         self.locks = {vm.name: threading.RLock() for vm in rig.vms}
-        # Name of a VM, kind of fault, begin and end.
+        # Name of a VM or the store, kind of fault, begin and end.
         self.disturbances = []
+        # VM, begin and end of each time for which an upstream was cold.
+        self.cold_times = []
+        # Domain, begin and end of each time for which it was emptied.
+        self.emptied_times = []
         self.violations = []
         self.faults_played = collections.Counter()
 
@@ -63,8 +71,8 @@
             self.violated(str(failure), vm)
 
     @contextlib.contextmanager
-    def disturbance(self, vm, kind):
-        row = [vm.name, kind, time.monotonic(), float("inf")]
+    def disturbance(self, disturbed, kind):
+        row = [disturbed.name, kind, time.monotonic(), float("inf")]
         self.disturbances.append(row)
         yield
         row[3] = time.monotonic()
@@ -90,8 +98,9 @@
                       f"/version-{self.version}/": ("alpha", "idempotent"),
                       **{f"/wide-{number}/": ("alpha", "idempotent")
                          for number in range(further_routes)}}
-            self.rig.store.put_configuration(
-                configuration(self.version, routes))
+            self.rig.store.put_configuration(configuration(
+                self.version, routes, organisations=ORGANISATIONS,
+                cold_per_s=COLD_PER_S))
             self.clients.version.value = self.version
 
     def start_daemon(self, vm):
@@ -164,7 +173,8 @@
             wait_for(vm.is_ready, f"{vm.name} is ready")
         for vm in self.rig.vms:
             for path in (*ROUTES, f"/version-{self.version}/"):
-                wait_for(lambda: vm.call(path + "calm", "POST")[1] == 200,
+                wait_for(lambda: vm.call(path + "calm", "POST",
+                                         key=KEYS[STEADY])[1] == 200,
                          f"{vm.name} serves {path}")
 
     def calm(self):
@@ -199,7 +209,8 @@
             version = 0
             # SIGKILL can cut the last line of a lifetime.
             for line in vm.log.read_text(errors="replace").splitlines():
-                if not line.startswith("{") or "Assertion" in line:
+                if not line.startswith("{") or "Assertion" in line \
+                        or any(key in line for key in KEYS.values()):
                     self.violated(f"{vm.name} wrote {line!r}", vm)
                 if '"daemon.started"' in line:
                     version = 0
@@ -218,11 +229,19 @@
         for vm in self.rig.vms:
             for run in vm.upstream.received_calls:
                 runs[run["id"]].append({**run, "vm": vm})
+            for description in violations_of_keys(vm.upstream.received_calls):
+                self.violated(description, vm)
+        for description, vm in (
+                *violations_of_cold_upstreams(self.cold_times),
+                *violations_of_emptied_domains(self)):
+            self.violated(description, vm)
+        for description in violations_of_limit(self.rig.vms):
+            self.violated(description)
         for call in calls:
             vm = self.rig.vms[call["vm"]]
             for description in violations_of_call(
                     self, vm, call, runs.pop(call["id"], [])):
-                self.violated(f"{description}: {call}", vm)
+                self.violated(f"{call['id']}: {description}: {call}", vm)
         for attempt in runs:
             if not attempt.startswith("call-"):
                 self.violated(f"an upstream ran {attempt}, which nobody sent")
@@ -302,9 +321,10 @@
 
 
 def disturb_store(soak, rng):
-    soak.rig.store.set_mode(rng.choice(("silent", "busy", "many")))
-    time.sleep(rng.uniform(0.2, 3))
-    soak.rig.store.set_mode("up")
+    with soak.disturbance(soak.rig.store, "outage"):
+        soak.rig.store.set_mode(rng.choice(("silent", "busy", "many")))
+        time.sleep(rng.uniform(0.2, 3))
+        soak.rig.store.set_mode("up")
 
 
 def lose_write_answers_and_history(soak, rng):
@@ -381,15 +401,60 @@
     vm.upstream.start_instance()
 
 
+def surge(soak, rng):
+    soak.clients.surge.set()
+    time.sleep(rng.uniform(1, 6))
+    soak.clients.surge.clear()
+
+
+def some_domain(soak, rng):
+    """Return a failure domain and its VMs."""
+    domain = rng.choice(sorted({vm.zone for vm in soak.rig.vms}))
+    return domain, [vm for vm in soak.rig.vms if vm.zone == domain]
+
+
+def return_cold(soak, rng):
+    """Restart the upstreams of a domain, in half of the cases its daemons,
+    too."""
+    _, vms = some_domain(soak, rng)
+    time_s = rng.uniform(1, 4)
+    loses_power = rng.random() < 0.5
+    with held(soak, vms):
+        for vm in vms:
+            if loses_power:
+                soak.kill(vm)
+            upstream = vm.upstream
+            # Otherwise it states the cold time on the health path only.
+            upstream.announces_cold = rng.random() < 0.7
+            upstream.cold_until_s = time.monotonic() + time_s
+            upstream.start_instance()
+            soak.cold_times.append(
+                (vm, time.monotonic(), upstream.cold_until_s))
+        if loses_power:
+            for vm in vms:
+                soak.start_daemon(vm)
+    time.sleep(time_s)
+
+
+def evacuate(soak, rng):
+    domain, _ = some_domain(soak, rng)
+    begin = empty_domain(soak.rig, domain)
+    soak.ended.wait(rng.uniform(3, 8))
+    soak.emptied_times.append((domain, begin, time.monotonic()))
+    take_back_domain(soak.rig, domain)
+
+
 FAULTS = (
     kill_some, kill_all, leave_in_turn, leave_in_turn, leave_overlapping,
     leave_overlapping, leave_with_further_signals, freeze, reload_settings,
     disturb_store, lose_write_answers_and_history, drain_upstream,
     restart_upstream, disturb_upstream, disturb_upstream,
     change_configuration, change_configuration)
-# On a lane of their own, so that the other lanes of a seed stay as they are.
+# On lanes of their own, so that the other lanes of a seed stay as they are.
 FURTHER_FAULTS = (widen_configuration, limit_upstream, limit_upstream,
                   state_leave)
+LANES_OF_FAULTS = {"further": FURTHER_FAULTS, "surge": (surge,),
+                   "cold": (return_cold,), "evacuations": (evacuate,)}
 
 
 def play(build, seed, time_s, vms, network, logs=None, lanes=3, processes=3):
@@ -400,12 +465,13 @@
         clients = Clients(addresses, seed, pathlib.Path(folder), processes)
         services = [("alpha", "beta")[number // 2 % 2]
                     for number in range(vms)]
-        with Rig(build, services, network) as rig:
+        with Rig(build, services, network,
+                 {**LIMIT_BOUNDS, "evac": "2s"}) as rig:
             soak = Soak(rig, clients, seed)
             soak.start()
             clients.begun.set()
             lanes_of_faults = [(lane, FAULTS) for lane in range(lanes)]
-            lanes_of_faults.append(("further", FURTHER_FAULTS))
+            lanes_of_faults += LANES_OF_FAULTS.items()
             threads = [threading.Thread(target=soak.play_lane, args=lane)
                        for lane in lanes_of_faults]
             for thread in threads:
--- a/test/process/soak_clients.py
+++ b/test/process/soak_clients.py
@@ -18,6 +18,16 @@
 
 ROUTES = {"/a/": ("alpha", "idempotent"), "/b/": ("beta", "non_idempotent"),
           "/u/": ("alpha", "upload"), "/v/": ("beta", "upload")}
+# Organisations by name: keys, calls per second and burst. STEADY has no limit.
+STEADY, SURGING = "steady", "surging"
+ORGANISATIONS = {STEADY: (["key-of-steady"], None, None),
+                 SURGING: (["key-of-surging"], 20, 5)}
+KEYS = {name: keys[0] for name, (keys, _, _) in ORGANISATIONS.items()}
+# Values of the field Authorization that name no organisation; None for no
+# field.
+UNKNOWN_AUTHORIZATIONS = (None, "Token key-of-nobody", "Token", "Token ",
+                          "Bearer key-of-steady", "Token key-of-stead",
+                          "Token key-of-steady,key-of-surging")
 MAX_PIPELINED = 6
 MIN_UPLOAD_BYTES = 66_000
 
@@ -54,13 +64,23 @@
     def pause(self, longest_s):
         time.sleep(self.rng.uniform(0, longest_s))
 
-    def new_call(self, method, path, size=0, time_left_ms=2000):
-        """Return the record of a call, and the head that is to be sent."""
+    def new_call(self, method, path, size=0, time_left_ms=2000,
+                 organisation=STEADY):
+        """Return the record of a call, and the head that is to be sent.
+
+        Without an organisation the call carries no valid key.
+        """
         attempt = f"{self.name}-{len(self.records)}"
+        authorization = f"Token {KEYS[organisation]}" if organisation \
+            else self.rng.choice(UNKNOWN_AUTHORIZATIONS)
         head = (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
                 f"Attempt-Id: {attempt}\r\nTimeout-Ms: {time_left_ms}\r\n"
-                f"Content-Length: {size}\r\n\r\n").encode()
+                f"Content-Length: {size}\r\nTenant: forged\r\n")
+        if authorization is not None:
+            head += f"Authorization: {authorization}\r\n"
+        head = (head + "\r\n").encode()
         record = {"id": attempt, "vm": self.vm, "path": path, "size": size,
+                  "organisation": organisation, "authorization": authorization,
                   "connected_at": self.connected_at,
                   "sent_at": time.monotonic(), "ended_at": None,
                   "status": None, "closes": False, "left": False,
@@ -100,15 +120,26 @@
         record.update(left=True, ended_at=time.monotonic())
         return False
 
-    def call(self, method, path, size=0):
-        record, head = self.new_call(method, path, size)
+    def call(self, method, path, size=0, organisation=STEADY):
+        record, head = self.new_call(method, path, size,
+                                     organisation=organisation)
         self.send(head + body_of(record["id"], size))
         return self.read_answer(record)
 
-    def call_any(self):
+    def call_any(self, organisation=STEADY):
         if self.rng.random() < 0.5:
-            return self.call("GET", "/a/x")
-        return self.call("POST", "/b/x", self.rng.randrange(0, 3000))
+            return self.call("GET", "/a/x", organisation=organisation)
+        return self.call("POST", "/b/x", self.rng.randrange(0, 3000),
+                         organisation)
+
+    def call_without_valid_key(self):
+        return self.call_any(None)
+
+    def call_in_surges(self):
+        """Call far above the limit of the organisation while it surges."""
+        if not self.soak.surge.is_set():
+            self.pause(0.6)
+        return self.call_any(SURGING)
 
     def pipeline(self):
         """Send calls behind open ones until the connection closes."""
@@ -184,7 +215,9 @@
     kept(Caller.call_any, 0.05), kept(Caller.call_any, 3),
     kept(Caller.upload, 0.2), kept(Caller.call_changed_route, 0.2),
     on_new_connection(Caller.call_any, 0.1),
-    on_new_connection(Caller.leave_before_answer, 0.1)]
+    on_new_connection(Caller.leave_before_answer, 0.1),
+    kept(Caller.call_without_valid_key, 0.4),
+    kept(Caller.call_in_surges, 0.02), kept(Caller.call_in_surges, 0.02)]
 
 
 class Clients:
@@ -196,6 +229,7 @@
         self.addresses = addresses
         self.begun = context.Event()
         self.ended = context.Event()
+        self.surge = context.Event()
         self.version = context.Value("i", 0)
         self.files = [folder / f"calls-{number}.json"
                       for number in range(processes)]
--- a/test/process/test_cold_upstreams.py
+++ b/test/process/test_cold_upstreams.py
@@ -13,12 +13,12 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
+from platform_checks import max_cold_calls, most_in_window
 from platform_rig import Rig, check, configuration, wait_for
 
 ROUTES = {"/again/": ("alpha", "idempotent")}
 COLD_PER_S = 10
-# The users' tolerance: x 1.5 (coldOver) + 8 (coldSlack) in any second.
-MAX_IN_A_SECOND = 1.5 * COLD_PER_S + 8
+MAX_IN_A_SECOND = max_cold_calls(COLD_PER_S)
 TIME_LEFT_MS = 600
 AT_ONCE_S = 0.2
 
@@ -54,8 +54,7 @@
 def most_in_a_second(upstream, begin):
     times = [call["received_at_s"] for call in upstream.received_calls
              if call["received_at_s"] >= begin]
-    return max((sum(first <= other < first + 1 for other in times)
-                for first in times), default=0)
+    return most_in_window(sorted(times), 1)[0]
 
 
 def check_bound(vms, begin, what):
@@ -131,14 +130,11 @@
 def main():
     with Rig(sys.argv[1], ["alpha"] * 4, "127.47") as rig:
         east = [vm for vm in rig.vms if vm.zone == "east"]
-        document = configuration(3, ROUTES)
-        document["services"]["columns"].append("coldPerS")
-        for row in document["services"]["rows"]:
-            row.append(COLD_PER_S)
         for vm in rig.vms:
             vm.upstream.delay_s = 0.02
             vm.start()
-        rig.store.put_configuration(document)
+        rig.store.put_configuration(
+            configuration(3, ROUTES, cold_per_s=COLD_PER_S))
         # One upstream of each domain states its cold time only on the health
         # path.
         for vm in rig.vms[2:]:
--- a/test/process/test_emptied_domains.py
+++ b/test/process/test_emptied_domains.py
@@ -16,12 +16,12 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
+from platform_checks import empty_domain, take_back_domain
 from platform_rig import Rig, check, configuration, request, wait_for
 
 ROUTES = {"/again/": ("alpha", "idempotent"),
           "/once/": ("alpha", "non_idempotent")}
 BOUND_S = 5
-KEY = "op/evacuate/east"
 
 
 class Callers:
@@ -85,18 +85,6 @@
             if call["received_at_s"] >= begin]
 
 
-def empty(rig):
-    with rig.store.changed:
-        rig.store.write(KEY, b"")
-    return time.monotonic()
-
-
-def take_back(rig):
-    with rig.store.changed:
-        rig.store.remove(KEY)
-    return time.monotonic()
-
-
 def emptied_domains(vm):
     answer = json.loads(request(f"{vm.ip}:9464", "GET", "/v1/domains")[2])
     return [row["domain"] for row in answer["emptied"]]
@@ -134,7 +122,7 @@
             for vm in east:
                 vm.upstream.delay_s = 1
             time.sleep(1.2)
-            begin = empty(rig)
+            begin = empty_domain(rig, "east")
             wait_for(lambda: emptied_domains(west[0]) == ["east"],
                      "a daemon elsewhere knows of it")
             status = status_of(rig, west[0])
@@ -165,7 +153,7 @@
                    for vm, before in zip(east, probes)], flush=True)
 
             rig.store.set_mode("up")
-            back = take_back(rig)
+            back = take_back_domain(rig, "east")
             wait_for(lambda: all(received([vm], back) for vm in east),
                      "all upstreams of the domain serve again")
             check(not any(emptied_domains(vm) for vm in rig.vms),
--- a/test/process/test_organisation_limits.py
+++ b/test/process/test_organisation_limits.py
@@ -16,12 +16,13 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
+from platform_checks import (LIMIT_BOUNDS, WINDOW_S, max_calls_in_window,
+                             most_in_window, run_times)
 from platform_rig import HOST, Rig, check, configuration, request, wait_for
 
 NETWORK = "127.42"
-WINDOW_S = 5
-RATE, BURST, OVER, SLACK = 40, 10, 0.1, 20
-BOUND = (RATE * WINDOW_S + BURST) * (1 + OVER) + SLACK
+RATE, BURST = 40, 10
+BOUND = max_calls_in_window(RATE, BURST)
 # Time from the store's acknowledgement of a version until a key that it
 # withdraws must be refused.
 WITHDRAWAL_S = 2.5
@@ -71,12 +72,9 @@
 
 
 def put(rig, version, keys):
-    written = configuration(version, {"/a/": ("alpha", "idempotent")})
-    written["tenants"] = {
-        "columns": ["name", "apiKeys", "priority", "ratePerS", "burst"],
-        "rows": [["large", keys, 0, RATE, BURST],
-                 ["small", ["key-small"], 0, 60, 10]]}
-    rig.store.put_configuration(written)
+    rig.store.put_configuration(configuration(
+        version, {"/a/": ("alpha", "idempotent")}, organisations={
+            "large": (keys, RATE, BURST), "small": (["key-small"], 60, 10)}))
     return time.monotonic()
 
 
@@ -120,27 +118,6 @@
                 if begin <= answered < end]
 
 
-def run_times(rig, organisation):
-    """Return when each call of an organisation first reached an upstream."""
-    first = {}
-    for vm in rig.vms:
-        for call in vm.upstream.received_calls:
-            if ("Tenant", organisation) in call["fields"]:
-                at = call["received_at_s"]
-                first[call["id"]] = min(at, first.get(call["id"], at))
-    return sorted(first.values())
-
-
-def most_in_window(times):
-    """Return the most calls in a window, and the end of that window."""
-    most, begin = (0, 0), 0
-    for end, time_s in enumerate(times):
-        while time_s - times[begin] >= WINDOW_S:
-            begin += 1
-        most = max(most, (end + 1 - begin, time_s))
-    return most
-
-
 def limit_holds_while_half_is_cut_off(rig):
     half = rig.vms[len(rig.vms) // 2:]
     large = Callers(rig.vms, "key-three", 0.02)
@@ -169,8 +146,8 @@
     play("half restarted", RECOVERY_S + 4)
     large.stop()
     small.stop()
-    times = run_times(rig, "large")
-    most, at_s = most_in_window(times)
+    times = sorted(run_times(rig.vms, "large").values())
+    most, at_s = most_in_window(times, WINDOW_S)
     print(f"at most {most} calls in {WINDOW_S} s, bound {BOUND:.0f}, "
           f"{[round(at_s - begin, 2) for _, begin, _ in phases]} s after the "
           "changes")
@@ -227,10 +204,8 @@
 
 
 def main():
-    bounds = {"quotaWindow": f"{WINDOW_S}s", "quotaOver": OVER,
-              "quotaSlack": SLACK}
     with Rig(sys.argv[1], ["alpha"] * 6, network=NETWORK,
-             bounds=bounds) as rig:
+             bounds=LIMIT_BOUNDS) as rig:
         link = Link((f"{NETWORK}.1.2", 8309), (f"{NETWORK}.1.1", 8309))
         rig.vms[0].store_address = f"{NETWORK}.1.2:8309"
         put(rig, 1, ["key-one", "key-two"])
