Open a gate to a cold upstream only with a configuration

All daemons were killed while the store refused requests. One of them opened its gate on the third check-in, 0.24 s before it had a configuration, and entries that had one 0.2 s earlier sent it calls.

Where instances have ids, a gate without a configuration now waits for one, for 5 s at most after it learned of the instance, and then checks the upstream before it opens. The daemon is not ready and refuses its own callers in that time already. Other daemons lose an upstream meanwhile that they could have used if it is not cold.

Measured: the new case of unit_entry fails without the change and passes with it; unit_entry passes (48 cases, 1,652 assertions).

--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -71,6 +71,7 @@
     void perform(const std::vector<admission::action>& actions);
     void configure(std::shared_ptr<const config::configuration> in_force);
     void set_upstream(upstream_properties upstream);
+    bool awaits_configuration() const;
     void confirm_serving();
     void upstream_leaving();
     void upstream_gone();
@@ -159,6 +160,8 @@
     /// Announcements of the current instance since it last became known or was
     /// last found not to serve.
     unsigned announcement_count_ = 0;
+    /// When the gate learned of the current instance.
+    support::time_point first_announced_at_{};
     /// Earliest time of the next check that the upstream serves: {} for at
     /// once, max() for never.
     support::time_point next_confirmation_{};
@@ -679,6 +682,7 @@
         ++instance_generation_;
         serving_ = false;
         announcement_count_ = 0;
+        first_announced_at_ = monotonic_clock::now();
         perform(gate_.on_upstream_gone(monotonic_clock::now()));
         perform(gate_.on_limit_stated(std::nullopt, monotonic_clock::now()));
         gate_.on_new_instance(monotonic_clock::now());
@@ -693,6 +697,20 @@
         confirm_serving();
 }
 
+/// Returns whether the gate does not open yet because this daemon has no
+/// configuration: it states how many calls a cold upstream takes and where to
+/// ask whether it is cold. Entries of other daemons may have one already.
+bool gate_runtime::impl::awaits_configuration() const
+{
+    // Longer than upstreams are cold after a start. An upstream whose daemon
+    // gets no configuration serves the other daemons after that.
+    constexpr std::chrono::seconds max_wait{5};
+    const bool is_configured =
+        in_force_->version != 0 || !in_force_->services.empty();
+    return !is_configured &&
+           monotonic_clock::now() - first_announced_at_ < max_wait;
+}
+
 /// Checks by a request that an instance of the upstream serves before the first
 /// call is sent to it: this daemon may have been started after the upstream
 /// announced that it leaves, and an earlier announcement may arrive late. After
@@ -702,6 +720,10 @@
 {
     constexpr unsigned trusted_announcements = 3;
     const bool has_instance_ids = !dialect_.instance.empty();
+    if (has_instance_ids && awaits_configuration()) {
+        announcement_count_ = 0;
+        return;
+    }
     if (!has_instance_ids || announcement_count_ >= trusted_announcements)
         return apply_announcement();
     if (confirming_ || emptied_ || probe_path().empty())
--- a/unittests/entry/cold_upstream_test.cpp
+++ b/unittests/entry/cold_upstream_test.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace galenarudder::proxy {
 
@@ -44,11 +45,12 @@
     return dialect;
 }
 
-/// An upstream and its gate, with 40 calls a second.
+/// An upstream and its gate, with 40 calls a second. Without a limit the gate
+/// has no configuration.
 class fixture
 {
 public:
-    explicit fixture(double limit, bool has_instances = false)
+    explicit fixture(std::optional<double> limit, bool has_instances = false)
         : dialect_(make_dialect(has_instances)),
           server_(io_,
                   [this](http::request received)
@@ -59,7 +61,11 @@
                           co_await timer.async_wait(asio::use_awaitable);
                       co_return made;
                   }),
-          gate(io_, configuration(limit), dialect_)
+          gate(io_,
+               limit ? configuration(*limit)
+                     : std::make_shared<const config::configuration>(
+                           config::default_configuration()),
+               dialect_)
     {
         REQUIRE(server_.listen(upstream_endpoint));
         gate.set_upstream(properties());
@@ -96,7 +102,6 @@
             calls.end() - std::lower_bound(calls.begin(), calls.end(), begin));
     }
 
-private:
     static std::shared_ptr<const config::configuration>
     configuration(double limit)
     {
@@ -107,6 +112,8 @@
         in_force.services.push_back(service);
         return std::make_shared<const config::configuration>(in_force);
     }
+
+private:
     http::response respond(const http::request& received)
     {
         http::response made;
@@ -232,6 +239,38 @@
     CHECK(given.calls_since(monotonic_clock::now() - 1s) > 30);
 }
 
+// Guards against the full rate of other daemons' entries at a cold upstream
+// whose daemon was restarted and does not know the cold rate yet.
+TEST_CASE("a gate without a configuration opens once it has one, or after 5 s")
+{
+    fixture given(std::nullopt, true);
+    const auto begin = monotonic_clock::now();
+    given.cold_until = begin + 10s;
+    const auto announce = [&](unsigned count) {
+        for (unsigned sent = 0; sent < count; ++sent) {
+            given.run(250ms);
+            given.gate.set_upstream(given.properties());
+        }
+    };
+    announce(6);
+    CHECK(given.calls.empty());
+    SECTION("a configuration comes into force")
+    {
+        given.gate.configure(fixture::configuration(cold_calls_per_s));
+        given.run(2s);
+        CHECK(given.calls.size() > cold_calls_per_s);
+        CHECK(given.calls_since(monotonic_clock::now() - 1s) <=
+              cold_calls_per_s + 1);
+        CHECK(given.calls.size() <= 2 * cold_calls_per_s + 3);
+    }
+    SECTION("none comes")
+    {
+        announce(18);
+        REQUIRE(!given.calls.empty());
+        CHECK(given.calls.front() - begin > 5s);
+    }
+}
+
 TEST_CASE("without a cold limit the health path is not queried for it")
 {
     fixture given(0);
