End canceled attempts that wait for a connection

An attempt that may not run twice was sent although its entry had canceled it, if the gate had started it and it still waited for a connection to the upstream; its slot stayed in use until then. The same held when the link that it came on closed. Such attempts now end as not run, also nested ones whose upstream closed the connection on which it had made them.

Without the two calls of abort_unsent, the new case of unit_entry fails for a cancellation and for a link that closes.

--- a/include/galenarudder/proxy/upstream_client.hpp
+++ b/include/galenarudder/proxy/upstream_client.hpp
@@ -34,8 +34,8 @@
     unreachable,
     /// Another instance answered at the upstream's address.
     replaced,
-    /// A connection was available, but no byte was sent: the attempt was
-    /// canceled or its deadline had passed.
+    /// No byte was sent, although a connection was available or was still
+    /// waited for: the attempt was canceled or its deadline had passed.
     not_sent
 };
 
@@ -45,6 +45,9 @@
 public:
     virtual ~upstream_call() = default;
     virtual void abort() = 0;
+    /// Ends the attempt as not run if no byte of it was sent; otherwise it
+    /// completes.
+    virtual void abort_unsent() = 0;
 };
 
 /// Returns the load that \p head states, if \p instance sent it. A response
--- a/lib/proxy/connection_pool.cpp
+++ b/lib/proxy/connection_pool.cpp
@@ -145,12 +145,15 @@
 /// otherwise keep it from opening one.
 asio::awaitable<connection_ptr>
 connection_pool::take_connection(support::time_point deadline,
-                                 support::duration max_idle_time)
+                                 support::duration max_idle_time,
+                                 std::function<bool()> still_wanted)
 {
     const auto self = shared_from_this();
     for (;;) {
         if (connection_ptr pooled = take_idle(max_idle_time))
             co_return pooled;
+        if (!still_wanted())
+            co_return nullptr;
         const support::duration time_left =
             deadline - support::monotonic_clock::now();
         if (time_left <= support::duration(0))
--- a/lib/proxy/connection_pool.hpp
+++ b/lib/proxy/connection_pool.hpp
@@ -61,10 +61,14 @@
     void set_max_connections(std::size_t max_open, std::size_t warm_count);
     /// Returns an idle connection or opens one. An idle one that was idle for
     /// \p max_idle_time or longer is not used. Returns null if connecting
-    /// fails, or if no connection is available before \p deadline.
+    /// fails, or if no connection is available before \p deadline. A call
+    /// gets null also if none is available and \p still_wanted, which
+    /// wake_waiting makes it ask again, returns false.
     boost::asio::awaitable<connection_ptr>
     take_connection(support::time_point deadline,
-                    support::duration max_idle_time);
+                    support::duration max_idle_time,
+                    std::function<bool()> still_wanted);
+    void wake_waiting() { availability_changed_.cancel(); }
     /// Returns a connection to the pool after a call.
     void give_back(connection_ptr returned);
     /// Counts a connection that the upstream reset; returns the number of them
--- a/lib/proxy/gate_runtime.cpp
+++ b/lib/proxy/gate_runtime.cpp
@@ -68,6 +68,8 @@
 
     void tick();
     void submit(std::uint64_t link, link::exchange_ptr attempt);
+    void cancel(const attempt_key& key);
+    void link_closed(std::uint64_t link);
     void perform(const std::vector<admission::action>& actions);
     void configure(std::shared_ptr<const config::configuration> in_force);
     void set_upstream(upstream_properties upstream);
@@ -298,6 +300,27 @@
         refuse_other_service(key);
 }
 
+/// Cancels an attempt that waits, and one that was started but waits for a
+/// connection. Of the attempts that were sent, only repeatable ones end.
+void gate_runtime::impl::cancel(const attempt_key& key)
+{
+    perform(gate_.cancel(key, monotonic_clock::now()));
+    const auto found = attempts_.find(key);
+    if (found != attempts_.end() && found->second.running_call)
+        found->second.running_call->abort_unsent();
+}
+
+/// No response can be delivered on the link any more. Of its attempts, only
+/// those that were sent and may not run twice complete.
+void gate_runtime::impl::link_closed(std::uint64_t link)
+{
+    perform(gate_.on_link_closed(link, monotonic_clock::now()));
+    for (const auto& [key, attempt] : attempts_) {
+        if (key.link == link && attempt.running_call)
+            attempt.running_call->abort_unsent();
+    }
+}
+
 /// Returns whether the call takes precedence as a nested one. Deployments
 /// without organisations are served in the order of arrival.
 bool gate_runtime::impl::is_nested(const support::call_head& head) const
@@ -882,17 +905,12 @@
 
 void gate_runtime::cancel_from(std::uint64_t link, support::attempt_id id)
 {
-    impl_->on_strand([link, id](impl& self) {
-        self.perform(self.machine().cancel({link, id}, monotonic_clock::now()));
-    });
+    impl_->on_strand([link, id](impl& self) { self.cancel({link, id}); });
 }
 
 void gate_runtime::link_closed(std::uint64_t link)
 {
-    impl_->on_strand([link](impl& self) {
-        self.perform(
-            self.machine().on_link_closed(link, monotonic_clock::now()));
-    });
+    impl_->on_strand([link](impl& self) { self.link_closed(link); });
 }
 
 void gate_runtime::configure(
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -240,6 +240,15 @@
             connection_->stream.cancel();
     }
 
+    /// Sending begins as soon as there is a connection, and with it a reader.
+    void abort_unsent() override
+    {
+        if (reader_)
+            return;
+        aborted_ = true;
+        pool_->wake_waiting();
+    }
+
     asio::awaitable<void> run();
 
 private:
@@ -326,15 +335,20 @@
 {
     const auto self = shared_from_this();
     const support::time_point started_at = support::monotonic_clock::now();
+    bool stopped_waiting = false;
     connection_ = co_await pool_->take_connection(
         deadline_,
-        attempt_->head.repeatable ? any_idle_time : max_idle_time_unrepeatable);
+        attempt_->head.repeatable ? any_idle_time : max_idle_time_unrepeatable,
+        [this, &stopped_waiting] {
+            stopped_waiting = aborted_;
+            return !stopped_waiting;
+        });
     upstream_result result = upstream_result::failed;
     std::optional<refusal> reason = refusal_before_sending();
     if (reason) {
         if (connection_)
             pool_->give_back(connection_);
-        result = refuse(std::move(*reason), connection_
+        result = refuse(std::move(*reason), connection_ || stopped_waiting
                                                 ? upstream_result::not_sent
                                                 : upstream_result::unreachable);
     } else {
@@ -691,8 +705,8 @@
            const http_dialect& dialect)
 {
     const support::time_point end = support::monotonic_clock::now() + timeout;
-    const connection_ptr connection =
-        co_await pool->take_connection(end, max_idle_time_unrepeatable);
+    const connection_ptr connection = co_await pool->take_connection(
+        end, max_idle_time_unrepeatable, [] { return true; });
     if (!connection)
         co_return std::nullopt;
     bhttp::request<bhttp::empty_body> request(bhttp::verb::get, path, 11);
--- a/unittests/entry/gate_runtime_test.cpp
+++ b/unittests/entry/gate_runtime_test.cpp
@@ -101,6 +101,31 @@
 
 } // namespace
 
+// Guards against a call that may not run twice and is sent although its caller
+// left while it waited for a connection.
+TEST_CASE("a canceled call that waits for a connection is not sent")
+{
+    fixture given;
+    upstream_properties properties = properties_of(given.upstream.endpoint());
+    properties.slots = 2;
+    properties.max_connections = 1;
+    given.gate.set_upstream(properties);
+    given.submit(1, false);
+    constexpr std::uint64_t link_number = 7;
+    const bool link_closes = GENERATE(false, true);
+    CAPTURE(link_closes);
+    const link::exchange_ptr waiting = given.submit(2, false, link_number);
+    REQUIRE(given.run_until([&] { return given.gate.running() == 2; }));
+    if (link_closes)
+        given.gate.link_closed(link_number);
+    else
+        given.gate.cancel_from(link_number, waiting->head.id);
+    REQUIRE(given.run_until([&] { return !given.refusals.empty(); }));
+    CHECK(given.refusals[2].kind == refusal_kind::canceled);
+    CHECK(given.refusals[2].outcome == support::run_outcome::not_run);
+    CHECK(given.run_until([&] { return given.gate.running() == 1; }));
+}
+
 TEST_CASE("without an upstream a call is refused as not run")
 {
     fixture given;
--- a/unittests/entry/upstream_client_test.cpp
+++ b/unittests/entry/upstream_client_test.cpp
@@ -281,6 +281,28 @@
     CHECK(given.upstream.accepted == 1);
 }
 
+// Guards against a call that is sent although its caller left while it waited
+// for a connection, and against the end of one that was sent.
+TEST_CASE("an attempt that waits for a connection can be ended as not run")
+{
+    fixture given("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    given.client.set_max_connections(1, 0);
+    given.upstream.hold_responses();
+    const call_ptr sent = given.send("POST");
+    REQUIRE(given.run_until([&] { return given.upstream.requests == 1; }));
+    const call_ptr waiting = given.send("POST");
+    sent->running_call->abort_unsent();
+    waiting->running_call->abort_unsent();
+    given.wait_until_ended(waiting);
+    given.upstream.release_responses();
+    given.wait_until_ended(sent);
+    CHECK(sent->result == upstream_result::answered);
+    CHECK(waiting->result == upstream_result::not_sent);
+    CHECK(refusal_of(waiting).kind == refusal_kind::canceled);
+    CHECK(refusal_of(waiting).outcome == run_outcome::not_run);
+    CHECK(given.upstream.requests == 1);
+}
+
 TEST_CASE("connections are opened before calls need them, and never more than "
           "allowed")
 {
