--- a/lib/proxy/call_flow.cpp
+++ b/lib/proxy/call_flow.cpp
@@ -21,8 +21,7 @@
 constexpr support::milliseconds deadline_grace{50};
 constexpr unsigned first_server_error = 500;
 /// Attempts that cold gates may hand back, for each answer of a cold upstream.
-/// With 1, a twentieth fewer calls of catch-up-radio-cold were in time; 10
-/// gained nothing.
+/// Bounds the attempts that find no room while all upstreams are cold.
 constexpr double cold_moves_per_answer = 3;
 
 refusal no_upstream(const std::string& service)
