--- a/unittests/admission/cold_returns_test.cpp
+++ b/unittests/admission/cold_returns_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -22,7 +23,10 @@
 class cold_return
 {
 public:
-    cold_return(double cold_calls_per_s, support::milliseconds cold)
+    cold_return(double cold_calls_per_s,
+                support::milliseconds cold,
+                std::optional<support::milliseconds> call_goal = std::nullopt)
+        : goal(call_goal)
     {
         gate_.set_cold_rate(cold_calls_per_s, now);
         gate_.on_upstream_announced(12, now);
@@ -51,7 +55,15 @@
                 const auto id = static_cast<support::attempt_id>(++last_id_);
                 caller_of_[id] = caller;
                 carry_out(gate_.offer(
-                    {{1, id}, "urgent", now + 1500ms, {}, {}, {}, {}}, now));
+                    {{1, id},
+                     "urgent",
+                     now + 1500ms,
+                     {},
+                     {},
+                     {},
+                     {},
+                     goal ? now + *goal : support::time_point::max()},
+                    now));
             }
             carry_out(gate_.on_tick(now));
         }
@@ -65,6 +77,8 @@
     }
 
     support::time_point now = start_time;
+    /// Calls are late after this time.
+    std::optional<support::milliseconds> goal;
     /// Refusals of each caller.
     std::vector<unsigned> refusals;
     /// Stated times of return.
@@ -109,8 +123,11 @@
     // 10 calls a second, of which some arrive all the time.
     const auto [steady_per_s, burst, max_refused_again] =
         GENERATE(load{0, 60, 0}, load{0, 200, 0}, load{5, 60, 0});
-    CAPTURE(steady_per_s, burst);
-    cold_return given(10, 40s);
+    // The deadline or an earlier goal bounds the waiting calls.
+    const auto goal = GENERATE(std::optional<support::milliseconds>(),
+                               std::optional<support::milliseconds>(400ms));
+    CAPTURE(steady_per_s, burst, goal.has_value());
+    cold_return given(10, 40s, goal);
     for (std::size_t call = 0; call < 40 * steady_per_s; ++call)
         given.arrive(start_time + call * 1000ms / steady_per_s);
     for (std::size_t call = 0; call < burst; ++call)
--- a/unittests/admission/timely_admission_test.cpp
+++ b/unittests/admission/timely_admission_test.cpp
@@ -196,14 +196,31 @@
 // become known, and against a gate that was warm when they began to wait.
 TEST_CASE("calls that wait are reviewed when more becomes known")
 {
-    cold_gate given(config::automation_mode::automatic, false);
-    for (int id = 1; id <= 5; ++id)
-        given.offer(make_call(id, start_time + 430ms));
-    CHECK(given.turned_away.empty());
-    given.carry_out(given.under_test.on_ended(make_call(1001, no_goal).key,
-                                              run_result::answered, 120ms,
-                                              start_time + 50ms));
-    CHECK(given.turned_away == std::set<int>{4, 5});
+    SECTION("the service time")
+    {
+        cold_gate given(config::automation_mode::automatic, false);
+        for (int id = 1; id <= 5; ++id)
+            given.offer(make_call(id, start_time + 430ms));
+        CHECK(given.turned_away.empty());
+        given.carry_out(given.under_test.on_ended(make_call(1001, no_goal).key,
+                                                  run_result::answered, 120ms,
+                                                  start_time + 50ms));
+        CHECK(given.turned_away == std::set<int>{4, 5});
+    }
+    SECTION("that the upstream has become cold")
+    {
+        cold_gate given;
+        given.under_test.on_cold_stated(cold_source::announcement, 0ms,
+                                        start_time);
+        // Two of them take the free slots; one is held for urgent calls.
+        for (int id = 1; id <= 8; ++id)
+            given.offer(make_call(id, start_time + 430ms));
+        CHECK(given.turned_away.empty());
+        given.carry_out(given.under_test.on_cold_stated(
+            cold_source::announcement, 5s, start_time));
+        CHECK(given.started == std::vector<int>{1, 2});
+        CHECK(given.turned_away == std::set<int>{6, 7, 8});
+    }
 }
 
 } // namespace galenarudder::admission
--- a/unittests/link/link_manager_test.cpp
+++ b/unittests/link/link_manager_test.cpp
@@ -64,6 +64,7 @@
         head.remaining_time = support::milliseconds(20'000);
         auto attempt =
             std::make_shared<exchange>(std::move(head), io.get_executor());
+        attempt->in_time_until = in_time_until;
         attempt->request_body.try_write(make_chunk(std::string(), true));
         attempt->deliver = [this](const exchange_event&) { answered = true; };
         remote->submit(attempt);
@@ -105,6 +106,7 @@
     }
 
     asio::io_context io{1};
+    support::time_point in_time_until = support::time_point::max();
     exchange_ptr received;
     bool canceled = false;
     bool answered = false;
@@ -129,6 +131,27 @@
     CHECK(given.run_until([&] { return given.write_failed; }));
 }
 
+// Guards against a time of day on the link, and against a goal that calls
+// without one get from the other side.
+TEST_CASE("a gate learns in how long a call is late")
+{
+    fixture given;
+    const bool has_goal = GENERATE(false, true);
+    if (has_goal)
+        given.in_time_until =
+            support::monotonic_clock::now() + std::chrono::seconds(10);
+    given.submit();
+    REQUIRE(given.run_until([&] { return given.received != nullptr; }));
+    const support::time_point told = given.received->in_time_until;
+    if (!has_goal) {
+        CHECK(told == support::time_point::max());
+        return;
+    }
+    // Whole milliseconds are sent; the time on the way may not be known.
+    CHECK(told >= given.in_time_until - support::milliseconds(1));
+    CHECK(told <= given.in_time_until + std::chrono::seconds(2));
+}
+
 TEST_CASE("canceling a call whose response has not begun ends its body")
 {
     fixture given;
