--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <limits>
 #include <map>
 #include <set>
@@ -101,12 +102,14 @@
     }
     bool empty() const { return size_ == 0; }
     /// Removes the candidates for which \p keeps does not hold, unless it holds
-    /// for none.
+    /// for none. Keeps their order.
     template <typename Predicate>
     void prefer(Predicate keeps)
     {
-        const auto end = std::stable_partition(
-            candidates_.begin(), candidates_.begin() + size_, keeps);
+        const auto end =
+            std::remove_if(candidates_.begin(), candidates_.begin() + size_,
+                           std::not_fn(keeps));
+        // Nothing was moved if none is kept.
         if (end != candidates_.begin())
             size_ = static_cast<std::size_t>(end - candidates_.begin());
     }
