--- a/unittests/organisations/limiter_test.cpp
+++ b/unittests/organisations/limiter_test.cpp
@@ -147,6 +147,93 @@
     }
 }
 
+std::size_t owner_of(const fake_fleet& fleet)
+{
+    const member_hash owner =
+        fleet.members[0].machine->members().owner(hash_of(fleet.rate.name));
+    std::size_t index = 0;
+    while (hash_of("member-" + std::to_string(index)) != owner)
+        ++index;
+    return index;
+}
+
+struct owner_loss_row
+{
+    double calls_per_s;
+    /// Of the limit.
+    double demand;
+    /// Calls, on average.
+    double max_refused;
+};
+
+/// Without substitutes it was 52, 26 and 117.
+constexpr owner_loss_row owner_loss_rows[] = {
+    {60, 0.4, 20},
+    {60, 0.2, 5},
+    {300, 0.4, 70},
+};
+
+// Guards against calls that are refused after the owner was killed, although
+// shares that it had not leased lie unused at other daemons.
+TEST_CASE("most calls below the limit pass while the owner is dead")
+{
+    constexpr std::size_t count = 60;
+    constexpr std::uint64_t seeds = 5;
+    for (const owner_loss_row& row : owner_loss_rows) {
+        INFO(row.calls_per_s << " calls per s, demand " << row.demand);
+        std::uint64_t refused = 0;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            fake_fleet fleet({"one", row.calls_per_s, 10}, platform_tolerance,
+                             seed);
+            for (std::size_t index = 0; index < count; ++index)
+                fleet.start(index);
+            fleet.run_until(5s);
+            const std::size_t owner = owner_of(fleet);
+            auto entries = first_members(count);
+            std::erase(entries, owner);
+            fleet.demand(row.calls_per_s * row.demand, entries, 20s);
+            fleet.run_until(10s);
+            CHECK(fleet.refused == 0);
+            fleet.members[owner].running = false;
+            fleet.run_until(13s);
+            refused += fleet.refused;
+            const std::uint64_t refused_before = fleet.refused;
+            fleet.run_until(20s);
+            CHECK(fleet.refused == refused_before);
+            CHECK(static_cast<double>(fleet.most_in_window) <=
+                  bound(fleet.rate));
+        }
+        CHECK(static_cast<double>(refused) / seeds <= row.max_refused);
+    }
+}
+
+// Guards against an owner that uses up its tokens for requests to which the
+// entries do not expect a reply any more: 1.3 calls were refused on average.
+TEST_CASE("an owner that goes on after a pause ignores the requests before")
+{
+    constexpr std::uint64_t seeds = 20;
+    std::uint64_t refused = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        fake_fleet fleet({"one", 60, 10}, platform_tolerance, seed);
+        fleet.max_delay_ms = 2;
+        for (std::size_t index = 0; index < 6; ++index)
+            fleet.start(index);
+        fleet.run_until(5s);
+        const std::size_t owner = owner_of(fleet);
+        fleet.demand(24, first_members(6), 20s);
+        fleet.run_until(10s);
+        fleet.pause(owner);
+        fleet.run_until(11500ms);
+        const std::uint64_t refused_before = fleet.refused;
+        fleet.resume(owner);
+        fleet.run_until(14500ms);
+        refused += fleet.refused - refused_before;
+        CHECK(fleet.members[owner].machine->counters().outdated > 0);
+        CHECK(static_cast<double>(fleet.most_in_window) <= bound(fleet.rate));
+    }
+    CHECK(static_cast<double>(refused) / seeds <= 0.8);
+}
+
 // Guards against shares that add up to more than one: the halves do not know of
 // each other's new members.
 TEST_CASE("members that join a divided fleet get no share")
