--- a/tools/galenarudder-replay/demand.cpp
+++ b/tools/galenarudder-replay/demand.cpp
@@ -41,6 +41,66 @@
     return total;
 }
 
+/// The loads of organisations, which change only where a surge begins or ends.
+/// They are computed once for each span between, since they are needed for
+/// every drawn call.
+class organisation_demand
+{
+public:
+    explicit organisation_demand(const scenario& played)
+    {
+        if (played.organisations.empty())
+            return;
+        std::vector<double> changes = {0};
+        for (const scenario_organisation& organisation : played.organisations) {
+            const period& surge = organisation.surge;
+            changes.push_back(surge.at_s);
+            changes.push_back(surge.at_s + surge.for_s);
+        }
+        std::sort(changes.begin(), changes.end());
+        changes.erase(std::unique(changes.begin(), changes.end()),
+                      changes.end());
+        for (const double begin_s : changes) {
+            const std::vector<double> loads =
+                organisation_loads(played, begin_s);
+            spans_.push_back({begin_s,
+                              total_load(played, begin_s),
+                              {loads.begin(), loads.end()}});
+        }
+    }
+
+    double total_at(double time_s) const
+    {
+        return spans_.empty() ? 1 : at(time_s).total;
+    }
+
+    /// Must not be called if there are no organisations.
+    std::size_t draw(double time_s, support::random_engine& random) const
+    {
+        std::discrete_distribution<std::size_t> choice(at(time_s).choice);
+        return choice(random);
+    }
+
+private:
+    struct span
+    {
+        double begin_s = 0;
+        double total = 1;
+        std::discrete_distribution<std::size_t>::param_type choice;
+    };
+
+    const span& at(double time_s) const
+    {
+        const auto next = std::upper_bound(spans_.begin(), spans_.end(), time_s,
+                                           [](double time, const span& listed) {
+                                               return time < listed.begin_s;
+                                           });
+        return *std::prev(next);
+    }
+
+    std::vector<span> spans_;
+};
+
 /// An upper bound of demand_at, for drawing by rejection.
 double
 demand_bound(const scenario& played, std::size_t type, std::size_t domain)
@@ -68,13 +128,23 @@
     return work(random);
 }
 
-std::size_t draw_organisation(const scenario& played,
-                              double time_s,
-                              support::random_engine& random)
+/// Returns the calls per second without the surges of organisations.
+double rate_without_surges(const scenario& played,
+                           std::size_t type,
+                           std::size_t domain,
+                           double time_s)
 {
-    const std::vector<double> loads = organisation_loads(played, time_s);
-    std::discrete_distribution<std::size_t> choice(loads.begin(), loads.end());
-    return choice(random);
+    const double turns =
+        time_s / played.wave.period_s + played.domains[domain].phase;
+    double rate =
+        played.calls[type].per_s[domain] *
+        (1 + played.wave.amplitude * std::sin(2 * std::numbers::pi * turns));
+    for (const demand_burst& burst : played.bursts) {
+        if (burst.when.contains(time_s) && burst.calls[type] &&
+            burst.domains[domain])
+            rate *= burst.factor;
+    }
+    return rate;
 }
 
 /// Draws work and nested calls of \p call, whose type is set.
@@ -96,6 +166,7 @@
 }
 
 void draw_arrivals(const scenario& played,
+                   const organisation_demand& organisations,
                    std::size_t type,
                    std::size_t domain,
                    support::random_engine& random,
@@ -107,7 +178,8 @@
     std::exponential_distribution<double> interval_s(bound);
     for (double time_s = interval_s(random); time_s < played.seconds;
          time_s += interval_s(random)) {
-        const double rate = demand_at(played, type, domain, time_s);
+        const double rate = rate_without_surges(played, type, domain, time_s) *
+                            organisations.total_at(time_s);
         if (support::uniform_unit(random) * bound >= rate)
             continue;
         planned_call& call = calls.emplace_back();
@@ -115,7 +187,7 @@
         call.at_ms = time_s * ms_per_s;
         call.domain = domain;
         if (!played.organisations.empty())
-            call.organisation = draw_organisation(played, time_s, random);
+            call.organisation = organisations.draw(time_s, random);
         call.entry_choice = random();
         draw_work(played, call, random);
     }
@@ -128,28 +200,20 @@
                  std::size_t domain,
                  double time_s)
 {
-    const double turns =
-        time_s / played.wave.period_s + played.domains[domain].phase;
-    double rate =
-        played.calls[type].per_s[domain] *
-        (1 + played.wave.amplitude * std::sin(2 * std::numbers::pi * turns));
-    for (const demand_burst& burst : played.bursts) {
-        if (burst.when.contains(time_s) && burst.calls[type] &&
-            burst.domains[domain])
-            rate *= burst.factor;
-    }
-    return rate * total_load(played, time_s);
+    return rate_without_surges(played, type, domain, time_s) *
+           total_load(played, time_s);
 }
 
 std::vector<planned_call> draw_demand(const scenario& played,
                                       std::uint64_t seed)
 {
+    const organisation_demand organisations(played);
     std::vector<planned_call> calls;
     for (std::size_t type = 0; type < played.calls.size(); ++type) {
         for (std::size_t domain = 0; domain < played.domains.size(); ++domain) {
             auto random = make_random(seed, random_purpose::demand,
                                       type * played.domains.size() + domain);
-            draw_arrivals(played, type, domain, random, calls);
+            draw_arrivals(played, organisations, type, domain, random, calls);
         }
     }
     std::stable_sort(calls.begin(), calls.end(),
--- a/tools/galenarudder-replay/fake_upstream.cpp
+++ b/tools/galenarudder-replay/fake_upstream.cpp
@@ -81,9 +81,10 @@
         return attempt.reply({0, broken_link(outcome), {}});
     }
     if (paused()) {
-        return clock_.at(paused_until_, [this, attempt = std::move(attempt)] {
-            receive(attempt);
-        });
+        return clock_.at(paused_until_,
+                         [this, attempt = std::move(attempt)]() mutable {
+                             receive(std::move(attempt));
+                         });
     }
     const admission::attempt gate_attempt = attempt.gate_attempt;
     attempts_[gate_attempt.key] = {std::move(attempt), clock_.now(),
@@ -238,9 +239,9 @@
     if (found == attempts_.end())
         return;
     const support::time_point received_at = found->second.received_at;
-    const sent_attempt sent = std::move(found->second.sent);
+    const auto reply = std::move(found->second.sent.reply);
     attempts_.erase(found);
-    sent.reply({0, refused.refusal, report(received_at)});
+    reply({0, refused.refusal, report(received_at)});
 }
 
 void fake_upstream::execute(const admission::abort_running& aborted)
@@ -308,7 +309,7 @@
     const auto found = attempts_.find(attempt_key);
     const running_call call = *found->second.running;
     const support::time_point received_at = found->second.received_at;
-    const sent_attempt sent = std::move(found->second.sent);
+    const auto reply = std::move(found->second.sent.reply);
     attempts_.erase(found);
     const support::duration took = clock_.now() - call.started_at;
     counts_.busy_ms += support::to_ms(took);
@@ -316,9 +317,9 @@
     perform(gate_->on_ended(
         attempt_key, call.fails ? run_result::failed : run_result::answered,
         took, clock_.now()));
-    sent.reply({call.fails ? status_failed : status_answered,
-                {},
-                report(received_at)});
+    reply({call.fails ? status_failed : status_answered,
+           {},
+           report(received_at)});
 }
 
 support::load_report
--- a/tools/galenarudder-replay/scenario_run.cpp
+++ b/tools/galenarudder-replay/scenario_run.cpp
@@ -2,6 +2,8 @@
 // of the others.
 #include "scenario_run.hpp"
 
+#include <boost/container/small_vector.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -57,8 +59,19 @@
     std::uint64_t incarnation = 0;
 };
 
+/// An attempt as its entry knows it.
+struct scenario_run::open_attempt
+{
+    admission::attempt_key key;
+    vm* target = nullptr;
+    /// When it reaches the gate.
+    support::time_point arrival;
+};
+
 struct scenario_run::open_call
 {
+    /// Key in open_calls_ until it has ended.
+    std::uint64_t number = 0;
     const planned_call* plan = nullptr;
     const call_type* type = nullptr;
     vm* entry = nullptr;
@@ -70,11 +83,9 @@
     std::string rank;
     std::string organisation;
     std::optional<organisations::token> token;
-    std::unique_ptr<proxy::call_flow> flow;
-    std::vector<admission::attempt_key> attempt_keys;
-    std::vector<vm*> targets;
-    /// When the attempts reach their gates.
-    std::vector<support::time_point> arrivals;
+    std::optional<proxy::call_flow> flow;
+    /// Most calls have one attempt, some a second.
+    boost::container::small_vector<open_attempt, 2> attempts;
     bool left_domain = false;
     bool left_region = false;
     /// Called with whether the call was answered; may be empty.
@@ -87,6 +98,13 @@
       demand_(draw_demand(played, seed)), vms_by_domain_(played.domains.size()),
       link_random_(make_random(seed, random_purpose::links))
 {
+    for (const scenario_organisation& organisation : played.organisations) {
+        std::string& rank = organisation_ranks_.emplace_back();
+        for (const auto& policy : played.in_force.organisations) {
+            if (policy->name == organisation.name && !policy->rank.empty())
+                rank = policy->rank;
+        }
+    }
 }
 
 scenario_run::~scenario_run() = default;
@@ -281,12 +299,12 @@
     if (plan.organisation) {
         call->organisation = played_.organisations[*plan.organisation].name;
         // A policy's rank takes precedence over that of the call.
-        for (const auto& policy : played_.in_force.organisations) {
-            if (policy->name == call->organisation && !policy->rank.empty())
-                call->rank = policy->rank;
-        }
+        const std::string& rank = organisation_ranks_[*plan.organisation];
+        if (!rank.empty())
+            call->rank = rank;
     }
-    ++open_calls_;
+    call->number = ++last_call_;
+    open_calls_.emplace(call->number, call);
     count(*call, figure::offered);
     const double caller_ms = call->nested ? 0 : played_.links.to_callers_ms;
     clock_.after(caller_ms, [this, call] {
@@ -393,8 +411,7 @@
     properties.in_time_until =
         call->received_at + support::from_ms(call->type->goal_ms);
     properties.repeatable = call->type->repeatable;
-    call->flow =
-        std::make_unique<proxy::call_flow>(call->entry->router, properties);
+    call->flow.emplace(call->entry->router, properties);
     perform(call, call->flow->start(clock_.now(), call->entry->random));
 }
 
@@ -449,35 +466,34 @@
         };
     }
     sent.reply = [this, call, &target,
-                  attempt = action.attempt](const attempt_reply& reply) {
+                  attempt = action.attempt](attempt_reply reply) {
         const double bytes = reply.status == 0 ? 0 : call->type->response_bytes;
-        clock_.after(
-            transfer_ms(target.domain, call->entry->domain, bytes),
-            [this, call, attempt, reply] { on_reply(call, attempt, reply); });
+        clock_.after(transfer_ms(target.domain, call->entry->domain, bytes),
+                     [this, call, attempt, reply = std::move(reply)] {
+                         on_reply(call, attempt, reply);
+                     });
     };
-    call->attempt_keys.push_back(sent.gate_attempt.key);
-    call->targets.push_back(&target);
     const support::time_point arrival =
         clock_.now() +
         support::from_ms(transfer_ms(call->entry->domain, target.domain,
                                      call->type->request_bytes));
-    call->arrivals.push_back(arrival);
-    clock_.at(arrival, [&target, sent = std::move(sent)] {
-        target.upstream->receive(sent);
+    call->attempts.push_back({sent.gate_attempt.key, &target, arrival});
+    clock_.at(arrival, [&target, sent = std::move(sent)]() mutable {
+        target.upstream->receive(std::move(sent));
     });
 }
 
 void scenario_run::execute(const call_ptr& call,
                            const proxy::cancel_attempt& action)
 {
-    vm& target = *call->targets.at(action.attempt);
-    const admission::attempt_key key = call->attempt_keys.at(action.attempt);
+    const open_attempt& canceled = call->attempts.at(action.attempt);
+    vm& target = *canceled.target;
     const support::time_point expected =
         clock_.now() +
         support::from_ms(transfer_ms(call->entry->domain, target.domain, 0));
     // A link delivers in order: the cancellation must not overtake the attempt.
-    clock_.at(std::max(expected, call->arrivals.at(action.attempt)),
-              [&target, key] { target.upstream->cancel(key); });
+    clock_.at(std::max(expected, canceled.arrival),
+              [&target, key = canceled.key] { target.upstream->cancel(key); });
 }
 
 void scenario_run::execute(const call_ptr&, const proxy::forward_response&)
@@ -496,8 +512,14 @@
 
 void scenario_run::execute(const call_ptr& call, const proxy::arm_timer& action)
 {
-    clock_.at(action.expiry, [this, call] {
-        perform(call, call->flow->on_timer(clock_.now(), call->entry->random));
+    // Does not keep the call: most timers expire long after its end.
+    clock_.at(action.expiry, [this, number = call->number] {
+        const auto found = open_calls_.find(number);
+        if (found == open_calls_.end())
+            return;
+        const call_ptr timed = found->second;
+        perform(timed,
+                timed->flow->on_timer(clock_.now(), timed->entry->random));
     });
 }
 
@@ -540,7 +562,7 @@
         if (outcome == figure::refused_at_once)
             outcome = figure::failed;
     }
-    --open_calls_;
+    open_calls_.erase(call->number);
     count(*call, outcome);
     if (call->left_domain)
         count(*call, figure::left_domain);
--- a/tools/galenarudder-replay/scenario_run.hpp
+++ b/tools/galenarudder-replay/scenario_run.hpp
@@ -38,6 +38,7 @@
 private:
     /// A VM: a daemon that takes calls, and the upstream at its gate.
     struct vm;
+    struct open_attempt;
     struct open_call;
     using call_ptr = std::shared_ptr<open_call>;
 
@@ -46,7 +47,7 @@
     void schedule_events();
     void tick_gates();
     void tick_limiters();
-    bool done() const { return !demand_left_ && open_calls_ == 0; }
+    bool done() const { return !demand_left_ && open_calls_.empty(); }
 
     void offer(const planned_call& plan,
                vm& entry,
@@ -92,13 +93,17 @@
     std::vector<planned_call> demand_;
     std::vector<std::unique_ptr<vm>> vms_;
     std::vector<std::vector<vm*>> vms_by_domain_;
-    std::map<support::member_id, vm*> vms_by_id_;
+    std::unordered_map<support::member_id, vm*> vms_by_id_;
     support::random_engine link_random_;
     /// Until when the link from one region to another is busy.
     std::map<std::pair<std::string, std::string>, support::time_point>
         link_busy_until_;
     std::uint64_t last_attempt_id_ = 0;
-    std::size_t open_calls_ = 0;
+    std::uint64_t last_call_ = 0;
+    /// Calls that have not ended, by number.
+    std::unordered_map<std::uint64_t, call_ptr> open_calls_;
+    /// Rank that each organisation's policy states, or empty texts.
+    std::vector<std::string> organisation_ranks_;
     bool demand_left_ = true;
     seed_figures result_;
 };
