Ask a substitute only after a call that got no reply

Cause: with replies that take more than 20 ms, each call asked the owner and a substitute, which competed for the shares.

Change: the second call that waits in vain asks a substitute, not the first.

--- a/lib/organisations/limit_client.cpp
+++ b/lib/organisations/limit_client.cpp
@@ -179,7 +179,9 @@
         held.waiting.end())
         return;
     ask(organisation, held);
-    if (held.owner_slow)
+    // Where replies take more than resend_time, as between regions, each call
+    // would ask two members, and those would compete for the shares.
+    if (held.owner_slow || held.timeouts == 0)
         return;
     if (held.substitute == 0)
         choose_substitute(organisation, held);
