--- a/unittests/call_flow/call_flow_test.cpp
+++ b/unittests/call_flow/call_flow_test.cpp
@@ -177,6 +177,54 @@
     CHECK(find_refusal(actions)->outcome == run_outcome::not_run);
 }
 
+// Guards against a call that is sent from one full cold upstream to the next.
+TEST_CASE("a budget and their reports bound the moves between cold upstreams",
+          "[call_flow]")
+{
+    config::configuration in_force = config::default_configuration();
+    config::service_policy policy;
+    policy.name = "reservas";
+    policy.cold_calls_per_s = 10;
+    in_force.services.push_back(policy);
+    fixture given(3);
+    given.router.on_configuration(in_force);
+    support::load_report full;
+    full.limit = 6;
+    full.cold_ms = 3000;
+    full.start_delay_ms = 500;
+    const auto refused =
+        make_refusal(refusal_kind::rate_limited, run_outcome::not_run);
+    const auto start_call = [&](call_flow& flow) {
+        return flow.start(start_time, given.random);
+    };
+    call_properties properties{"reservas", 0, deadline, true};
+    properties.in_time_until = start_time + milliseconds(400);
+    call_flow flow(given.router, properties);
+    auto actions = start_call(flow);
+    for (std::size_t attempt = 0; attempt < 3; ++attempt) {
+        // The last one leaves no other upstream to be tried.
+        CHECK(std::get<send_attempt>(actions.front()).may_hand_back ==
+              (attempt < 2));
+        actions =
+            flow.on_refusal(attempt, refused, full, start_time, given.random);
+    }
+    // None of them can start the call before it is late.
+    REQUIRE(find_refusal(actions) != nullptr);
+    CHECK(find_refusal(actions)->retry_after >= milliseconds(3000));
+    CHECK(find_refusal(actions)->outcome == run_outcome::not_run);
+    // The next one is not sent at all.
+    call_flow next(given.router, properties);
+    CHECK(find_refusal(start_call(next)) != nullptr);
+    properties.in_time_until = start_time + milliseconds(700);
+    call_flow patient(given.router, properties);
+    actions = start_call(patient);
+    REQUIRE(find_refusal(actions) == nullptr);
+    CHECK(std::get<send_attempt>(actions.front()).may_hand_back);
+    // The two tokens of the start are used up.
+    call_flow last(given.router, properties);
+    CHECK_FALSE(std::get<send_attempt>(start_call(last).front()).may_hand_back);
+}
+
 TEST_CASE("a call whose body cannot be sent again is never handed back",
           "[call_flow]")
 {
