Let gates place refused calls within a long cold time

Entries sent refused callers away until the end of the cold time, 12 s here, and all returned to upstreams that were warm by then; the check counts these calls too. The callers were served after 12.9 and 13.0 s although gates had room for them before.

Change: entries refuse only in the last second of a cold time.

--- a/lib/routing/router.cpp
+++ b/lib/routing/router.cpp
@@ -33,7 +33,9 @@
 /// Refused calls return within this time after the end of the cold time, when
 /// there is room for many times as many calls.
 constexpr support::milliseconds return_spread{1000};
-constexpr support::milliseconds max_return_time{60'000};
+/// Entries refuse calls only if a cold time ends this soon. Before, the gates
+/// know free places within the cold time for the calls to return to.
+constexpr support::milliseconds max_time_to_warm{1000};
 constexpr support::milliseconds min_return_time{100};
 
 bool is_gone(const member_record& record)
@@ -678,10 +680,12 @@
     }
     if (first_ns == std::numeric_limits<std::int64_t>::max())
         return std::nullopt;
+    const support::time_point warm_at{support::duration(first_ns)};
+    if (warm_at - now > max_time_to_warm)
+        return std::nullopt;
     state_->record_cold_refusal(*service->state, now);
     const support::time_point first =
-        std::clamp(support::time_point(support::duration(first_ns)),
-                   now + min_return_time, now + max_return_time);
+        std::max<support::time_point>(warm_at, now + min_return_time);
     return std::chrono::ceil<support::milliseconds>(
         reserve_return(*service->state, first, service->cold_interval,
                        return_spread) -
