--- a/review/common-2/case_rig.py
+++ b/review/common-2/case_rig.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import sys
 import threading
@@ -20,6 +21,7 @@
 import platform_rig  # noqa: E402  pylint: disable=wrong-import-position
 
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+LONGEST_S = 115
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -139,8 +141,20 @@
         self.note(text)
 
 
+class Stopped(Exception):
+    """The case was stopped, or takes too long."""
+
+
+def stop_case(number, _):
+    raise Stopped(f"signal {number}")
+
+
 def run_case(folder, case):
-    """Run \\p case(record) and exit as the review asks."""
+    """Run a case and exit as the review asks; all daemons end before that."""
+    os.chdir(ROOT)
+    signal.signal(signal.SIGTERM, stop_case)
+    signal.signal(signal.SIGALRM, stop_case)
+    signal.alarm(LONGEST_S)
     record = Record(folder)
     record.note(f"TROUBLE={'1' if TROUBLE else '0'}")
     try:
