End the use of a connection with a rejection that has no id

Cause: an upstream sheds with 503 and Not-Executed, without an Attempt-Id. The client took every such response for the call that waited, and gave the connection back to the pool. A late copy of the rejection, in front of the response to the next call, ended that call as not run while it ran.

Change: which response belongs to which request is one table, response_identity.cpp. A rejection without an id ends the use of its connection, one with an id does so for calls that may run only once, which may be sent again under their id. It works because the first rejection without an id on a connection cannot be a copy, and no second one is ever read. Load queries, which share the connections and have no id, follow the same rule. Waiting before the next call was ruled out: "late" has no bound.

--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -3,6 +3,7 @@
 #include "galenarudder/proxy/upstream_client.hpp"
 
 #include "connection_pool.hpp"
+#include "response_identity.hpp"
 #include "response_reader.hpp"
 
 #include "galenarudder/http/read_response.hpp"
@@ -255,7 +256,6 @@
     std::optional<refusal> refusal_before_sending() const;
     asio::awaitable<upstream_result> exchange_messages();
     asio::awaitable<bool> read_matching_head(support::response_head& head);
-    bool is_matching(const support::response_head& head) const;
     std::optional<refusal>
     refusal_of_response(const support::response_head& head) const;
     asio::awaitable<bool> buffer_body(std::string& body);
@@ -326,6 +326,9 @@
     /// Set before the first write, since a write that fails may have sent some
     /// bytes.
     bool sending_started_ = false;
+    /// Whether a later request on the connection could tell its response from
+    /// copies of those that were read.
+    bool may_reuse_ = false;
     /// Whether the response was read to its end and the connection can be used
     /// for another call.
     bool reusable_ = false;
@@ -471,7 +474,10 @@
         const auto end = std::min<std::chrono::steady_clock::time_point>(
             end_of_response(),
             std::chrono::steady_clock::now() + max_refusal_body_time);
-        reusable_ = co_await reader_->skip_body(max_refusal_body_bytes, end);
+        // A connection that is closed with unread bytes would be reset.
+        const bool ended =
+            co_await reader_->skip_body(max_refusal_body_bytes, end);
+        reusable_ = ended && may_reuse_;
         co_return result;
     }
     std::optional<refusal> reason = refusal_of_response(head);
@@ -485,13 +491,17 @@
 asio::awaitable<bool>
 running_attempt::read_matching_head(support::response_head& head)
 {
+    const sent_request sent{request_id_of(attempt_->head, dialect_),
+                            attempt_->head.repeatable};
     for (unsigned unrelated = 0; unrelated <= max_unrelated_responses;
          ++unrelated) {
         read_failure_ = co_await reader_->read_head(end_of_response());
         if (read_failure_)
             co_return false;
         head = reader_->head();
-        if (is_matching(head))
+        const response_verdict verdict = judge_response(head, sent, dialect_);
+        may_reuse_ = verdict.may_reuse;
+        if (verdict.belongs)
             co_return true;
         if (!co_await reader_->skip_body(max_unrelated_body_bytes,
                                          end_of_response()))
@@ -501,17 +511,6 @@
     co_return false;
 }
 
-bool running_attempt::is_matching(const support::response_head& head) const
-{
-    if (dialect_.request_id.empty())
-        return true;
-    const std::string_view request_id =
-        find_field(head.fields, dialect_.request_id);
-    if (request_id.empty())
-        return dialect_.states_not_run(head);
-    return request_id == find_field(attempt_->head.fields, dialect_.request_id);
-}
-
 /// Returns why a response must not be forwarded: it lacks the upstream's
 /// signature, or it would tell the caller that the call did not run although it
 /// may have.
@@ -588,7 +587,7 @@
             link::make_chunk(std::string(), true));
     deliver_head(std::move(head));
     const bool complete_body = complete || co_await forward_body();
-    reusable_ = complete_body && reader_->keeps_connection();
+    reusable_ = complete_body && may_reuse_ && reader_->keeps_connection();
     co_return complete_body ? upstream_result::answered
                             : upstream_result::failed;
 }
@@ -728,7 +727,7 @@
     head.status = received.message.status;
     for (http::field& field : received.message.fields)
         head.fields.push_back({std::move(field.name), std::move(field.value)});
-    if (received.reusable)
+    if (received.reusable && may_reuse_after_query(head, dialect))
         pool->give_back(connection);
     co_return load_of_instance(head, instance, dialect);
 }
--- a/unittests/entry/upstream_client_test.cpp
+++ b/unittests/entry/upstream_client_test.cpp
@@ -64,6 +64,9 @@
     void read_one_request_each() { reads_one_request_ = true; }
     /// Resets connections instead of closing them in order.
     void reset_connections() { resets_ = true; }
+    /// Sends each response a second time, in front of the next one on its
+    /// connection.
+    void repeat_responses_late() { repeats_late_ = true; }
     /// Closes the connections that are open.
     void close_all()
     {
@@ -109,6 +112,7 @@
     asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
     {
         std::string buffer;
+        std::string late_copy;
         for (;;) {
             const auto [failure, size] = co_await asio::async_read_until(
                 *socket, asio::dynamic_buffer(buffer), "\r\n\r\n",
@@ -124,7 +128,10 @@
                 co_await wait_briefly(socket);
             if (response.empty())
                 break;
-            co_await asio::async_write(*socket, asio::buffer(response),
+            const std::string sent = late_copy + response;
+            if (repeats_late_)
+                late_copy = response;
+            co_await asio::async_write(*socket, asio::buffer(sent),
                                        use_nothrow_awaitable);
             while (reads_one_request_)
                 co_await wait_briefly(socket);
@@ -141,6 +148,7 @@
     bool holding_ = false;
     bool reads_one_request_ = false;
     bool resets_ = false;
+    bool repeats_late_ = false;
     std::vector<std::shared_ptr<tcp::socket>> sockets_;
 };
 
@@ -174,9 +182,11 @@
     call_ptr send(const std::string& method,
                   support::duration time_left = ample_time,
                   std::optional<std::uint64_t> content_length = 0,
-                  std::vector<support::header_field> fields = {})
+                  std::vector<support::header_field> fields = {},
+                  bool repeatable = false)
     {
         support::call_head head;
+        head.repeatable = repeatable;
         head.fields = std::move(fields);
         head.method = method;
         head.target = "/";
@@ -472,6 +482,56 @@
     }
 }
 
+// Guards against a late copy of a rejection that ends the next call on its
+// connection as not run, although that call runs.
+TEST_CASE("a late copy of a rejection says nothing of the next call")
+{
+    const std::string not_run = "\r\nNot-Executed: 1";
+    const std::string same_id = "\r\nAttempt-Id: first";
+    struct row
+    {
+        const char* name;
+        std::string rejection;
+        bool repeatable;
+        const char* next_id;
+        /// Connections that the two calls may use at least.
+        std::size_t connections;
+    };
+    const row rows[] = {
+        {"full, no id", "503 Full" + not_run, false, "second", 2},
+        {"full, no id, repeatable", "503 Full" + not_run, true, "second", 2},
+        {"limited, no id", "429 Limited" + not_run, false, "second", 2},
+        {"misdirected, no id", "421 Misdirected", false, "second", 2},
+        {"invalid, no id", "400 Bad" + not_run, false, "second", 2},
+        {"own id, sent again", "503 Full" + not_run + same_id, false, "first",
+         2},
+        {"own id, repeatable", "503 Full" + not_run + same_id, true, "second",
+         1},
+    };
+    for (const row& test_case : rows) {
+        INFO(test_case.name);
+        const std::string id = test_case.next_id;
+        fixture given("HTTP/1.1 200 OK\r\nReply-Seal: s\r\nAttempt-Id: " + id +
+                          "\r\nContent-Length: 4\r\n\r\ndone",
+                      platform::dialect());
+        given.upstream.answer_first_with({"HTTP/1.1 " + test_case.rejection +
+                                          "\r\nContent-Length: 4\r\n\r\nfull"});
+        given.upstream.repeat_responses_late();
+        const auto call_with = [&](const std::string& attempt) {
+            const call_ptr call =
+                given.send("POST", support::milliseconds(700), 0,
+                           {{"Attempt-Id", attempt}}, test_case.repeatable);
+            given.wait_until_ended(call);
+            return call;
+        };
+        CHECK(refusal_of(call_with("first")).outcome == run_outcome::not_run);
+        const call_ptr next = call_with(id);
+        CHECK(next->result == upstream_result::answered);
+        CHECK(next->body == "done");
+        CHECK(given.upstream.accepted == test_case.connections);
+    }
+}
+
 TEST_CASE("abort closes the connection of a running call")
 {
     fixture given("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
