Split the selection of watchers from the rollout's file

Change: the state of the machine is in a header of its own, the selection of watchers with handovers and the standbys' checks in watchers.cpp; no line of logic changed. Measured: unit_rollout passes.

--- a/lib/rollout/rollout.cpp
+++ b/lib/rollout/rollout.cpp
@@ -1,12 +1,7 @@
-// Adoption, pushes, pulls, and the selection of the members that watch the
-// store.
-#include "galenarudder/rollout/rollout.hpp"
-
-#include <xxhash.h>
+// Adoption, pushes, pulls and reads.
+#include "rollout_state.hpp"
 
 #include <algorithm>
-#include <deque>
-#include <map>
 #include <optional>
 #include <utility>
 
@@ -14,8 +9,6 @@
 
 using membership::member_record;
 using membership::member_state;
-using support::milliseconds;
-using support::time_point;
 
 namespace {
 
@@ -23,23 +16,8 @@
 /// times as long, each a random time, so that the members of a fleet that
 /// starts at once do not call the store at the same time.
 constexpr milliseconds start_jitter{500};
-/// The first watch waits until no new member of the failure domain was heard of
-/// for this long, since a member that knows few others yet would consider
-/// itself one of the first of its domain.
-constexpr milliseconds watch_settling{600};
-/// The longest that the first watch waits in a running fleet, and in a new one,
-/// whose members have to find each other first.
-constexpr milliseconds max_watch_delay{1500};
-constexpr milliseconds max_watch_delay_of_new_fleet{4000};
 /// Interval of reads in a new fleet while the store seems to have no document.
 constexpr milliseconds absent_read_interval{500};
-/// How long a member watches the store in place of another that asked it to.
-/// Membership knows by then that the other has gone.
-constexpr milliseconds handover_time{10'000};
-/// Interval at which a standby asks one of the watchers of its domain.
-constexpr milliseconds watcher_check_interval{500};
-/// How long a watcher that did not answer is passed over.
-constexpr milliseconds silent_time{10'000};
 /// Maximum random delay of a pull after membership reports a newer version,
 /// since a push is probably already in flight.
 constexpr milliseconds pull_jitter{150};
@@ -52,47 +30,11 @@
 /// Time for which a member without a document that has heard of one waits for a
 /// peer before it reads the store.
 constexpr milliseconds first_pull_time{300};
-constexpr milliseconds first_backoff{250};
-constexpr milliseconds max_backoff{2000};
 /// Adoptions whose patches are kept for peers that are behind.
 constexpr std::size_t max_recent_changes = 8;
 /// Pushes of one document that are repeated with another peer.
 constexpr unsigned max_push_retries = 4;
 
-struct known_peer
-{
-    config::endpoint operators;
-    std::string domain;
-    std::uint64_t version = 0;
-    bool accepts_transfers = false;
-    /// The member did not answer; it is no watcher until then.
-    time_point silent_until{};
-};
-
-/// An adopted document and the patch that led to it.
-struct change
-{
-    document_id from;
-    document_id to;
-    /// Empty if there is none.
-    std::string patch;
-};
-
-/// A document that waits to be built.
-struct pending_document
-{
-    transfer received;
-    /// Index in the store; empty if it did not come from there.
-    std::optional<store::change_index> index;
-};
-
-/// Hash of a member's id; the members with the lowest hashes of each
-/// failure domain watch the store.
-std::uint64_t watcher_hash(std::string_view member)
-{
-    return XXH3_64bits(member.data(), member.size());
-}
-
 bool accepts_transfers(member_state state)
 {
     return state == member_state::joining || state == member_state::alive;
@@ -100,121 +42,6 @@
 
 } // namespace
 
-struct rollout::state
-{
-    support::member_id member;
-    std::string domain;
-    std::size_t watchers = watchers_per_domain;
-    support::random_engine random;
-    rollout_counters counters;
-    document_reader read_stored;
-    built_document_ptr current;
-    document_id current_id;
-    /// The newest adoptions, the last one last.
-    std::deque<change> recent_changes;
-
-    std::uint64_t build_number = 0;
-    /// The document that is being built; its body is left out.
-    std::optional<pending_document> building;
-    std::optional<pending_document> next_from_store;
-    std::optional<pending_document> next_from_peer;
-    /// Hash and version of the store's last document; version 0 until it is
-    /// built.
-    document_id stored_id;
-    std::map<support::member_id, known_peer> peers;
-
-    bool started = false;
-    time_point started_at{};
-    /// When a member of the own failure domain was first heard of, the last
-    /// time.
-    time_point heard_of_member_at{};
-    /// The first watch has been opened, or another member asked for it.
-    bool settled = false;
-    time_point last_contact{};
-    time_point next_read{};
-    bool store_answered = false;
-    /// Whether the first listing of introducers named no other member.
-    std::optional<bool> new_fleet;
-    /// When a first document was heard of, which is pulled from a peer.
-    std::optional<time_point> first_heard_at;
-    milliseconds read_backoff = first_backoff;
-
-    /// This daemon watches in place of another until then.
-    time_point watches_for_other_until{};
-    bool stopping = false;
-    /// Others were asked to watch, since this daemon stops or its watch failed.
-    bool handed_over = false;
-    time_point next_watcher_check{};
-    /// The watcher that a standby is asking; empty when there is none.
-    support::member_id checked_watcher;
-    /// Members that were asked to watch and may not have heard of it.
-    std::vector<support::member_id> asked_to_watch;
-
-    bool watching = false;
-    bool watch_open = false;
-    std::uint64_t watch_number = 0;
-    store::change_index known_index;
-    time_point next_watch{};
-    milliseconds watch_backoff = first_backoff;
-
-    /// The peer of the pending pull; empty when there is none.
-    support::member_id pull_peer;
-    time_point next_pull{};
-    /// The newest version reported by membership or a transfer.
-    std::uint64_t highest_seen_version = 0;
-    unsigned push_retries = 0;
-
-    milliseconds jitter(milliseconds max_wait);
-    milliseconds back_off(milliseconds& backoff);
-    bool is_settled(time_point now) const;
-    bool should_watch(time_point now) const;
-    bool watches(const known_peer& peer,
-                 const support::member_id& id,
-                 time_point now) const;
-    std::size_t watchers_before(std::string_view id,
-                                std::string_view of_domain,
-                                time_point now) const;
-    std::vector<support::member_id> watch_order(time_point now) const;
-    void hand_over(std::vector<action>& actions, time_point now);
-    void pass_over(const support::member_id& id, time_point now);
-    void take_over(time_point now);
-    void check_watcher_tick(std::vector<action>& actions, time_point now);
-    std::vector<support::member_id> peers_with_older_version() const;
-    std::optional<support::member_id> random_newer_peer();
-    void hear_of(std::uint64_t version, time_point now);
-    void start_next_build(std::vector<action>& actions, time_point now);
-    bool may_build(const pending_document& pending) const;
-    void start_build(pending_document next, std::vector<action>& actions);
-    void finish_build(const pending_document& done,
-                      const support::result<built_document_ptr>& built,
-                      std::vector<action>& actions,
-                      time_point now);
-    void adopt_if_newer(const built_document_ptr& built,
-                        std::vector<action>& actions,
-                        time_point now);
-    void adopt_document(const built_document_ptr& adopted,
-                        std::vector<action>& actions);
-    std::string patch_from(const document_id& peer_id) const;
-    std::string push_payload_for(const support::member_id& to, time_point now);
-    void push(std::vector<action>& actions, time_point now);
-    void push_to(const support::member_id& to,
-                 std::vector<action>& actions,
-                 time_point now);
-    void take_transfer(std::string_view encoded,
-                       const support::member_id& sender,
-                       std::vector<action>& actions,
-                       time_point now);
-    void take_document_of_store(std::string_view serialized,
-                                const std::optional<store::change_index>& index,
-                                std::vector<action>& actions,
-                                time_point now);
-    void restore(const store::change_index& index,
-                 std::vector<action>& actions);
-    void watch_tick(std::vector<action>& actions, time_point now);
-    void pull_tick(std::vector<action>& actions, time_point now);
-    void read_tick(std::vector<action>& actions, time_point now);
-};
-
 milliseconds rollout::state::jitter(milliseconds max_wait)
 {
     const auto bound = static_cast<std::uint64_t>(max_wait.count()) + 1;
@@ -230,138 +57,6 @@
     return wait;
 }
 
-/// Returns whether this member knows enough of its failure domain to tell
-/// whether it is one of the watchers.
-bool rollout::state::is_settled(time_point now) const
-{
-    const bool is_new_fleet = new_fleet.value_or(false);
-    const bool too_long =
-        now - started_at >=
-        (is_new_fleet ? max_watch_delay_of_new_fleet : max_watch_delay);
-    return too_long ||
-           (!peers.empty() && now - heard_of_member_at >= watch_settling);
-}
-
-/// Returns the number of members of \p of_domain that are asked to watch the
-/// store before \p id is.
-std::size_t rollout::state::watchers_before(std::string_view id,
-                                            std::string_view of_domain,
-                                            time_point now) const
-{
-    const auto own = std::pair(watcher_hash(id), id);
-    std::size_t lower_hash_count = 0;
-    const auto count = [&](std::string_view other_id) {
-        const auto other = std::pair(watcher_hash(other_id), other_id);
-        lower_hash_count += other < own ? 1 : 0;
-    };
-    for (const auto& [other_id, peer] : peers) {
-        if (peer.domain == of_domain && peer.accepts_transfers &&
-            now >= peer.silent_until)
-            count(other_id);
-    }
-    if (domain == of_domain)
-        count(member);
-    return lower_hash_count;
-}
-
-bool rollout::state::should_watch(time_point now) const
-{
-    return now < watches_for_other_until ||
-           watchers_before(member, domain, now) < watchers;
-}
-
-bool rollout::state::watches(const known_peer& peer,
-                             const support::member_id& id,
-                             time_point now) const
-{
-    return now >= peer.silent_until &&
-           watchers_before(id, peer.domain, now) < watchers;
-}
-
-/// Returns the other members of the own failure domain that may watch the
-/// store, in the order in which they are asked to.
-std::vector<support::member_id>
-rollout::state::watch_order(time_point now) const
-{
-    std::vector<std::pair<std::uint64_t, support::member_id>> order;
-    for (const auto& [id, peer] : peers) {
-        const bool may_watch = peer.domain == domain &&
-                               peer.accepts_transfers &&
-                               now >= peer.silent_until;
-        if (may_watch)
-            order.emplace_back(watcher_hash(id), id);
-    }
-    std::sort(order.begin(), order.end());
-    std::vector<support::member_id> ids;
-    ids.reserve(order.size());
-    for (auto& [hash, id] : order)
-        ids.push_back(std::move(id));
-    return ids;
-}
-
-/// Asks the first members that do not watch to do so from now on, as many as
-/// there are watchers, since all of them may be stopping.
-void rollout::state::hand_over(std::vector<action>& actions, time_point now)
-{
-    if (!watching || handed_over)
-        return;
-    handed_over = true;
-    asked_to_watch.clear();
-    std::size_t asked = 0;
-    for (const support::member_id& id : watch_order(now)) {
-        if (asked == watchers)
-            return;
-        if (watches(peers.at(id), id, now))
-            continue;
-        ++asked;
-        ++counters.handovers;
-        asked_to_watch.push_back(id);
-        transfer request{{}, current_id, {}};
-        request.asks_to_watch = true;
-        actions.emplace_back(
-            push_to_peer{id, peers.at(id).operators, encode(request)});
-    }
-}
-
-/// Leaves a member that does not answer out of the watchers for a while.
-void rollout::state::pass_over(const support::member_id& id, time_point now)
-{
-    const auto silent_peer = peers.find(id);
-    if (silent_peer == peers.end())
-        return;
-    ++counters.silent_watchers;
-    silent_peer->second.silent_until = now + silent_time;
-}
-
-void rollout::state::take_over(time_point now)
-{
-    watches_for_other_until = now + handover_time;
-    settled = true;
-    if (!watching)
-        next_watch = now;
-}
-
-/// A standby, which is next in the order behind the watchers, asks one of them
-/// for a newer document. One that does not answer is passed over, so that the
-/// standby takes its place long before membership has declared it dead.
-void rollout::state::check_watcher_tick(std::vector<action>& actions,
-                                        time_point now)
-{
-    if (watching || !checked_watcher.empty() || now < next_watcher_check)
-        return;
-    const std::size_t before = watchers_before(member, domain, now);
-    next_watcher_check = now + watcher_check_interval;
-    if (before >= watchers + standbys_per_domain)
-        return;
-    const std::vector<support::member_id> order = watch_order(now);
-    const std::size_t choices = std::min(watchers, order.size());
-    if (choices == 0)
-        return;
-    checked_watcher = order[support::uniform_below(random, choices)];
-    actions.emplace_back(pull_from_peer{
-        checked_watcher, peers.at(checked_watcher).operators, current_id});
-}
-
 std::vector<support::member_id> rollout::state::peers_with_older_version() const
 {
     std::vector<support::member_id> older_peers;
@@ -648,18 +343,6 @@
     actions.emplace_back(restore_store{current->text, index});
 }
 
-void rollout::state::watch_tick(std::vector<action>& actions, time_point now)
-{
-    settled = settled || is_settled(now);
-    watching = settled && should_watch(now);
-    if (!watching || watch_open || now < next_watch)
-        return;
-    watch_open = true;
-    ++watch_number;
-    ++counters.store_watches;
-    actions.emplace_back(watch_store{watch_number, known_index});
-}
-
 void rollout::state::pull_tick(std::vector<action>& actions, time_point now)
 {
     if (!pull_peer.empty() || building || now < next_pull)
