Notice within two seconds that the store says nothing to its watchers

Cause: "no newer version" was believed because an open watch said nothing. A watch whose answer is lost stays open for 31 s; nobody else reads the store, and the standbys only check that the watchers answer.

Change: one member of the fleet asks the store each second for changes and states the answer, with its age, to the observers: the watchers and standbys of each failure domain. An observer without recent word asks itself, each after a patience of its own between 1.2 and 1.6 s. It works because an ask does not depend on any watch, and because the age runs out at each observer by its own clock, whoever is silent. A pull no longer waits for the answer to a watch while confirmations are late.

Cost: 1 call a second whatever the size of the fleet.

--- a/include/galenarudder/rollout/rollout.hpp
+++ b/include/galenarudder/rollout/rollout.hpp
@@ -11,6 +11,7 @@
 
 #include "galenarudder/membership/record.hpp"
 #include "galenarudder/rollout/build.hpp"
+#include "galenarudder/rollout/store_confirmation.hpp"
 #include "galenarudder/rollout/transfer.hpp"
 #include "galenarudder/store/change_index.hpp"
 #include "galenarudder/store/platform_store.hpp"
@@ -19,6 +20,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -60,6 +62,20 @@
     store::change_index known_index;
 };
 
+/// Ask the store, without waiting, whether the index of the configuration key
+/// differs from \p known_index, then call on_store_asked or on_ask_failed.
+struct ask_store
+{
+    store::change_index known_index;
+};
+
+/// Tell an observer what is known of the store.
+struct state_confirmation
+{
+    support::member_id observer;
+    confirmation stated;
+};
+
 /// Write \p document to the store if the index of the key is still
 /// \p expected_index: the store has an older document than this daemon, or
 /// none.
@@ -90,6 +106,8 @@
                             release_document,
                             read_store,
                             watch_store,
+                            ask_store,
+                            state_confirmation,
                             restore_store,
                             push_to_peer,
                             pull_from_peer>;
@@ -124,6 +142,12 @@
     std::uint64_t handovers = 0;
     /// Members that did not answer a standby's check of the watchers.
     std::uint64_t silent_watchers = 0;
+    /// Times that this observer asked the store for changes.
+    std::uint64_t store_asks = 0;
+    /// Those that got no answer.
+    std::uint64_t store_asks_failed = 0;
+    /// Confirmations that other observers stated.
+    std::uint64_t confirmations_heard = 0;
 };
 
 class rollout
@@ -162,6 +186,15 @@
                                         support::time_point now);
     std::vector<action> on_watch_failed(std::uint64_t watch_number,
                                         support::time_point now);
+    /// The store answered ask_store; \p text is empty if the index did not
+    /// change.
+    std::vector<action> on_store_asked(std::string_view text,
+                                       const store::change_index& index,
+                                       support::time_point now);
+    /// The store did not answer ask_store.
+    std::vector<action> on_ask_failed(support::time_point now);
+    /// Another observer states what it knows of the store.
+    void on_confirmation(const confirmation& heard, support::time_point now);
     /// The build with that number ended. Every build must end so, since no
     /// other starts before.
     std::vector<action>
@@ -211,6 +244,10 @@
     /// domain, as of the last tick.
     bool is_watcher() const;
     const rollout_counters& counters() const;
+    /// Returns the time since the store is known to hold nothing newer than the
+    /// document in force; empty if this daemon is no observer.
+    std::optional<support::duration>
+    confirmation_age(support::time_point now) const;
 
     /// Members of each failure domain that watch the store.
     static constexpr std::size_t watchers_per_domain = 2;
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -114,6 +114,15 @@
                 return actions;
             });
     }
+    set_extension_handler(
+        rollout::confirmation_topic,
+        [this](const support::member_id&, const std::string& payload,
+               support::time_point now) -> std::vector<node_action> {
+            const auto heard = rollout::decode_confirmation(payload);
+            if (heard)
+                rollout_.on_confirmation(*heard, now);
+            return {};
+        });
     router_.set_decision_log(decisions_);
     router_.set_crossings({settings.domain,
                            settings.domain_regions,
--- a/lib/daemon/node_report.cpp
+++ b/lib/daemon/node_report.cpp
@@ -69,6 +69,15 @@
     {"galenarudder_configuration_silent_watchers_total",
      "Members that did not answer as watchers of the store",
      &rollout_counters::silent_watchers},
+    {"galenarudder_configuration_store_asks_total",
+     "Times that this observer asked the store for changes",
+     &rollout_counters::store_asks},
+    {"galenarudder_configuration_store_asks_failed_total",
+     "Times that the store did not answer this observer",
+     &rollout_counters::store_asks_failed},
+    {"galenarudder_configuration_confirmations_heard_total",
+     "Statements of other observers about the store",
+     &rollout_counters::confirmations_heard},
 };
 
 prometheus::MetricFamily make_counter_family(const char* name, const char* help)
--- a/lib/daemon/rollout_runtime.cpp
+++ b/lib/daemon/rollout_runtime.cpp
@@ -25,6 +25,8 @@
 constexpr support::milliseconds store_timeout{1000};
 /// Time after which a watch without a change ends and is started again.
 constexpr std::chrono::seconds watch_timeout{30};
+/// A watch that is to be answered at once.
+constexpr support::milliseconds ask_wait{1};
 constexpr support::milliseconds peer_timeout{1000};
 
 constexpr unsigned status_ok = 200;
@@ -117,6 +119,8 @@
     void read(store::read_freshness freshness);
     void watch(std::uint64_t watch_number,
                const store::change_index& known_index);
+    void ask(const store::change_index& known_index);
+    void state_confirmation(const rollout::state_confirmation& action);
     void restore(const rollout::restore_store& action);
     void push(const rollout::push_to_peer& action);
     void pull(const rollout::pull_from_peer& action);
@@ -216,6 +220,31 @@
                  });
 }
 
+void rollout_runtime::impl::ask(const store::change_index& known_index)
+{
+    store_.watch(store::configuration_key, known_index, ask_wait,
+                 [weak = weak_from_this()](
+                     const support::result<store::indexed_value>& stored) {
+                     const auto self = weak.lock();
+                     if (!self)
+                         return;
+                     if (!stored) {
+                         self->report(&state_machine::on_ask_failed);
+                         return;
+                     }
+                     self->report(&state_machine::on_store_asked,
+                                  stored.value().value, stored.value().index);
+                 });
+}
+
+void rollout_runtime::impl::state_confirmation(
+    const rollout::state_confirmation& action)
+{
+    execute_actions_(node_.send_extension(
+        action.observer, rollout::confirmation_topic,
+        rollout::encode(action.stated), monotonic_clock::now()));
+}
+
 void rollout_runtime::impl::restore(const rollout::restore_store& action)
 {
     telemetry::log_event(telemetry::log_kind::state_change,
@@ -327,6 +356,16 @@
     impl_->watch(action.watch_number, action.known_index);
 }
 
+void rollout_runtime::execute(const rollout::ask_store& action)
+{
+    impl_->ask(action.known_index);
+}
+
+void rollout_runtime::execute(const rollout::state_confirmation& action)
+{
+    impl_->state_confirmation(action);
+}
+
 void rollout_runtime::execute(const rollout::restore_store& action)
 {
     impl_->restore(action);
--- a/lib/rollout/rollout.cpp
+++ b/lib/rollout/rollout.cpp
@@ -93,8 +93,10 @@
         first_heard_at = first_heard_at.value_or(now);
         return;
     }
-    const milliseconds head_start =
-        watch_open ? watch_head_start : milliseconds(0);
+    // Without a recent word of the store the watch may be lost.
+    const milliseconds head_start = watch_open && confirmed.is_recent(now)
+                                        ? watch_head_start
+                                        : milliseconds(0);
     next_pull = std::max(next_pull, now + head_start + jitter(pull_jitter));
 }
 
@@ -604,6 +606,7 @@
         state_->heard_of_member_at = now;
     }
     state_->watch_tick(actions, now);
+    state_->observe_tick(actions, now);
     state_->pull_tick(actions, now);
     state_->read_tick(actions, now);
     state_->check_watcher_tick(actions, now);
--- a/lib/rollout/rollout_state.hpp
+++ b/lib/rollout/rollout_state.hpp
@@ -100,6 +100,21 @@
     time_point next_watch{};
     milliseconds watch_backoff = first_backoff;
 
+    store_confirmation confirmed;
+    /// The members that ask the store, in their order, and until when this
+    /// order is used.
+    std::vector<support::member_id> observers;
+    time_point next_observer_selection{};
+    /// When the store was asked; empty if no call is under way.
+    std::optional<time_point> asked_at;
+    /// What the store is asked for changes of.
+    store::change_index asked_index;
+    time_point next_ask{};
+    milliseconds ask_backoff = first_backoff;
+    /// When the store was asked that has answered since; its document may still
+    /// have to be built before the answer can be stated.
+    std::optional<time_point> unstated_answer;
+
     /// The peer of the pending pull; empty when there is none.
     support::member_id pull_peer;
     time_point next_pull{};
@@ -154,6 +169,9 @@
     void restore(const store::change_index& index,
                  std::vector<action>& actions);
     void watch_tick(std::vector<action>& actions, time_point now);
+    void observe_tick(std::vector<action>& actions, time_point now);
+    std::size_t observer_rank(time_point now);
+    void state_answer(std::vector<action>& actions, time_point now);
     void pull_tick(std::vector<action>& actions, time_point now);
     void read_tick(std::vector<action>& actions, time_point now);
 };
--- a/lib/store/consul_store.cpp
+++ b/lib/store/consul_store.cpp
@@ -182,6 +182,13 @@
            "s";
 }
 
+std::string milliseconds_text(support::duration span)
+{
+    return std::to_string(
+               std::chrono::ceil<support::milliseconds>(span).count()) +
+           "ms";
+}
+
 } // namespace
 
 struct consul_store::state
@@ -382,7 +389,7 @@
     const call_purpose purpose = purpose_of(call_operation::watch, key);
     const std::string path = "/v1/kv/" + encode_key(key) +
                              "?index=" + std::to_string(known_index.number) +
-                             "&wait=" + seconds_text(wait);
+                             "&wait=" + milliseconds_text(wait);
     send<indexed_value>(
         state_, purpose,
         state_->admit(state_->read_budget, &store_counters::watches, purpose),
--- a/test/process/platform_rig.py
+++ b/test/process/platform_rig.py
@@ -61,6 +61,10 @@
         self.connection.shutdown(socket.SHUT_RDWR)
 
 
+# A call of the store that waits longer is a watch.
+LONGEST_ANSWER_S = 0.5
+
+
 class Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 128
@@ -80,13 +84,15 @@
     the next `write_answers_to_lose` writes but closes the connection without
     an answer. A watch from before `compacted_revision` or from after the
     current revision gets 410. Each answer has the header Store-Era, which
-    `restore` raises by one.
+    `restore` raises by one. While `loses_watches` is set, a watch that waits
+    gets no answer, and its connection stays open.
     """
 
     name = "store"
 
     def __init__(self, address):
         self.mode = "up"
+        self.loses_watches = False
         self.write_answers_to_lose = 0
         self.changed = threading.Condition()
         self.items = {}
@@ -219,6 +225,9 @@
             lambda: new_events() or history_is_missing()
             or store.mode != "up" or store.era != era,
             wait_s)
+        if store.loses_watches and wait_s > LONGEST_ANSWER_S:
+            store.changed.wait_for(lambda: not store.loses_watches)
+            return self.drop_connection()
         if store.mode != "up" or store.era != era:
             return self.drop_connection()
         if history_is_missing():
--- a/unittests/rollout/rollout_test.cpp
+++ b/unittests/rollout/rollout_test.cpp
@@ -175,6 +175,15 @@
             return;
         open_watches_[id] = request.watch_number;
     }
+    void execute(const std::string& id, const rollout::ask_store&)
+    {
+        perform(id, daemons_.at(id).on_store_asked(store_text_, store_index_,
+                                                   now_));
+    }
+    void execute(const std::string&, const rollout::state_confirmation& request)
+    {
+        daemons_.at(request.observer).on_confirmation(request.stated, now_);
+    }
     void execute(const std::string&, const rollout::restore_store& request)
     {
         if (request.expected_index != store_index_)
--- a/unittests/rollout/watchers_test.cpp
+++ b/unittests/rollout/watchers_test.cpp
@@ -5,7 +5,9 @@
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
+#include <xxhash.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -23,6 +25,9 @@
 constexpr milliseconds step{50};
 constexpr milliseconds tick_interval{100};
 constexpr milliseconds call_time{10};
+/// After this time a call to a store that does not answer fails.
+constexpr milliseconds ask_timeout{1000};
+constexpr milliseconds watch_timeout{31'000};
 /// After this time a call to a member that does not answer fails.
 constexpr milliseconds call_timeout{1000};
 /// How long a member gets no new calls before it stops.
@@ -57,6 +62,8 @@
     /// What the other members believe.
     membership::member_state believed = membership::member_state::alive;
     bool turned_away = false;
+    /// The store takes its calls and answers nothing.
+    bool silenced = false;
     time_point started_at{};
     time_point undisturbed_since{};
     std::uint64_t watch = 0;
@@ -105,7 +112,12 @@
         const std::uint64_t version = ++version_;
         const time_point written_at = now_;
         for (auto& [id, member] : daemons_) {
-            if (member.watch_open && !member.turned_away)
+            if (!member.watch_open || member.turned_away)
+                continue;
+            // An answer that is lost ends the watch at the store.
+            if (member.silenced || answers_are_lost_)
+                member.watch_open = false;
+            else
                 answer_watch(id);
         }
         after(in_force_bound, [this, version, written_at] {
@@ -155,6 +167,16 @@
         if (turned_away && member.watch_open)
             fail_watch(id);
     }
+    /// The store answers nothing to this member from now on, or again. What it
+    /// did not answer stays without an answer.
+    void silence(const std::string& id, bool silenced)
+    {
+        daemon& member = daemons_.at(id);
+        member.silenced = silenced;
+        member.watch_open = false;
+    }
+    /// All answers of the store are lost, or none.
+    void lose_answers(bool lost) { answers_are_lost_ = lost; }
     /// The members of a domain reach only each other and the store.
     void cut_off(const std::string& domain) { cut_domain_ = domain; }
     void join_again() { cut_domain_.clear(); }
@@ -169,6 +191,29 @@
         }
         return found;
     }
+    /// Returns the first \p count members of \p domain to watch the store.
+    std::vector<std::string> first_members(const std::string& domain,
+                                           std::size_t count) const
+    {
+        std::vector<std::pair<std::uint64_t, std::string>> order;
+        for (const auto& [id, member] : daemons_) {
+            if (member.domain == domain)
+                order.emplace_back(XXH3_64bits(id.data(), id.size()), id);
+        }
+        std::sort(order.begin(), order.end());
+        std::vector<std::string> first;
+        for (std::size_t place = 0; place < count; ++place)
+            first.push_back(order[place].second);
+        return first;
+    }
+    std::size_t with_newest() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            daemons_.begin(), daemons_.end(), [this](const auto& entry) {
+                return entry.second.machine->version() == version_;
+            }));
+    }
+    void forget_late() { late_.clear(); }
     std::vector<std::string> members() const
     {
         std::vector<std::string> ids;
@@ -178,6 +223,7 @@
     }
     const std::set<std::string>& late() const { return late_; }
     std::uint64_t store_calls() const { return store_calls_; }
+    std::uint64_t store_asks() const { return store_asks_; }
 
 private:
     void after(milliseconds delay, std::function<void()> event)
@@ -271,6 +317,15 @@
         });
     }
 
+    void time_out_watch(const std::string& id)
+    {
+        after(watch_timeout, [this, id, watch = daemons_.at(id).watch] {
+            if (daemons_.at(id).state == condition::runs)
+                perform(id,
+                        daemons_.at(id).machine->on_watch_failed(watch, now_));
+        });
+    }
+
     void perform(const std::string& id,
                  const std::vector<rollout::action>& actions)
     {
@@ -318,9 +373,41 @@
         member.watch_open = true;
         if (member.turned_away)
             fail_watch(id);
+        else if (member.silenced || answers_are_lost_)
+            time_out_watch(id);
         else if (request.known_index != store::change_index{version_})
             answer_watch(id);
     }
+    void execute(const std::string& id, const rollout::ask_store& request)
+    {
+        ++store_asks_;
+        daemon& member = daemons_.at(id);
+        const bool lost = member.silenced || answers_are_lost_;
+        after(lost ? ask_timeout : call_time, [this, id, request, lost] {
+            daemon& asking = daemons_.at(id);
+            if (asking.state != condition::runs)
+                return;
+            const store::change_index index{version_};
+            if (lost || asking.turned_away)
+                perform(id, asking.machine->on_ask_failed(now_));
+            else
+                perform(id, asking.machine->on_store_asked(
+                                index == request.known_index
+                                    ? std::string()
+                                    : document_text(version_),
+                                index, now_));
+        });
+    }
+    void execute(const std::string& id,
+                 const rollout::state_confirmation& statement)
+    {
+        after(call_time, [this, id, statement] {
+            daemon& observer = daemons_.at(statement.observer);
+            if (observer.state == condition::runs &&
+                connected(id, statement.observer))
+                observer.machine->on_confirmation(statement.stated, now_);
+        });
+    }
     void execute(const std::string& id, const rollout::push_to_peer& request)
     {
         call(
@@ -376,6 +463,8 @@
     std::uint64_t seed_ = 0;
     std::uint64_t version_ = 0;
     std::uint64_t store_calls_ = 0;
+    std::uint64_t store_asks_ = 0;
+    bool answers_are_lost_ = false;
     std::string cut_domain_;
     std::set<std::string> late_;
 };
@@ -435,6 +524,83 @@
     CHECK(members.late() == std::set<std::string>());
 }
 
+// Guards against a fleet that keeps an old version until the watches time out,
+// since every member that watches the store gets no answer from it.
+TEST_CASE("a version reaches a fleet whose watchers hear nothing of the store",
+          "[watchers]")
+{
+    struct row
+    {
+        const char* name;
+        std::size_t domains;
+        std::size_t members;
+        /// Members of each domain that the store does not answer.
+        std::size_t silenced;
+        milliseconds written_after;
+        const char* cut_off;
+    };
+    const row rows[] = {
+        {"watchers, at once", 3, 5, 2, 0ms, ""},
+        {"watchers, later", 3, 5, 2, 1000ms, ""},
+        {"watchers, long after", 3, 5, 2, 8000ms, ""},
+        {"watchers, two domains", 2, 7, 2, 1000ms, ""},
+        {"watchers and a standby", 3, 5, 3, 300ms, ""},
+        {"watchers and a standby, later", 3, 5, 3, 3000ms, ""},
+        {"watchers of a domain that is cut off", 2, 6, 2, 500ms, "d1"},
+        {"one domain", 1, 6, 2, 700ms, ""},
+    };
+    for (const row& test_case : rows) {
+        INFO(test_case.name);
+        fleet members(test_case.domains, test_case.members);
+        members.cut_off(test_case.cut_off);
+        for (std::size_t domain = 0; domain < test_case.domains; ++domain) {
+            const std::string name = "d" + std::to_string(domain);
+            for (const std::string& id :
+                 members.first_members(name, test_case.silenced))
+                members.silence(id, true);
+        }
+        members.run(test_case.written_after);
+        members.write();
+        members.run(in_force_bound + 100ms);
+        CHECK(members.late() == std::set<std::string>());
+    }
+}
+
+// Guards against the same after a short silence of the store towards all, which
+// took the answers to the watches with it.
+TEST_CASE("answers that were lost are noticed after the store serves again",
+          "[watchers]")
+{
+    for (const milliseconds silence : {50ms, 400ms, 1000ms, 4000ms}) {
+        INFO(silence.count() << " ms");
+        fleet members(3, 5);
+        members.lose_answers(true);
+        members.write();
+        members.run(silence);
+        members.lose_answers(false);
+        members.forget_late();
+        // The time in which members come to be in touch again.
+        members.run(3s);
+        CHECK(members.with_newest() == members.members().size());
+    }
+}
+
+TEST_CASE("how often the store is asked depends on nothing but time",
+          "[watchers]")
+{
+    for (const std::size_t domains : {1, 3, 8}) {
+        for (const std::size_t members_per_domain : {4, 20}) {
+            INFO(domains << " domains of " << members_per_domain);
+            fleet members(domains, members_per_domain);
+            const std::uint64_t begin = members.store_asks();
+            members.run(10s);
+            const std::uint64_t asks = members.store_asks() - begin;
+            CHECK(asks >= 9);
+            CHECK(asks <= 10);
+        }
+    }
+}
+
 TEST_CASE("the calls of the store do not depend on the number of members",
           "[watchers]")
 {
