Read the settings file again whenever it has changed

Cause: the file was read at the start and on SIGHUP alone, and the platform may change it without a signal.

Change: the daemon reads the file each 0.25 s and takes a content that two readings in a row agree on, so that a half-written one is never taken. A content that cannot be used leaves the settings as they are and is logged once. Each setting has a row in a table that says whether it takes effect or waits for a restart, which the log and a gauge tell. It works because contents are compared: neither a signal nor the file's times are needed. The reload moved from runtime.cpp into files of its own.

--- a/include/galenarudder/config/settings.hpp
+++ b/include/galenarudder/config/settings.hpp
@@ -40,6 +40,8 @@
 {
     std::string id;
     std::string secret;
+
+    friend bool operator==(const shared_key&, const shared_key&) = default;
 };
 
 /// The settings of one daemon. Each field holds the setting of the same name.
--- a/include/galenarudder/daemon/integration.hpp
+++ b/include/galenarudder/daemon/integration.hpp
@@ -87,8 +87,9 @@
         const config::daemon_settings& settings,
         announcement_handlers handlers)>
         open_announcement_listener;
-    /// Reads the settings again. Called on SIGHUP; may be empty.
-    std::function<support::result<config::daemon_settings>()> reload;
+    /// File of the settings, which are read again on SIGHUP and whenever it
+    /// changes; empty if they never are.
+    std::string settings_path;
     /// Path that the readiness port serves.
     std::string readiness_path;
     /// Whether the gate opens connections to the upstream before calls need
--- a/lib/daemon/program.cpp
+++ b/lib/daemon/program.cpp
@@ -31,9 +31,7 @@
                           {"settings", settings_path},
                           {"domain", settings.value().domain},
                           {"service", settings.value().service}});
-    deployment.reload = [settings_path] {
-        return config::load_settings(settings_path);
-    };
+    deployment.settings_path = settings_path;
     runtime daemon_runtime(std::move(settings).value(), std::move(deployment));
     auto started = daemon_runtime.start();
     if (!started) {
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -10,6 +10,7 @@
 #include "galenarudder/daemon/node_report.hpp"
 #include "galenarudder/daemon/operator_port.hpp"
 #include "galenarudder/daemon/rollout_runtime.hpp"
+#include "galenarudder/daemon/settings_reload.hpp"
 #include "galenarudder/daemon/store_call_report.hpp"
 #include "galenarudder/http/server.hpp"
 #include "galenarudder/link/link_manager.hpp"
@@ -111,8 +112,7 @@
     void on_serving_changed(std::optional<proxy::upstream_properties> upstream);
     support::result<void> open_readiness();
     bool is_ready() const;
-    void wait_for_reload_signal();
-    void reload();
+    void on_settings_applied();
     void publish_own_upstream();
     // A stop runs in this order: drain() on a signal, the leave notice, the
     // drains of the gate and of the callers' connections in parallel, leave(),
@@ -174,7 +174,7 @@
     asio::steady_timer timer_;
     asio::steady_timer leave_timer_;
     asio::signal_set signals_;
-    asio::signal_set reload_signal_;
+    settings_reload settings_reload_;
     /// The gate is draining or drained: it refuses new calls.
     bool draining_ = false;
     /// The gate has no calls left, and the links have its responses.
@@ -220,7 +220,10 @@
                           settings_.join_settling,
                           std::random_device{}()),
       gossip_(control_), timer_(control_), leave_timer_(control_),
-      signals_(control_, SIGTERM, SIGINT), reload_signal_(control_, SIGHUP)
+      signals_(control_, SIGTERM, SIGINT),
+      settings_reload_(control_, deployment_.settings_path, settings_, [this] {
+          on_settings_applied();
+      })
 {
 }
 
@@ -478,7 +481,7 @@
             if (self && !canceled)
                 self->drain("signal");
         });
-    wait_for_reload_signal();
+    settings_reload_.start();
     run_on_control([](impl& self) {
         self.introducer_runtime_.start();
         self.tick();
@@ -598,6 +601,7 @@
                        "no announcement was received in time");
     store_calls_.on_tick(store_->counters().by_purpose, monotonic_clock::now());
     tick_organisation_limits();
+    settings_reload_.on_tick(monotonic_clock::now());
     telemetry::flush_log();
     timer_.expires_after(membership::member::tick_interval);
     timer_.async_wait(
@@ -678,18 +682,6 @@
     return observer;
 }
 
-void runtime::impl::wait_for_reload_signal()
-{
-    reload_signal_.async_wait(
-        [weak = weak_from_this()](boost::system::error_code canceled, int) {
-            const auto self = weak.lock();
-            if (!self || canceled)
-                return;
-            self->reload();
-            self->wait_for_reload_signal();
-        });
-}
-
 /// Publishes what other threads read of the settings that a reload changes.
 void runtime::impl::publish_own_upstream()
 {
@@ -698,33 +690,10 @@
     entry_.set_own_service(settings_.service);
 }
 
-/// Applies the settings that may change while the daemon runs. If they cannot
-/// be read, the old settings stay in force; changed ports need a restart.
-void runtime::impl::reload()
+void runtime::impl::on_settings_applied()
 {
-    if (!deployment_.reload)
-        return;
-    const auto reloaded = deployment_.reload();
-    if (!reloaded) {
-        telemetry::log_error("settings.refused", reloaded.error());
-        return;
-    }
-    const config::daemon_settings& new_settings = reloaded.value();
-    const bool same_ports =
-        new_settings.callers == settings_.callers &&
-        new_settings.announcements == settings_.announcements &&
-        new_settings.link == settings_.link &&
-        new_settings.gossip == settings_.gossip &&
-        new_settings.operators == settings_.operators;
-    settings_.leave_notice = new_settings.leave_notice;
-    settings_.stop_timeout = new_settings.stop_timeout;
-    settings_.upstream = new_settings.upstream;
-    settings_.service = new_settings.service;
-    settings_.heartbeat = new_settings.heartbeat;
     presence_.set_lapse_after(max_missed_heartbeats * settings_.heartbeat);
     publish_own_upstream();
-    telemetry::log_event(log_kind::state_change, "settings.reloaded",
-                         {{"ports_need_a_restart", !same_ports}});
 }
 
 /// Starts a drain. A drain requested by an operator or by the upstream stops
@@ -847,6 +816,7 @@
     collect(link_manager_->counters(), metrics_);
     turns_.collect(metrics_);
     organisation_limits_->collect_metrics();
+    settings_reload_.collect(metrics_);
     metrics_.set_gauge("galenarudder_emptied_domains",
                        "Failure domains that operators have emptied",
                        static_cast<double>(node_.domains().emptied().size()));
