Give load queries connections of their own

What callers saw: nothing yet; the cause of repeated rejections on a related path. A load query that takes a late copy for its response leaves its own response on the connection.

Cause: load queries have no id and shared the pool's connections with calls. Evidence: unit_entry plays it against an upstream on loopback; the call ends as not run.

Change: a connection of the pool is used for calls or for load queries, not for both. It works because nothing that a query leaves behind can be on a connection of calls.

--- a/lib/proxy/connection_pool.cpp
+++ b/lib/proxy/connection_pool.cpp
@@ -52,11 +52,14 @@
 {
     max_connections_ = std::max<std::size_t>(1, max_open);
     warm_target_ = std::min(warm_count, max_connections_);
-    std::erase_if(idle_, [](const connection_ptr& pooled) {
-        return !is_reusable(*pooled);
-    });
-    while (open_count_ > max_connections_ && !idle_.empty())
-        idle_.pop_front();
+    for (std::deque<connection_ptr>& idle : idle_) {
+        std::erase_if(idle, [](const connection_ptr& pooled) {
+            return !is_reusable(*pooled);
+        });
+    }
+    while (open_count_ > max_connections_ &&
+           close_one_idle(connection_purpose::load_queries))
+        continue;
     availability_changed_.cancel();
     if (warming_ || open_count_ >= warm_target_)
         return;
@@ -71,7 +74,7 @@
 void connection_pool::close()
 {
     closed_ = true;
-    idle_.clear();
+    idle_ = {};
 }
 
 void connection_pool::connection_closed()
@@ -85,25 +88,41 @@
 /// that exceeded its idle timeout, since the upstream may close it just as a
 /// call is sent on it. One that only exceeds \p max_idle_time stays for other
 /// calls.
-connection_ptr connection_pool::take_idle(support::duration max_idle_time)
+connection_ptr connection_pool::take_idle(connection_purpose purpose,
+                                          support::duration max_idle_time)
 {
+    std::deque<connection_ptr>& idle = idle_for(purpose);
     const support::time_point now = support::monotonic_clock::now();
-    while (!idle_.empty()) {
-        const connection& last = *idle_.back();
+    while (!idle.empty()) {
+        const connection& last = *idle.back();
         const bool timeout_stated = last.idle_timeout.count() > 0;
         const support::duration idle_timeout =
             timeout_stated ? last.idle_timeout : default_idle_timeout;
         const support::duration idle_time = now - last.idle_since;
         if (idle_time < idle_timeout && idle_time >= max_idle_time)
             return nullptr;
-        connection_ptr pooled = std::move(idle_.back());
-        idle_.pop_back();
+        connection_ptr pooled = std::move(idle.back());
+        idle.pop_back();
         if (idle_time < idle_timeout && is_reusable(*pooled))
             return pooled;
     }
     return nullptr;
 }
 
+/// Closes the idle connection that was used least recently, one for
+/// \p preferred if there is any. Returns whether there was one.
+bool connection_pool::close_one_idle(connection_purpose preferred)
+{
+    std::deque<connection_ptr>& own = idle_for(preferred);
+    for (std::deque<connection_ptr>* idle : {&own, &idle_[0], &idle_[1]}) {
+        if (idle->empty())
+            continue;
+        idle->pop_front();
+        return true;
+    }
+    return false;
+}
+
 asio::awaitable<connection_ptr>
 connection_pool::connect(support::duration timeout)
 {
@@ -144,13 +163,14 @@
 /// Closes an idle connection that this call cannot use if the limit would
 /// otherwise keep it from opening one.
 asio::awaitable<connection_ptr>
-connection_pool::take_connection(support::time_point deadline,
+connection_pool::take_connection(connection_purpose purpose,
+                                 support::time_point deadline,
                                  support::duration max_idle_time,
                                  std::function<bool()> still_wanted)
 {
     const auto self = shared_from_this();
     for (;;) {
-        if (connection_ptr pooled = take_idle(max_idle_time))
+        if (connection_ptr pooled = take_idle(purpose, max_idle_time))
             co_return pooled;
         if (!still_wanted())
             co_return nullptr;
@@ -158,12 +178,15 @@
             deadline - support::monotonic_clock::now();
         if (time_left <= support::duration(0))
             co_return nullptr;
-        if (open_count_ >= max_connections_ && !idle_.empty())
-            idle_.pop_front();
+        if (open_count_ >= max_connections_)
+            close_one_idle(purpose);
         if (open_count_ < max_connections_) {
             const support::duration timeout =
                 std::min<support::duration>(time_left, connect_timeout);
-            co_return co_await connect(timeout);
+            connection_ptr opened = co_await connect(timeout);
+            if (opened)
+                opened->purpose = purpose;
+            co_return opened;
         }
         co_await wait_for_availability(deadline);
     }
@@ -190,7 +213,7 @@
         return;
     returned->stream.expires_never();
     returned->idle_since = support::monotonic_clock::now();
-    idle_.push_back(std::move(returned));
+    idle_for(returned->purpose).push_back(returned);
     availability_changed_.cancel();
 }
 
--- a/lib/proxy/connection_pool.hpp
+++ b/lib/proxy/connection_pool.hpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <array>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -23,6 +24,16 @@
 /// a lower limit in the parser.
 inline constexpr std::size_t max_unparsed_bytes = 64 * 1024;
 
+/// What a connection carries. A connection is used for one purpose only: load
+/// queries have no id, so that a late copy of a response to one could leave the
+/// next response on the connection for a call.
+enum class connection_purpose
+{
+    calls,
+    load_queries
+};
+inline constexpr std::size_t connection_purpose_count = 2;
+
 /// A connection to the upstream and the bytes that were read ahead from it.
 struct connection
 {
@@ -38,6 +49,7 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer{max_unparsed_bytes};
     std::function<void()> on_closed;
+    connection_purpose purpose = connection_purpose::calls;
     /// Since when it is idle.
     support::time_point idle_since{};
     /// How long it is reused while idle: a share of the idle timeout that the
@@ -59,13 +71,14 @@
     /// them before calls need them. Drops idle ones that the upstream has
     /// closed.
     void set_max_connections(std::size_t max_open, std::size_t warm_count);
-    /// Returns an idle connection or opens one. An idle one that was idle for
-    /// \p max_idle_time or longer is not used. Returns null if connecting
-    /// fails, or if no connection is available before \p deadline. A call
-    /// gets null also if none is available and \p still_wanted, which
+    /// Returns an idle connection for \p purpose or opens one. An idle one that
+    /// was idle for \p max_idle_time or longer is not used. Returns null if
+    /// connecting fails, or if no connection is available before \p deadline. A
+    /// call gets null also if none is available and \p still_wanted, which
     /// wake_waiting makes it ask again, returns false.
     boost::asio::awaitable<connection_ptr>
-    take_connection(support::time_point deadline,
+    take_connection(connection_purpose purpose,
+                    support::time_point deadline,
                     support::duration max_idle_time,
                     std::function<bool()> still_wanted);
     void wake_waiting() { availability_changed_.cancel(); }
@@ -89,7 +102,13 @@
     boost::asio::awaitable<void> warm();
     boost::asio::awaitable<void>
     wait_for_availability(support::time_point deadline);
-    connection_ptr take_idle(support::duration max_idle_time);
+    std::deque<connection_ptr>& idle_for(connection_purpose purpose)
+    {
+        return idle_[static_cast<std::size_t>(purpose)];
+    }
+    connection_ptr take_idle(connection_purpose purpose,
+                             support::duration max_idle_time);
+    bool close_one_idle(connection_purpose preferred);
     void connection_closed();
 
     boost::asio::any_io_executor executor_;
@@ -97,7 +116,8 @@
     std::size_t max_connections_ = 1;
     std::size_t warm_target_ = 0;
     std::size_t open_count_ = 0;
-    std::deque<connection_ptr> idle_;
+    /// By purpose.
+    std::array<std::deque<connection_ptr>, connection_purpose_count> idle_;
     /// Never expires; it is canceled to wake waiters when a connection was
     /// given back or closed.
     boost::asio::steady_timer availability_changed_;
--- a/lib/proxy/response_identity.cpp
+++ b/lib/proxy/response_identity.cpp
@@ -71,12 +71,4 @@
     return {applied.belongs, may_reuse};
 }
 
-bool may_reuse_after_query(const support::response_head& head,
-                           const http_dialect& dialect)
-{
-    const response_id id = compare_ids(head, {}, dialect);
-    return id == response_id::unused ||
-           (id == response_id::absent && !dialect.states_not_run(head));
-}
-
 } // namespace galenarudder::proxy
--- a/lib/proxy/response_identity.hpp
+++ b/lib/proxy/response_identity.hpp
@@ -40,9 +40,4 @@
                                 const sent_request& request,
                                 const http_dialect& dialect);
 
-/// Returns whether a connection may carry calls after a load query, which has
-/// no id, got the response \p head.
-bool may_reuse_after_query(const support::response_head& head,
-                           const http_dialect& dialect);
-
 } // namespace galenarudder::proxy
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -340,7 +340,7 @@
     const support::time_point started_at = support::monotonic_clock::now();
     bool stopped_waiting = false;
     connection_ = co_await pool_->take_connection(
-        deadline_,
+        connection_purpose::calls, deadline_,
         attempt_->head.repeatable ? any_idle_time : max_idle_time_unrepeatable,
         [this, &stopped_waiting] {
             stopped_waiting = aborted_;
@@ -704,8 +704,9 @@
            const http_dialect& dialect)
 {
     const support::time_point end = support::monotonic_clock::now() + timeout;
-    const connection_ptr connection = co_await pool->take_connection(
-        end, max_idle_time_unrepeatable, [] { return true; });
+    const connection_ptr connection =
+        co_await pool->take_connection(connection_purpose::load_queries, end,
+                                       any_idle_time, [] { return true; });
     if (!connection)
         co_return std::nullopt;
     bhttp::request<bhttp::empty_body> request(bhttp::verb::get, path, 11);
@@ -727,7 +728,7 @@
     head.status = received.message.status;
     for (http::field& field : received.message.fields)
         head.fields.push_back({std::move(field.name), std::move(field.value)});
-    if (received.reusable && may_reuse_after_query(head, dialect))
+    if (received.reusable)
         pool->give_back(connection);
     co_return load_of_instance(head, instance, dialect);
 }
--- a/unittests/entry/upstream_client_test.cpp
+++ b/unittests/entry/upstream_client_test.cpp
@@ -66,7 +66,11 @@
     void reset_connections() { resets_ = true; }
     /// Sends each response a second time, in front of the next one on its
     /// connection.
-    void repeat_responses_late() { repeats_late_ = true; }
+    void repeat_responses_late(int waits_after_copy = 0)
+    {
+        repeats_late_ = true;
+        waits_after_copy_ = waits_after_copy;
+    }
     /// Closes the connections that are open.
     void close_all()
     {
@@ -128,10 +132,13 @@
                 co_await wait_briefly(socket);
             if (response.empty())
                 break;
-            const std::string sent = late_copy + response;
+            co_await asio::async_write(*socket, asio::buffer(late_copy),
+                                       use_nothrow_awaitable);
             if (repeats_late_)
                 late_copy = response;
-            co_await asio::async_write(*socket, asio::buffer(sent),
+            for (int wait = 0; wait < waits_after_copy_; ++wait)
+                co_await wait_briefly(socket);
+            co_await asio::async_write(*socket, asio::buffer(response),
                                        use_nothrow_awaitable);
             while (reads_one_request_)
                 co_await wait_briefly(socket);
@@ -149,6 +156,8 @@
     bool reads_one_request_ = false;
     bool resets_ = false;
     bool repeats_late_ = false;
+    /// Waits of a millisecond between a copy and the response behind it.
+    int waits_after_copy_ = 0;
     std::vector<std::shared_ptr<tcp::socket>> sockets_;
 };
 
@@ -532,6 +541,32 @@
     }
 }
 
+// Guards against a load query that takes a late copy for its response, and
+// leaves its own response, a rejection, to the next call.
+TEST_CASE("what load queries leave behind reaches no call")
+{
+    fixture given("HTTP/1.1 200 OK\r\nReply-Seal: s\r\nAttempt-Id: booking"
+                  "\r\nContent-Length: 4\r\n\r\ndone",
+                  platform::dialect());
+    given.upstream.answer_first_with(
+        {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+         "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"});
+    given.upstream.repeat_responses_late(30);
+    for (int number = 0; number < 2; ++number) {
+        bool ended = false;
+        given.client.query_load("/health", ample_time,
+                                [&ended](const auto&) { ended = true; });
+        REQUIRE(given.run_until([&] { return ended; }));
+    }
+    const call_ptr booking = given.send("POST", support::milliseconds(700), 0,
+                                        {{"Attempt-Id", "booking"}});
+    given.wait_until_ended(booking);
+    CHECK(booking->result == upstream_result::answered);
+    CHECK(booking->body == "done");
+    // The queries share one connection.
+    CHECK(given.upstream.accepted == 2);
+}
+
 TEST_CASE("abort closes the connection of a running call")
 {
     fixture given("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
