Name the confirmations' calls after what they do; fuzz their decoder

Cause: read again as a newcomer, state_confirmation and unstated_answer could be taken for states of the rollout. Change: send_confirmation, share_answer and unshared_answer; candidates are views; decode_confirmation joins the decoders of unit_fuzz. Measured: unit_rollout and unit_fuzz pass.

--- a/include/galenarudder/daemon/rollout_runtime.hpp
+++ b/include/galenarudder/daemon/rollout_runtime.hpp
@@ -41,7 +41,7 @@
     void execute(const rollout::read_store&);
     void execute(const rollout::watch_store& action);
     void execute(const rollout::ask_store& action);
-    void execute(const rollout::state_confirmation& action);
+    void execute(const rollout::send_confirmation& action);
     void execute(const rollout::restore_store& action);
     void execute(const rollout::push_to_peer& action);
     void execute(const rollout::pull_from_peer& action);
--- a/include/galenarudder/rollout/rollout.hpp
+++ b/include/galenarudder/rollout/rollout.hpp
@@ -70,7 +70,7 @@
 };
 
 /// Tell an observer what is known of the store.
-struct state_confirmation
+struct send_confirmation
 {
     support::member_id observer;
     confirmation stated;
@@ -107,7 +107,7 @@
                             read_store,
                             watch_store,
                             ask_store,
-                            state_confirmation,
+                            send_confirmation,
                             restore_store,
                             push_to_peer,
                             pull_from_peer>;
--- a/include/galenarudder/rollout/store_confirmation.hpp
+++ b/include/galenarudder/rollout/store_confirmation.hpp
@@ -30,7 +30,7 @@
 /// A member that may ask the store, with the failure domain that it is in.
 struct observer_candidate
 {
-    support::member_id member;
+    std::string_view member;
     std::string_view domain;
     /// Order of the members; the same at every daemon.
     std::uint64_t hash = 0;
@@ -91,8 +91,8 @@
 
     bool started_ = false;
     support::time_point as_of_{};
-    /// Of a version that this daemon does not have yet.
-    std::optional<statement> ahead_;
+    /// The newest statement; its version may not be in force here yet.
+    std::optional<statement> newest_;
 };
 
 } // namespace galenarudder::rollout
--- a/lib/daemon/rollout_runtime.cpp
+++ b/lib/daemon/rollout_runtime.cpp
@@ -120,7 +120,7 @@
     void watch(std::uint64_t watch_number,
                const store::change_index& known_index);
     void ask(const store::change_index& known_index);
-    void state_confirmation(const rollout::state_confirmation& action);
+    void send_confirmation(const rollout::send_confirmation& action);
     void restore(const rollout::restore_store& action);
     void push(const rollout::push_to_peer& action);
     void pull(const rollout::pull_from_peer& action);
@@ -237,8 +237,8 @@
                  });
 }
 
-void rollout_runtime::impl::state_confirmation(
-    const rollout::state_confirmation& action)
+void rollout_runtime::impl::send_confirmation(
+    const rollout::send_confirmation& action)
 {
     execute_actions_(node_.send_extension(
         action.observer, rollout::confirmation_topic,
@@ -361,9 +361,9 @@
     impl_->ask(action.known_index);
 }
 
-void rollout_runtime::execute(const rollout::state_confirmation& action)
+void rollout_runtime::execute(const rollout::send_confirmation& action)
 {
-    impl_->state_confirmation(action);
+    impl_->send_confirmation(action);
 }
 
 void rollout_runtime::execute(const rollout::restore_store& action)
--- a/lib/proxy/connection_pool.cpp
+++ b/lib/proxy/connection_pool.cpp
@@ -113,14 +113,15 @@
 /// \p preferred if there is any. Returns whether there was one.
 bool connection_pool::close_one_idle(connection_purpose preferred)
 {
-    std::deque<connection_ptr>& own = idle_for(preferred);
-    for (std::deque<connection_ptr>* idle : {&own, &idle_[0], &idle_[1]}) {
-        if (idle->empty())
-            continue;
-        idle->pop_front();
-        return true;
+    std::deque<connection_ptr>* chosen = &idle_for(preferred);
+    for (std::deque<connection_ptr>& idle : idle_) {
+        if (chosen->empty())
+            chosen = &idle;
     }
-    return false;
+    if (chosen->empty())
+        return false;
+    chosen->pop_front();
+    return true;
 }
 
 asio::awaitable<connection_ptr>
--- a/lib/rollout/confirmations.cpp
+++ b/lib/rollout/confirmations.cpp
@@ -42,7 +42,7 @@
     if (!settled)
         return;
     confirmed.start(now);
-    state_answer(actions, now);
+    share_answer(actions, now);
     if (asked_at || now < next_ask ||
         confirmed.age(now) < store_confirmation::interval)
         return;
@@ -57,19 +57,19 @@
 
 /// Tells the other observers what the store answered, once its document has
 /// been built.
-void rollout::state::state_answer(std::vector<action>& actions, time_point now)
+void rollout::state::share_answer(std::vector<action>& actions, time_point now)
 {
-    if (!unstated_answer || next_from_store ||
+    if (!unshared_answer || next_from_store ||
         (building && building->index.has_value()))
         return;
-    const time_point as_of = *std::exchange(unstated_answer, {});
+    const time_point as_of = *std::exchange(unshared_answer, {});
     confirmed.on_confirmed(current_id.version, as_of);
     const confirmation stated{current_id.version,
                               std::chrono::ceil<milliseconds>(now - as_of)};
     static_cast<void>(observer_rank(now));
     for (const support::member_id& observer : observers) {
         if (observer != member)
-            actions.emplace_back(state_confirmation{observer, stated});
+            actions.emplace_back(send_confirmation{observer, stated});
     }
 }
 
@@ -80,7 +80,7 @@
     std::vector<action> actions;
     if (!state_->asked_at)
         return actions;
-    state_->unstated_answer = std::exchange(state_->asked_at, {});
+    state_->unshared_answer = std::exchange(state_->asked_at, {});
     state_->last_contact = now;
     state_->ask_backoff = first_backoff;
     state_->handed_over = state_->stopping;
@@ -97,7 +97,7 @@
         state_->watch_open = false;
         ++state_->watch_number;
     }
-    state_->state_answer(actions, now);
+    state_->share_answer(actions, now);
     return actions;
 }
 
--- a/lib/rollout/rollout_state.hpp
+++ b/lib/rollout/rollout_state.hpp
@@ -113,7 +113,7 @@
     milliseconds ask_backoff = first_backoff;
     /// When the store was asked that has answered since; its document may still
     /// have to be built before the answer can be stated.
-    std::optional<time_point> unstated_answer;
+    std::optional<time_point> unshared_answer;
 
     /// The peer of the pending pull; empty when there is none.
     support::member_id pull_peer;
@@ -171,7 +171,7 @@
     void watch_tick(std::vector<action>& actions, time_point now);
     void observe_tick(std::vector<action>& actions, time_point now);
     std::size_t observer_rank(time_point now);
-    void state_answer(std::vector<action>& actions, time_point now);
+    void share_answer(std::vector<action>& actions, time_point now);
     void pull_tick(std::vector<action>& actions, time_point now);
     void read_tick(std::vector<action>& actions, time_point now);
 };
--- a/lib/rollout/store_confirmation.cpp
+++ b/lib/rollout/store_confirmation.cpp
@@ -60,7 +60,7 @@
     for (auto& round : rounds) {
         std::sort(round.begin(), round.end(), comes_first);
         for (const observer_candidate* chosen : round)
-            observers.push_back(chosen->member);
+            observers.emplace_back(chosen->member);
     }
     return observers;
 }
@@ -98,8 +98,8 @@
 
 void store_confirmation::on_confirmed(std::uint64_t version, time_point as_of)
 {
-    if (!ahead_ || ahead_->as_of < as_of)
-        ahead_ = statement{version, as_of};
+    if (!newest_ || newest_->as_of < as_of)
+        newest_ = statement{version, as_of};
 }
 
 bool store_confirmation::is_due(std::size_t rank,
@@ -107,9 +107,9 @@
                                 std::uint64_t version,
                                 time_point now)
 {
-    if (ahead_ && ahead_->version <= version) {
-        as_of_ = std::max(as_of_, ahead_->as_of);
-        ahead_.reset();
+    if (newest_ && newest_->version <= version) {
+        as_of_ = std::max(as_of_, newest_->as_of);
+        newest_.reset();
     }
     return started_ && rank < observers &&
            age(now) >= patience_at(rank, observers);
--- a/unittests/fuzz/decoders_test.cpp
+++ b/unittests/fuzz/decoders_test.cpp
@@ -5,6 +5,7 @@
 #include "galenarudder/config/settings.hpp"
 #include "galenarudder/daemon/announcement_port.hpp"
 #include "galenarudder/link/message.hpp"
+#include "galenarudder/rollout/store_confirmation.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -109,6 +110,16 @@
         bytes);
 }
 
+bool confirmation_handles_input(const std::string& bytes)
+{
+    try {
+        static_cast<void>(rollout::decode_confirmation(bytes));
+        return true;
+    } catch (...) {
+        return false;
+    }
+}
+
 struct decoder_case
 {
     const char* name;
@@ -121,7 +132,9 @@
     return {{"link message", link_handles_input, valid_call()},
             {"configuration", document_handles_input, valid_document()},
             {"announcement", announcement_handles_input, valid_announcement},
-            {"settings", settings_handles_input, valid_settings}};
+            {"settings", settings_handles_input, valid_settings},
+            {"confirmation", confirmation_handles_input,
+             encode(rollout::confirmation{7, support::milliseconds(300)})}};
 }
 
 } // namespace
--- a/unittests/rollout/rollout_test.cpp
+++ b/unittests/rollout/rollout_test.cpp
@@ -180,7 +180,7 @@
         perform(id, daemons_.at(id).on_store_asked(store_text_, store_index_,
                                                    now_));
     }
-    void execute(const std::string&, const rollout::state_confirmation& request)
+    void execute(const std::string&, const rollout::send_confirmation& request)
     {
         daemons_.at(request.observer).on_confirmation(request.stated, now_);
     }
--- a/unittests/rollout/watchers_test.cpp
+++ b/unittests/rollout/watchers_test.cpp
@@ -399,7 +399,7 @@
         });
     }
     void execute(const std::string& id,
-                 const rollout::state_confirmation& statement)
+                 const rollout::send_confirmation& statement)
     {
         after(call_time, [this, id, statement] {
             daemon& observer = daemons_.at(statement.observer);
