Read confirmations with the bounded parser

A datagram of a member with the fleet's key could have ended the daemon.

Cause: nlohmann's from_cbor throws for a map or array of huge stated size, also when told not to. Change: support::parse_cbor, which the other decoders use and which bounds what it builds. It works because a stated size beyond the bytes is refused before anything is built.

--- a/lib/rollout/store_confirmation.cpp
+++ b/lib/rollout/store_confirmation.cpp
@@ -1,6 +1,8 @@
 // An observer's patience grows with its rank.
 #include "galenarudder/rollout/store_confirmation.hpp"
 
+#include "galenarudder/support/json.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -75,12 +77,13 @@
 
 std::optional<confirmation> decode_confirmation(std::string_view payload)
 {
-    const json values = json::from_cbor(payload, true, false);
-    const bool valid = values.is_array() && values.size() == 2 &&
-                       values[0].is_number_unsigned() &&
-                       values[1].is_number_unsigned();
+    const auto parsed = support::parse_cbor(payload);
+    const bool valid = parsed && parsed->is_array() && parsed->size() == 2 &&
+                       (*parsed)[0].is_number_unsigned() &&
+                       (*parsed)[1].is_number_unsigned();
     if (!valid)
         return std::nullopt;
+    const json& values = *parsed;
     // An age beyond this is as useless as a greater one, and does not overflow.
     constexpr std::uint64_t max_age_ms = 3'600'000;
     const auto age_ms = std::min(values[1].get<std::uint64_t>(), max_age_ms);
