State how current the configuration is, and which step delayed it

Change: configuration.in_force states source, fetch, wait and build; gauges of the time behind a known newer version; the page begins with these, the counters of the rollout and the longest delay of the loop. No decision changed.

--- a/include/galenarudder/daemon/node.hpp
+++ b/include/galenarudder/daemon/node.hpp
@@ -32,6 +32,7 @@
 struct configure_gate
 {
     std::shared_ptr<const config::configuration> in_force;
+    rollout::adoption_timing timing;
 };
 
 /// Stop or resume sending calls to the upstream, since operators emptied this
--- a/include/galenarudder/daemon/node_report.hpp
+++ b/include/galenarudder/daemon/node_report.hpp
@@ -15,9 +15,12 @@
 /// Returns a member's record as JSON, with its addresses.
 nlohmann::json encode_member(const membership::member_record& record);
 
-/// Returns the counters of decisions and of the rollout in the Prometheus text
-/// format.
-std::string render_node_metrics(const node& daemon_node);
+/// Returns how current the configuration is, and the counters of the rollout
+/// and of decisions, in the Prometheus text format. \p longest_loop_delay is
+/// the longest delay of a timer of the event loop.
+std::string render_node_metrics(const node& daemon_node,
+                                support::duration longest_loop_delay,
+                                support::time_point now);
 
 /// Returns the counts of decisions and the latest decisions as JSON.
 std::string render_decisions(const node& daemon_node, support::time_point now);
--- a/include/galenarudder/rollout/rollout.hpp
+++ b/include/galenarudder/rollout/rollout.hpp
@@ -13,6 +13,7 @@
 #include "galenarudder/rollout/build.hpp"
 #include "galenarudder/rollout/store_confirmation.hpp"
 #include "galenarudder/rollout/transfer.hpp"
+#include "galenarudder/rollout/version_lag.hpp"
 #include "galenarudder/store/change_index.hpp"
 #include "galenarudder/store/platform_store.hpp"
 #include "galenarudder/support/random.hpp"
@@ -39,6 +40,7 @@
 struct adopt
 {
     built_document_ptr adopted;
+    adoption_timing timing;
 };
 
 /// Give up \p document, which is no longer needed, on another thread, since
@@ -248,6 +250,8 @@
     /// document in force; empty if this daemon is no observer.
     std::optional<support::duration>
     confirmation_age(support::time_point now) const;
+    /// Returns how long newer versions than the one in force were known.
+    const version_lag& lag() const;
 
     /// Members of each failure domain that watch the store.
     static constexpr std::size_t watchers_per_domain = 2;
--- /dev/null
+++ b/include/galenarudder/rollout/version_lag.hpp
@@ -0,0 +1,53 @@
+/// \file
+/// How long a daemon knows of a newer version before it has that version in
+/// force, and which step took the time.
+#pragma once
+
+#include "galenarudder/support/time.hpp"
+
+#include <optional>
+#include <string_view>
+
+namespace galenarudder::rollout {
+
+/// Where a document came from.
+enum class document_source
+{
+    operators,
+    store,
+    peer
+};
+
+std::string_view to_string(document_source source);
+
+/// The steps of one document on its way into force.
+struct adoption_timing
+{
+    document_source source = document_source::operators;
+    /// From the first word of a newer version to the receipt of the document.
+    support::duration fetch{0};
+    /// From its receipt to the start of its build, while another was built.
+    support::duration wait{0};
+    support::duration build{0};
+};
+
+/// Measures the time for which a newer version than the one in force is known.
+class version_lag
+{
+public:
+    /// A version newer than the one in force was heard of.
+    void on_newer_known(support::time_point now);
+    /// The newest version known is in force.
+    void on_newest_in_force(support::time_point now);
+
+    /// Returns the time since a newer version is known; 0 if none is.
+    support::duration current(support::time_point now) const;
+    /// Returns the longest time that ended or lasts at \p now.
+    support::duration longest(support::time_point now) const;
+
+private:
+    std::optional<support::time_point> newer_known_since_;
+    support::duration longest_{0};
+};
+
+} // namespace galenarudder::rollout
--- a/lib/daemon/collect_metrics.cpp
+++ b/lib/daemon/collect_metrics.cpp
@@ -96,18 +96,6 @@
         "galenarudder_entry_turned_away_cold_total",
         "Calls refused because no cold upstream can start them in time", {},
         static_cast<double>(daemon_node.router().turned_away_cold()));
-    registry.set_gauge(
-        "galenarudder_configuration_version",
-        "Version of the configuration in force",
-        static_cast<double>(daemon_node.member().self().configuration_version));
-    const auto unconfirmed =
-        daemon_node.rollout().confirmation_age(support::monotonic_clock::now());
-    if (unconfirmed) {
-        registry.set_gauge("galenarudder_configuration_unconfirmed_seconds",
-                           "Time since the store is known to hold no newer "
-                           "configuration, at observers",
-                           support::to_ms(*unconfirmed) / 1000);
-    }
 }
 
 void collect(const link::link_counters& counters, telemetry::metrics& registry)
--- a/lib/daemon/node.cpp
+++ b/lib/daemon/node.cpp
@@ -31,7 +31,8 @@
         [](auto& rollout_action) -> node_action {
             using action_type = std::decay_t<decltype(rollout_action)>;
             if constexpr (std::is_same_v<action_type, rollout::adopt>)
-                return configure_gate{rollout_action.adopted->effective};
+                return configure_gate{rollout_action.adopted->effective,
+                                      rollout_action.timing};
             else
                 return std::move(rollout_action);
         },
--- a/lib/daemon/node_report.cpp
+++ b/lib/daemon/node_report.cpp
@@ -31,6 +31,32 @@
 constexpr counter_row rollout_metric_rows[] = {
     {"galenarudder_configuration_adopted_total", "Configurations put in force",
      &rollout_counters::adopted},
+    {"galenarudder_configuration_pulls_total", "Transfers asked of peers",
+     &rollout_counters::pulls},
+    {"galenarudder_configuration_pulls_failed_total",
+     "Transfers asked of peers in vain", &rollout_counters::pulls_failed},
+    {"galenarudder_configuration_store_asks_total",
+     "Times that this observer asked the store for changes",
+     &rollout_counters::store_asks},
+    {"galenarudder_configuration_store_asks_failed_total",
+     "Times that the store did not answer this observer",
+     &rollout_counters::store_asks_failed},
+    {"galenarudder_configuration_store_watches_total", "Watches of the store",
+     &rollout_counters::store_watches},
+    {"galenarudder_configuration_store_reads_total", "Reads of the store",
+     &rollout_counters::store_reads},
+    {"galenarudder_configuration_confirmations_heard_total",
+     "Statements of other observers about the store",
+     &rollout_counters::confirmations_heard},
+    {"galenarudder_configuration_superseded_total",
+     "Documents dropped unread: the same or a newer one was there",
+     &rollout_counters::superseded},
+    {"galenarudder_configuration_handovers_total",
+     "Members asked to watch the store in place of this one",
+     &rollout_counters::handovers},
+    {"galenarudder_configuration_silent_watchers_total",
+     "Members that did not answer as watchers of the store",
+     &rollout_counters::silent_watchers},
     {"galenarudder_configuration_reversions_refused_total",
      "Lower versions offered and refused",
      &rollout_counters::reversions_refused},
@@ -45,39 +71,13 @@
      &rollout_counters::pushes},
     {"galenarudder_configuration_offers_total",
      "Pushes that only offered a document", &rollout_counters::offers},
-    {"galenarudder_configuration_superseded_total",
-     "Documents dropped unread: the same or a newer one was there",
-     &rollout_counters::superseded},
-    {"galenarudder_configuration_pulls_total", "Transfers asked of peers",
-     &rollout_counters::pulls},
-    {"galenarudder_configuration_pulls_failed_total",
-     "Transfers asked of peers in vain", &rollout_counters::pulls_failed},
     {"galenarudder_configuration_patches_total", "Patches applied",
      &rollout_counters::patches},
     {"galenarudder_configuration_whole_documents_total",
      "Whole documents taken from peers", &rollout_counters::whole_documents},
-    {"galenarudder_configuration_store_reads_total", "Reads of the store",
-     &rollout_counters::store_reads},
-    {"galenarudder_configuration_store_watches_total", "Watches of the store",
-     &rollout_counters::store_watches},
     {"galenarudder_configuration_store_restores_total",
      "Newer configurations written back to the store",
      &rollout_counters::store_restores},
-    {"galenarudder_configuration_handovers_total",
-     "Members asked to watch the store in place of this one",
-     &rollout_counters::handovers},
-    {"galenarudder_configuration_silent_watchers_total",
-     "Members that did not answer as watchers of the store",
-     &rollout_counters::silent_watchers},
-    {"galenarudder_configuration_store_asks_total",
-     "Times that this observer asked the store for changes",
-     &rollout_counters::store_asks},
-    {"galenarudder_configuration_store_asks_failed_total",
-     "Times that the store did not answer this observer",
-     &rollout_counters::store_asks_failed},
-    {"galenarudder_configuration_confirmations_heard_total",
-     "Statements of other observers about the store",
-     &rollout_counters::confirmations_heard},
 };
 
 prometheus::MetricFamily make_counter_family(const char* name, const char* help)
@@ -89,6 +89,52 @@
     return metric_family;
 }
 
+/// Appends a gauge that has one sample, in seconds or without a unit.
+void append_gauge(std::vector<prometheus::MetricFamily>& families,
+                  const char* name,
+                  const char* help,
+                  double value)
+{
+    prometheus::MetricFamily& family = families.emplace_back();
+    family.name = name;
+    family.help = help;
+    family.type = prometheus::MetricType::Gauge;
+    family.metric.emplace_back().gauge.value = value;
+}
+
+double to_seconds(support::duration length)
+{
+    return std::chrono::duration<double>(length).count();
+}
+
+/// Appends how current the configuration is, and what tells late turns of the
+/// event loop from late transfers.
+void append_currency(std::vector<prometheus::MetricFamily>& families,
+                     const rollout::rollout& current,
+                     support::duration longest_loop_delay,
+                     support::time_point now)
+{
+    append_gauge(families, "galenarudder_configuration_version",
+                 "Version of the configuration in force",
+                 static_cast<double>(current.version()));
+    append_gauge(families, "galenarudder_configuration_behind_seconds",
+                 "Time since a newer version than the one in force is known",
+                 to_seconds(current.lag().current(now)));
+    append_gauge(families, "galenarudder_configuration_longest_behind_seconds",
+                 "Longest time for which a newer version was known",
+                 to_seconds(current.lag().longest(now)));
+    const auto unconfirmed = current.confirmation_age(now);
+    if (unconfirmed) {
+        append_gauge(families, "galenarudder_configuration_unconfirmed_seconds",
+                     "Time since the store is known to hold no newer "
+                     "configuration, at observers",
+                     to_seconds(*unconfirmed));
+    }
+    append_gauge(families, "galenarudder_loop_longest_delay_seconds",
+                 "Longest delay of a timer of the event loop",
+                 to_seconds(longest_loop_delay));
+}
+
 prometheus::ClientMetric make_counter_sample(std::uint64_t value)
 {
     prometheus::ClientMetric metric;
@@ -202,16 +248,19 @@
 
 } // namespace
 
-std::string render_node_metrics(const node& daemon_node)
+std::string render_node_metrics(const node& daemon_node,
+                                support::duration longest_loop_delay,
+                                support::time_point now)
 {
-    std::vector<prometheus::MetricFamily> families = {
-        decision_family(daemon_node.decisions())};
+    std::vector<prometheus::MetricFamily> families;
+    append_currency(families, daemon_node.rollout(), longest_loop_delay, now);
     const rollout_counters& values = daemon_node.rollout().counters();
     for (const counter_row& row : rollout_metric_rows) {
         families.push_back(make_counter_family(row.name, row.help));
         families.back().metric.push_back(
             make_counter_sample(values.*row.value));
     }
+    families.push_back(decision_family(daemon_node.decisions()));
     return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/lib/daemon/operator_port.cpp
+++ b/lib/daemon/operator_port.cpp
@@ -194,7 +194,9 @@
     co_await enter(handlers_.executor);
     const std::string of_control = handlers_.collect_metrics();
     co_await enter(handlers_.background);
-    co_return metrics_response(handlers_.render_metrics() + of_control);
+    // What explains late changes comes first, for readers that keep only the
+    // beginning of a page.
+    co_return metrics_response(of_control + handlers_.render_metrics());
 }
 
 http::response operator_port::impl::health(const http::request&)
--- a/lib/daemon/runtime.cpp
+++ b/lib/daemon/runtime.cpp
@@ -406,7 +406,8 @@
         set_metrics(metrics_, node_.member());
         set_metrics(metrics_, store_->counters());
         collect_metrics();
-        return render_node_metrics(node_);
+        return render_node_metrics(node_, turns_.longest_delay(),
+                                   monotonic_clock::now());
     };
     handlers.render_metrics = [this] { return metrics_.render(); };
     handlers.node = &node_;
@@ -637,7 +638,11 @@
     telemetry::log_event(log_kind::state_change, "configuration.in_force",
                          {{"version", in_force->version},
                           {"services", in_force->services.size()},
-                          {"host_routes", in_force->host_routes.size()}});
+                          {"host_routes", in_force->host_routes.size()},
+                          {"source", to_string(action.timing.source)},
+                          {"fetch_ms", support::to_ms(action.timing.fetch)},
+                          {"wait_ms", support::to_ms(action.timing.wait)},
+                          {"build_ms", support::to_ms(action.timing.build)}});
     gate_->configure(in_force);
     organisation_limits_->configure(*in_force);
     keyed_calls_->set_retention(
--- a/lib/rollout/rollout.cpp
+++ b/lib/rollout/rollout.cpp
@@ -88,6 +88,8 @@
     if (version <= highest_seen_version)
         return;
     highest_seen_version = version;
+    if (version > current_id.version)
+        lag.on_newer_known(now);
     // Without a document nothing is served: it is pulled at once.
     if (current_id.version == 0) {
         first_heard_at = first_heard_at.value_or(now);
@@ -119,14 +121,15 @@
         if (!pending)
             continue;
         if (may_build(*pending))
-            return start_build(std::move(*pending), actions);
+            return start_build(std::move(*pending), actions, now);
         ++counters.superseded;
     }
     pull_tick(actions, now);
 }
 
 void rollout::state::start_build(pending_document next,
-                                 std::vector<action>& actions)
+                                 std::vector<action>& actions,
+                                 time_point now)
 {
     auto input = std::make_shared<build_input>();
     input->received = std::move(next.received);
@@ -134,7 +137,10 @@
     input->site = domain;
     input->read_stored = read_stored;
     building = pending_document{{input->received.from, input->received.to, {}},
-                                next.index};
+                                next.index,
+                                next.source,
+                                next.received_at,
+                                now};
     actions.emplace_back(build_document{++build_number, std::move(input)});
 }
 
@@ -156,7 +162,7 @@
         ++(done.received.is_patch() ? counters.patches
                                     : counters.whole_documents);
     }
-    adopt_if_newer(built.value(), actions, now);
+    adopt_if_newer(done, built.value(), actions, now);
     const bool is_of_store = done.index.has_value();
     // A document that waits has replaced this one in the store.
     if (!is_of_store || next_from_store)
@@ -168,7 +174,8 @@
 
 /// Adopts \p built if it is newer than the document in force; drops it
 /// otherwise, and counts it if it is older or conflicting.
-void rollout::state::adopt_if_newer(const built_document_ptr& built,
+void rollout::state::adopt_if_newer(const pending_document& done,
+                                    const built_document_ptr& built,
                                     std::vector<action>& actions,
                                     time_point now)
 {
@@ -186,12 +193,14 @@
             current = built;
         return;
     }
-    adopt_document(built, actions);
+    adopt_document(done, built, actions, now);
     push(actions, now);
 }
 
-void rollout::state::adopt_document(const built_document_ptr& adopted,
-                                    std::vector<action>& actions)
+void rollout::state::adopt_document(const pending_document& done,
+                                    const built_document_ptr& adopted,
+                                    std::vector<action>& actions,
+                                    time_point now)
 {
     const bool lower = current && adopted->id.version < current_id.version;
     counters.reversions_adopted += lower ? 1 : 0;
@@ -201,7 +210,14 @@
         recent_changes.pop_front();
     current_id = adopted->id;
     built_document_ptr previous = std::exchange(current, adopted);
-    actions.emplace_back(adopt{adopted});
+    const support::duration fetch = lag.current(done.received_at);
+    actions.emplace_back(
+        adopt{adopted,
+              {done.source, std::max(fetch, support::duration(0)),
+               done.build_started_at - done.received_at,
+               now - done.build_started_at}});
+    if (highest_seen_version <= current_id.version)
+        lag.on_newest_in_force(now);
     if (previous)
         actions.emplace_back(release_document{std::move(previous)});
 }
@@ -289,6 +305,8 @@
             return hear_of(version, now);
         highest_seen_version = std::max(highest_seen_version, version);
     }
+    if (!incoming.is_offer() && version > current_id.version)
+        lag.on_newer_known(now);
     if (incoming.is_offer() || incoming.to == current_id)
         return;
     if (version <= current_id.version) {
@@ -309,7 +327,8 @@
         next_pull = now;
         return pull_tick(actions, now);
     }
-    next_from_peer = pending_document{std::move(incoming), std::nullopt};
+    next_from_peer = pending_document{
+        std::move(incoming), std::nullopt, document_source::peer, now, {}};
     start_next_build(actions, now);
 }
 
@@ -330,8 +349,11 @@
         return;
     }
     stored_id = {0, std::move(hash)};
-    next_from_store =
-        pending_document{{{}, {}, std::string(serialized)}, index};
+    next_from_store = pending_document{{{}, {}, std::string(serialized)},
+                                       index,
+                                       document_source::store,
+                                       now,
+                                       {}};
     start_next_build(actions, now);
 }
 
@@ -400,7 +422,11 @@
 std::vector<action> rollout::on_document(std::string_view text, time_point now)
 {
     std::vector<action> actions;
-    const pending_document pending{{{}, {}, std::string(text)}, std::nullopt};
+    const pending_document pending{{{}, {}, std::string(text)},
+                                   std::nullopt,
+                                   document_source::operators,
+                                   now,
+                                   now};
     state_->finish_build(pending,
                          build({pending.received, state_->current,
                                 state_->domain, document_reader()}),
@@ -652,6 +678,11 @@
     return state_->watching;
 }
 
+const version_lag& rollout::lag() const
+{
+    return state_->lag;
+}
+
 const rollout_counters& rollout::counters() const
 {
     return state_->counters;
--- a/lib/rollout/rollout_state.hpp
+++ b/lib/rollout/rollout_state.hpp
@@ -41,6 +41,9 @@
     transfer received;
     /// Index in the store; empty if it did not come from there.
     std::optional<store::change_index> index;
+    document_source source = document_source::operators;
+    time_point received_at{};
+    time_point build_started_at{};
 };
 
 struct rollout::state
@@ -121,6 +124,7 @@
     /// The newest version reported by membership or a transfer.
     std::uint64_t highest_seen_version = 0;
     unsigned push_retries = 0;
+    version_lag lag;
 
     milliseconds jitter(milliseconds max_wait);
     milliseconds back_off(milliseconds& backoff);
@@ -142,16 +146,21 @@
     void hear_of(std::uint64_t version, time_point now);
     void start_next_build(std::vector<action>& actions, time_point now);
     bool may_build(const pending_document& pending) const;
-    void start_build(pending_document next, std::vector<action>& actions);
+    void start_build(pending_document next,
+                     std::vector<action>& actions,
+                     time_point now);
     void finish_build(const pending_document& done,
                       const support::result<built_document_ptr>& built,
                       std::vector<action>& actions,
                       time_point now);
-    void adopt_if_newer(const built_document_ptr& built,
+    void adopt_if_newer(const pending_document& done,
+                        const built_document_ptr& built,
+                        std::vector<action>& actions,
+                        time_point now);
+    void adopt_document(const pending_document& done,
+                        const built_document_ptr& adopted,
                         std::vector<action>& actions,
                         time_point now);
-    void adopt_document(const built_document_ptr& adopted,
-                        std::vector<action>& actions);
     std::string patch_from(const document_id& peer_id) const;
     std::string push_payload_for(const support::member_id& to, time_point now);
     void push(std::vector<action>& actions, time_point now);
--- a/lib/telemetry/turn_monitor.cpp
+++ b/lib/telemetry/turn_monitor.cpp
@@ -108,9 +108,6 @@
                              "Turns that were longer than 50 ms", labels,
                              static_cast<double>(turn_totals.over_bound));
     }
-    registry.set_gauge("galenarudder_loop_longest_delay_seconds",
-                       "Longest delay of a timer of the event loop",
-                       to_seconds(delays_.longest));
     registry.set_counter("galenarudder_loop_delays_total",
                          "Timers that were more than 50 ms late", {},
                          static_cast<double>(delays_.over_bound));
