Add a test of outages after which nobody asks the store for seconds

Change: the simulated fleet plays outages of 2 to 8 s in steps of 50 ms, with answers lost or calls refused, one and three domains, builds of 0.6 s; a version of the outage has to be in force 3 s after it, when members count as in touch again. A watch that the store does not answer stays without an answer after the outage.

--- a/unittests/rollout/watchers_test.cpp
+++ b/unittests/rollout/watchers_test.cpp
@@ -22,6 +22,12 @@
 
 /// The shortest time that a deployment allows until a version is in force.
 constexpr milliseconds in_force_bound{2000};
+/// The shortest time after which members count as in touch with a store that
+/// serves again.
+constexpr milliseconds in_touch_after{3000};
+/// The build of a document with 2,100 routes on a VM with a tenth of a core
+/// (docs/design/rollout.md).
+constexpr milliseconds long_build{600};
 constexpr milliseconds step{50};
 constexpr milliseconds tick_interval{100};
 constexpr milliseconds call_time{10};
@@ -177,6 +183,13 @@
     }
     /// All answers of the store are lost, or none.
     void lose_answers(bool lost) { answers_are_lost_ = lost; }
+    /// The store refuses all calls, or none.
+    void refuse_calls(bool refused)
+    {
+        for (const std::string& id : members())
+            turn_away(id, refused);
+    }
+    void set_build_time(milliseconds length) { build_time_ = length; }
     /// The members of a domain reach only each other and the store.
     void cut_off(const std::string& domain) { cut_domain_ = domain; }
     void join_again() { cut_domain_.clear(); }
@@ -318,8 +331,10 @@
         });
     }
 
-    void time_out_watch(const std::string& id)
+    /// No change ends this watch, even once the store answers again.
+    void lose_watch(const std::string& id)
     {
+        daemons_.at(id).watch_open = false;
         after(watch_timeout, [this, id, watch = daemons_.at(id).watch] {
             if (daemons_.at(id).state == condition::runs)
                 perform(id,
@@ -346,9 +361,16 @@
     void execute(const std::string&, const rollout::restore_store&) {}
     void execute(const std::string& id, const rollout::build_document& request)
     {
-        perform(id, daemons_.at(id).machine->on_built(
-                        request.build_number, rollout::build(*request.input),
-                        now_));
+        const auto end = [this, id, request] {
+            if (daemons_.at(id).state != condition::runs)
+                return;
+            perform(id, daemons_.at(id).machine->on_built(
+                            request.build_number,
+                            rollout::build(*request.input), now_));
+        };
+        if (build_time_ == 0ms)
+            return end();
+        after(build_time_, end);
     }
     void execute(const std::string& id, const rollout::read_store&)
     {
@@ -375,7 +397,7 @@
         if (member.turned_away)
             fail_watch(id);
         else if (member.silenced || answers_are_lost_)
-            time_out_watch(id);
+            lose_watch(id);
         else if (request.known_index != store::change_index{version_})
             answer_watch(id);
     }
@@ -468,6 +490,7 @@
     std::uint64_t store_asks_ = 0;
     std::uint64_t statements_ = 0;
     bool answers_are_lost_ = false;
+    milliseconds build_time_{0};
     std::string cut_domain_;
     std::set<std::string> late_;
 };
@@ -588,6 +611,38 @@
     }
 }
 
+// Guards against a store that serves again and is asked by nobody for seconds,
+// since all observers wait after calls in vain.
+TEST_CASE("a version is in force in time after an outage of any length",
+          "[watchers]")
+{
+    struct row
+    {
+        const char* name;
+        std::size_t domains;
+        void (fleet::*fail)(bool);
+    };
+    const row rows[] = {
+        {"answers lost, one domain", 1, &fleet::lose_answers},
+        {"answers lost", 3, &fleet::lose_answers},
+        {"calls refused, one domain", 1, &fleet::refuse_calls},
+        {"calls refused", 3, &fleet::refuse_calls},
+    };
+    for (const row& test_case : rows) {
+        for (milliseconds outage = 2s; outage <= 8s; outage += step) {
+            INFO(test_case.name << ", " << outage.count() << " ms");
+            fleet members(test_case.domains, 5);
+            members.set_build_time(long_build);
+            (members.*test_case.fail)(true);
+            members.run(outage);
+            members.write();
+            (members.*test_case.fail)(false);
+            members.run(in_touch_after);
+            CHECK(members.with_newest() == members.members().size());
+        }
+    }
+}
+
 TEST_CASE("how often the store is asked depends on nothing but time",
           "[watchers]")
 {
