Ask a store that may serve again by turns of the observers

Callers saw: after an outage of the store a version could stay out of force beyond the time from which members count as in touch again (CONFIG). Cause: an observer that asked in vain waited 1 s for the answer and then up to 2 s more, each by its own random backoff; all could be waiting as the store served again. The retry schedule knew nothing of the time by which a version has to be in force. Change: the turns follow from the last confirmation, which all observers know, and spread over 2 s. One of n observers asks each 2 s / n, by itself each 2 s. Cost: no call while the store answers.

--- a/include/galenarudder/rollout/store_confirmation.hpp
+++ b/include/galenarudder/rollout/store_confirmation.hpp
@@ -61,6 +61,9 @@
 public:
     /// Interval at which the first observer asks the store.
     static constexpr support::milliseconds interval{1000};
+    /// Time in which all observers ask once, one after the other, while the
+    /// store answers none of them. Longer than one call may take.
+    static constexpr support::milliseconds retry_round{2000};
 
     /// Begins to wait for confirmations. Later calls have no effect.
     void start(support::time_point now);
@@ -74,6 +77,14 @@
                 std::size_t observers,
                 std::uint64_t version,
                 support::time_point now);
+    /// Returns when the observer at \p rank of \p observers asks again after a
+    /// call in vain. The turns follow from the last confirmation, which all
+    /// observers know, so that they spread over the round without messages: a
+    /// store that serves again is asked soon, whatever the observers did
+    /// before.
+    support::time_point next_turn(std::size_t rank,
+                                  std::size_t observers,
+                                  support::time_point now) const;
     /// Returns whether no observer but the first has a cause to ask the store.
     bool is_recent(support::time_point now) const;
     /// Returns the time since the store is known to hold nothing newer.
--- a/lib/rollout/confirmations.cpp
+++ b/lib/rollout/confirmations.cpp
@@ -86,7 +86,6 @@
         return actions;
     state_->unshared_answer = std::exchange(state_->asked_at, {});
     state_->last_contact = now;
-    state_->ask_backoff = first_backoff;
     state_->handed_over = state_->stopping;
     // Otherwise a watch has answered meanwhile.
     const bool changed = index != state_->asked_index &&
@@ -110,7 +109,9 @@
     std::vector<action> actions;
     state_->asked_at.reset();
     ++state_->counters.store_asks_failed;
-    state_->next_ask = now + state_->back_off(state_->ask_backoff);
+    const std::size_t rank = state_->observer_rank(now);
+    state_->next_ask =
+        state_->confirmed.next_turn(rank, state_->observers.size(), now);
     state_->hand_over(actions, now);
     return actions;
 }
--- a/lib/rollout/rollout_state.hpp
+++ b/lib/rollout/rollout_state.hpp
@@ -113,7 +113,6 @@
     /// What the store is asked for changes of.
     store::change_index asked_index;
     time_point next_ask{};
-    milliseconds ask_backoff = first_backoff;
     /// When the store was asked that has answered since; its document may still
     /// have to be built before the answer can be stated.
     std::optional<time_point> unshared_answer;
--- a/lib/rollout/store_confirmation.cpp
+++ b/lib/rollout/store_confirmation.cpp
@@ -118,6 +118,19 @@
            age(now) >= patience_at(rank, observers);
 }
 
+time_point store_confirmation::next_turn(std::size_t rank,
+                                         std::size_t observers,
+                                         time_point now) const
+{
+    const auto turns = static_cast<int>(std::max<std::size_t>(1, observers));
+    const auto turn = static_cast<int>(rank) % turns;
+    const time_point first = as_of_ + interval + retry_round * turn / turns;
+    if (now < first)
+        return first;
+    const auto rounds_over = (now - first) / retry_round;
+    return first + (rounds_over + 1) * retry_round;
+}
+
 bool store_confirmation::is_recent(time_point now) const
 {
     return started_ && age(now) < second_patience;
