Give up transfers that pause, not transfers that take long

Callers saw: a version out of force for good at a VM with a narrow link: calls handled by an older one (CONFIG), 404 on its new routes. Cause: reads, watches that begin anew and questions for changes had 1 s for the whole answer of the store, pulls from peers the same. The largest value, 1 MiB, fills a link of 10 Mbit/s for 1.1 s, which it shares with calls. Each attempt ended at 1 s and began again from the first byte, which also used up the link. A transfer that moves needs no second start, and one that does not is given up as soon as before.

--- a/include/galenarudder/http/client.hpp
+++ b/include/galenarudder/http/client.hpp
@@ -24,9 +24,23 @@
     std::vector<field> fields;
 };
 
+/// How long a request and its response may take.
+struct exchange_limits
+{
+    /// Until the first byte of the response.
+    support::duration first_byte;
+    /// Between two parts of the response.
+    support::duration pause;
+    support::duration total;
+};
+
 /// Sends one request on a new connection and reads the complete response.
 /// The error is connection_failed if nothing was sent. It is timeout, or
 /// canceled if the connection broke, if the request may have been sent.
+boost::asio::awaitable<support::result<response>>
+fetch(config::endpoint server, client_request request, exchange_limits limits);
+
+/// Like fetch, with one limit for the whole exchange.
 boost::asio::awaitable<support::result<response>> fetch(
     config::endpoint server, client_request request, support::duration timeout);
 
--- a/include/galenarudder/http/read_response.hpp
+++ b/include/galenarudder/http/read_response.hpp
@@ -145,13 +145,30 @@
     bool reusable = false;
 };
 
+/// Until when a response is read.
+struct response_limits
+{
+    using time_point = std::chrono::steady_clock::time_point;
+
+    time_point first_byte_by;
+    /// Longest time between two parts of the response.
+    std::chrono::steady_clock::duration max_pause;
+    time_point deadline;
+
+    /// Returns limits under which only the deadline counts.
+    static response_limits until(time_point deadline)
+    {
+        return {deadline, std::chrono::hours(1), deadline};
+    }
+};
+
 /// Reads the final response to a request that was written to its end. Trailers
 /// are checked and dropped. All references must outlive the coroutine.
 boost::asio::awaitable<boost::system::error_code>
 read_response(boost::beast::tcp_stream& stream,
               boost::beast::flat_buffer& buffer,
               std::uint64_t max_body_bytes,
-              std::chrono::steady_clock::time_point deadline,
+              response_limits limits,
               whole_response& received);
 
 } // namespace galenarudder::http
--- a/include/galenarudder/store/platform_store.hpp
+++ b/include/galenarudder/store/platform_store.hpp
@@ -89,10 +89,11 @@
 template <typename T>
 using callback = std::function<void(support::result<T>)>;
 
-/// Asynchronous access to the platform's key-value service. Each call ends
-/// within its timeout, a watch shortly after \c wait; a write whose answer was
-/// lost ends with store_outcome_unknown. Callbacks run on the executor given to
-/// the implementation.
+/// Asynchronous access to the platform's key-value service. A call is given up
+/// if its answer does not begin within the timeout, a watch shortly after
+/// \c wait; an implementation may allow a long answer more time while it
+/// arrives. A write whose answer was lost ends with store_outcome_unknown.
+/// Callbacks run on the executor given to the implementation.
 class platform_store
 {
 public:
--- a/lib/daemon/rollout_runtime.cpp
+++ b/lib/daemon/rollout_runtime.cpp
@@ -28,6 +28,10 @@
 /// A watch that is to be answered at once.
 constexpr support::milliseconds ask_wait{1};
 constexpr support::milliseconds peer_timeout{1000};
+/// A peer is given up if it pauses for peer_timeout. The whole transfer of a
+/// long document over a narrow link takes longer.
+constexpr http::exchange_limits pull_limits{peer_timeout, peer_timeout,
+                                            support::milliseconds(5000)};
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_accepted = 202;
@@ -289,7 +293,7 @@
 rollout_runtime::impl::fetch_transfer(rollout::pull_from_peer action)
 {
     http_result fetched = co_await http::fetch(
-        action.source, pull_request(action.current_id), peer_timeout);
+        action.source, pull_request(action.current_id), pull_limits);
     bool authentic = false;
     if (fetched && fetched.value().status == status_ok) {
         authentic = co_await support::run_by_size(
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -78,14 +78,15 @@
 
 } // namespace
 
-asio::awaitable<support::result<response>> fetch(config::endpoint server,
-                                                 client_request request,
-                                                 support::duration timeout)
+asio::awaitable<support::result<response>>
+fetch(config::endpoint server, client_request request, exchange_limits limits)
 {
     constexpr auto nothrow_awaitable = asio::as_tuple(asio::use_awaitable);
     beast::tcp_stream stream(co_await asio::this_coro::executor);
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
-    stream.expires_after(connect_time_limit(timeout));
+    const auto begin = std::chrono::steady_clock::now();
+    const response_limits reading{begin + limits.first_byte, limits.pause,
+                                  begin + limits.total};
+    stream.expires_after(connect_time_limit(limits.first_byte));
     const asio::ip::tcp::endpoint remote(asio::ip::make_address(server.address),
                                          server.port);
     const auto [connect_failure] =
@@ -93,7 +94,7 @@
     if (connect_failure) {
         co_return connection_error(server, connect_failure);
     }
-    stream.expires_at(deadline);
+    stream.expires_at(reading.first_byte_by);
     support::enable_keepalive(stream.socket());
     auto converted = to_beast_request(server, request);
     const auto [write_failure, written] =
@@ -103,12 +104,20 @@
     beast::flat_buffer buffer(max_unparsed_bytes);
     whole_response received;
     const boost::system::error_code read_failure = co_await read_response(
-        stream, buffer, max_body_bytes, deadline, received);
+        stream, buffer, max_body_bytes, reading, received);
     if (read_failure)
         co_return no_answer_error(server, read_failure);
     co_return std::move(received.message);
 }
 
+asio::awaitable<support::result<response>> fetch(config::endpoint server,
+                                                 client_request request,
+                                                 support::duration timeout)
+{
+    return fetch(std::move(server), std::move(request),
+                 exchange_limits{timeout, timeout, timeout});
+}
+
 support::result<response> fetch_blocking(const config::endpoint& server,
                                          const client_request& request,
                                          support::duration timeout)
--- a/lib/http/read_response.cpp
+++ b/lib/http/read_response.cpp
@@ -5,6 +5,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace galenarudder::http {
@@ -25,6 +26,32 @@
     }
 }
 
+/// Reads until \p reached returns true, but no longer than the limits allow.
+template <typename Condition>
+asio::awaitable<boost::system::error_code>
+read_within(beast::tcp_stream& stream,
+            beast::flat_buffer& buffer,
+            valid_response_parser<beast::http::string_body>& parser,
+            const response_limits& limits,
+            Condition reached)
+{
+    while (!reached()) {
+        const std::size_t consumed = parser.consumed();
+        const auto next_part_by =
+            consumed == 0 ? limits.first_byte_by
+                          : std::chrono::steady_clock::now() + limits.max_pause;
+        const auto deadline = std::min(next_part_by, limits.deadline);
+        const auto has_progressed = [&] {
+            return reached() || parser.consumed() != consumed;
+        };
+        const boost::system::error_code failure = co_await read_response_until(
+            stream, buffer, parser, deadline, has_progressed);
+        if (failure)
+            co_return failure;
+    }
+    co_return boost::system::error_code();
+}
+
 } // namespace
 
 boost::system::error_code check_end_of_stream(beast::tcp_stream& stream)
@@ -42,7 +69,7 @@
 read_response(beast::tcp_stream& stream,
               beast::flat_buffer& buffer,
               std::uint64_t max_body_bytes,
-              std::chrono::steady_clock::time_point deadline,
+              response_limits limits,
               whole_response& received)
 {
     std::optional<valid_response_parser<beast::http::string_body>> reader;
@@ -50,8 +77,8 @@
         reader.emplace();
         reader->parser().body_limit(max_body_bytes);
         const auto has_head = [&] { return reader->parser().is_header_done(); };
-        const boost::system::error_code failure = co_await read_response_until(
-            stream, buffer, *reader, deadline, has_head);
+        const boost::system::error_code failure =
+            co_await read_within(stream, buffer, *reader, limits, has_head);
         if (failure)
             co_return failure;
         if (!reader->is_interim())
@@ -63,8 +90,8 @@
     // Trailers are added to the parser's fields later.
     copy_head(parser.get(), received.message);
     const auto is_done = [&] { return parser.is_done(); };
-    const boost::system::error_code failure = co_await read_response_until(
-        stream, buffer, *reader, deadline, is_done);
+    const boost::system::error_code failure =
+        co_await read_within(stream, buffer, *reader, limits, is_done);
     if (failure)
         co_return failure;
     received.reusable =
--- a/lib/proxy/upstream_client.cpp
+++ b/lib/proxy/upstream_client.cpp
@@ -719,9 +719,10 @@
     if (write_error)
         co_return std::nullopt;
     http::whole_response received;
+    const auto limits = http::response_limits::until(stream_end);
     const boost::system::error_code read_error =
         co_await http::read_response(connection->stream, connection->buffer,
-                                     max_load_body_bytes, stream_end, received);
+                                     max_load_body_bytes, limits, received);
     if (read_error)
         co_return std::nullopt;
     support::response_head head;
