Measure from when each version is known

Cause: the time of a version was counted from the first word of any newer one, so that a version behind another seemed to wait for its transfer while the other was built. Change: version_lag keeps the time of each version that was heard of.

--- a/include/galenarudder/rollout/version_lag.hpp
+++ b/include/galenarudder/rollout/version_lag.hpp
@@ -5,7 +5,8 @@
 
 #include "galenarudder/support/time.hpp"
 
-#include <optional>
+#include <cstdint>
+#include <map>
 #include <string_view>
 
 namespace galenarudder::rollout {
@@ -24,7 +25,8 @@
 struct adoption_timing
 {
     document_source source = document_source::operators;
-    /// From the first word of a newer version to the receipt of the document.
+    /// From the first word of this version, or of one that replaced it, to the
+    /// receipt of the document.
     support::duration fetch{0};
     /// From its receipt to the start of its build, while another was built.
     support::duration wait{0};
@@ -35,18 +37,25 @@
 class version_lag
 {
 public:
-    /// A version newer than the one in force was heard of.
-    void on_newer_known(support::time_point now);
-    /// The newest version known is in force.
-    void on_newest_in_force(support::time_point now);
-
+    /// \p version is newer than the one in force, and than those that were
+    /// heard of before; other calls have no effect.
+    void on_known(std::uint64_t version, support::time_point now);
+    void on_in_force(std::uint64_t version, support::time_point now);
+
+    /// Returns the time since \p version or a later one is known; 0 if none is.
+    support::duration known_for(std::uint64_t version,
+                                support::time_point now) const;
     /// Returns the time since a newer version is known; 0 if none is.
-    support::duration current(support::time_point now) const;
+    support::duration current(support::time_point now) const
+    {
+        return known_for(0, now);
+    }
     /// Returns the longest time that ended or lasts at \p now.
     support::duration longest(support::time_point now) const;
 
 private:
-    std::optional<support::time_point> newer_known_since_;
+    /// When each of the newer versions was first heard of.
+    std::map<std::uint64_t, support::time_point> known_since_;
     support::duration longest_{0};
 };
 
--- a/lib/rollout/rollout.cpp
+++ b/lib/rollout/rollout.cpp
@@ -89,7 +89,7 @@
         return;
     highest_seen_version = version;
     if (version > current_id.version)
-        lag.on_newer_known(now);
+        lag.on_known(version, now);
     // Without a document nothing is served: it is pulled at once.
     if (current_id.version == 0) {
         first_heard_at = first_heard_at.value_or(now);
@@ -210,14 +210,14 @@
         recent_changes.pop_front();
     current_id = adopted->id;
     built_document_ptr previous = std::exchange(current, adopted);
-    const support::duration fetch = lag.current(done.received_at);
+    const support::duration fetch =
+        lag.known_for(adopted->id.version, done.received_at);
     actions.emplace_back(
         adopt{adopted,
               {done.source, std::max(fetch, support::duration(0)),
                done.build_started_at - done.received_at,
                now - done.build_started_at}});
-    if (highest_seen_version <= current_id.version)
-        lag.on_newest_in_force(now);
+    lag.on_in_force(adopted->id.version, now);
     if (previous)
         actions.emplace_back(release_document{std::move(previous)});
 }
@@ -306,7 +306,7 @@
         highest_seen_version = std::max(highest_seen_version, version);
     }
     if (!incoming.is_offer() && version > current_id.version)
-        lag.on_newer_known(now);
+        lag.on_known(version, now);
     if (incoming.is_offer() || incoming.to == current_id)
         return;
     if (version <= current_id.version) {
--- a/lib/rollout/version_lag.cpp
+++ b/lib/rollout/version_lag.cpp
@@ -1,4 +1,4 @@
-// A lag begins with the first word of a newer version, whatever comes after.
+// Versions that were heard of and came into force are forgotten.
 #include "galenarudder/rollout/version_lag.hpp"
 
 #include <algorithm>
@@ -18,21 +18,24 @@
     return "unknown";
 }
 
-void version_lag::on_newer_known(support::time_point now)
+void version_lag::on_known(std::uint64_t version, support::time_point now)
 {
-    newer_known_since_ = newer_known_since_.value_or(now);
+    if (known_since_.empty() || known_since_.rbegin()->first < version)
+        known_since_.emplace(version, now);
 }
 
-void version_lag::on_newest_in_force(support::time_point now)
+void version_lag::on_in_force(std::uint64_t version, support::time_point now)
 {
     longest_ = longest(now);
-    newer_known_since_.reset();
+    known_since_.erase(known_since_.begin(), known_since_.upper_bound(version));
 }
 
-support::duration version_lag::current(support::time_point now) const
+support::duration version_lag::known_for(std::uint64_t version,
+                                         support::time_point now) const
 {
-    return newer_known_since_ ? now - *newer_known_since_
-                              : support::duration(0);
+    const auto first = known_since_.lower_bound(version);
+    return first == known_since_.end() ? support::duration(0)
+                                       : now - first->second;
 }
 
 support::duration version_lag::longest(support::time_point now) const
