Ask another peer beside one that serves a document slowly

Callers saw: nothing yet; a member behind a peer that serves slowly would handle calls by the older version until that transfer ends, now after up to 5 s. Cause: one pull at a time; whoever is asked decides when the next is. Evidence: unit_rollout, "a version reaches members that some peers serve slowly": with the pulls as they were, the row of a slow failure domain fails (1 of 4 assertions), all pass now. Pulls are in a file of their own.

--- a/lib/rollout/rollout.cpp
+++ b/lib/rollout/rollout.cpp
@@ -1,4 +1,4 @@
-// Adoption, pushes, pulls and reads.
+// Adoption, pushes and reads.
 #include "rollout_state.hpp"
 
 #include <algorithm>
@@ -18,12 +18,6 @@
 constexpr milliseconds start_jitter{500};
 /// Interval of reads in a new fleet while the store seems to have no document.
 constexpr milliseconds absent_read_interval{500};
-/// Maximum random delay of a pull after membership reports a newer version,
-/// since a push is probably already in flight.
-constexpr milliseconds pull_jitter{150};
-/// Time for which a daemon with an open watch waits for the store's answer
-/// before it pulls a version that it heard of: the store sends the same.
-constexpr milliseconds watch_head_start{700};
 /// Contact is a message from a peer or an answer of the store. After this time
 /// without contact the store is read.
 constexpr milliseconds contact_timeout{5000};
@@ -67,41 +61,6 @@
     return older_peers;
 }
 
-std::optional<support::member_id> rollout::state::random_newer_peer()
-{
-    if (highest_seen_version <= current_id.version)
-        return std::nullopt;
-    std::vector<support::member_id> newer_peers;
-    for (const auto& [id, peer] : peers) {
-        if (peer.accepts_transfers && peer.version > current_id.version)
-            newer_peers.push_back(id);
-    }
-    if (newer_peers.empty())
-        return std::nullopt;
-    return newer_peers[support::uniform_below(random, newer_peers.size())];
-}
-
-/// Records that a peer has \p version. It is pulled later: a push, or the
-/// store's answer to an open watch, is probably in flight.
-void rollout::state::hear_of(std::uint64_t version, time_point now)
-{
-    if (version <= highest_seen_version)
-        return;
-    highest_seen_version = version;
-    if (version > current_id.version)
-        lag.on_known(version, now);
-    // Without a document nothing is served: it is pulled at once.
-    if (current_id.version == 0) {
-        first_heard_at = first_heard_at.value_or(now);
-        return;
-    }
-    // Without a recent word of the store the watch may be lost.
-    const milliseconds head_start = watch_open && confirmed.is_recent(now)
-                                        ? watch_head_start
-                                        : milliseconds(0);
-    next_pull = std::max(next_pull, now + head_start + jitter(pull_jitter));
-}
-
 bool rollout::state::may_build(const pending_document& pending) const
 {
     const transfer& received = pending.received;
@@ -367,19 +326,6 @@
     actions.emplace_back(restore_store{current->text, index});
 }
 
-void rollout::state::pull_tick(std::vector<action>& actions, time_point now)
-{
-    if (!pull_peer.empty() || building || now < next_pull)
-        return;
-    const auto newer_peer = random_newer_peer();
-    if (!newer_peer)
-        return;
-    pull_peer = *newer_peer;
-    ++counters.pulls;
-    actions.emplace_back(
-        pull_from_peer{pull_peer, peers.at(pull_peer).operators, current_id});
-}
-
 void rollout::state::read_tick(std::vector<action>& actions, time_point now)
 {
     const bool recent_contact = now - last_contact < contact_timeout;
@@ -530,43 +476,6 @@
     return actions;
 }
 
-std::vector<action> rollout::on_pull_answer(const support::member_id& peer,
-                                            std::string_view encoded,
-                                            time_point now)
-{
-    std::vector<action> actions;
-    const bool is_check = peer == state_->checked_watcher;
-    if (is_check)
-        state_->checked_watcher.clear();
-    if (!is_check && peer != state_->pull_peer)
-        return actions;
-    if (peer == state_->pull_peer) {
-        state_->pull_peer.clear();
-        state_->next_pull = now + first_backoff;
-    }
-    state_->last_contact = now;
-    if (!encoded.empty())
-        state_->take_transfer(encoded, peer, actions, now);
-    return actions;
-}
-
-std::vector<action> rollout::on_pull_failed(const support::member_id& peer,
-                                            time_point now)
-{
-    if (peer == state_->checked_watcher) {
-        state_->checked_watcher.clear();
-        state_->pass_over(peer, now);
-        if (!state_->watching)
-            state_->next_watch = now;
-    }
-    if (peer != state_->pull_peer)
-        return {};
-    state_->pull_peer.clear();
-    ++state_->counters.pulls_failed;
-    state_->next_pull = now + state_->jitter(first_backoff);
-    return {};
-}
-
 std::vector<action> rollout::on_push_failed(const support::member_id& peer,
                                             time_point now)
 {
--- a/lib/rollout/rollout_state.hpp
+++ b/lib/rollout/rollout_state.hpp
@@ -24,6 +24,8 @@
     bool accepts_transfers = false;
     /// The member did not answer; it is no watcher until then.
     time_point silent_until{};
+    /// The member was slow to answer a pull; others are asked first until then.
+    time_point slow_until{};
 };
 
 /// An adopted document and the patch that led to it.
@@ -117,8 +119,8 @@
     /// have to be built before the answer can be stated.
     std::optional<time_point> unshared_answer;
 
-    /// The peer of the pending pull; empty when there is none.
-    support::member_id pull_peer;
+    /// The peers that are being asked for a newer document.
+    std::vector<support::member_id> pull_peers;
     time_point next_pull{};
     /// The newest version reported by membership or a transfer.
     std::uint64_t highest_seen_version = 0;
@@ -141,7 +143,7 @@
     void take_over(time_point now);
     void check_watcher_tick(std::vector<action>& actions, time_point now);
     std::vector<support::member_id> peers_with_older_version() const;
-    std::optional<support::member_id> random_newer_peer();
+    std::optional<support::member_id> next_pull_peer(time_point now);
     void hear_of(std::uint64_t version, time_point now);
     void start_next_build(std::vector<action>& actions, time_point now);
     bool may_build(const pending_document& pending) const;
--- a/unittests/rollout/watchers_test.cpp
+++ b/unittests/rollout/watchers_test.cpp
@@ -36,6 +36,8 @@
 constexpr milliseconds watch_timeout{31'000};
 /// After this time a call to a member that does not answer fails.
 constexpr milliseconds call_timeout{1000};
+/// A call whose answer arrives slowly, but without a pause of call_timeout.
+constexpr milliseconds long_call{4000};
 /// How long a member gets no new calls before it stops.
 constexpr milliseconds leave_notice{2200};
 /// When membership knows of a drain, and of a member that died or hangs.
@@ -70,6 +72,8 @@
     bool turned_away = false;
     /// The store takes its calls and answers nothing.
     bool silenced = false;
+    /// Calls to it take long_call.
+    bool slow = false;
     time_point started_at{};
     time_point undisturbed_since{};
     std::uint64_t watch = 0;
@@ -190,6 +194,7 @@
             turn_away(id, refused);
     }
     void set_build_time(milliseconds length) { build_time_ = length; }
+    void slow_down(const std::string& id) { daemons_.at(id).slow = true; }
     /// The members of a domain reach only each other and the store.
     void cut_off(const std::string& domain) { cut_domain_ = domain; }
     void join_again() { cut_domain_.clear(); }
@@ -470,7 +475,9 @@
         const bool refused = daemons_.at(to).state == condition::gone;
         const bool answers =
             daemons_.at(to).state == condition::runs && connected(from, to);
-        after(answers || refused ? call_time : call_timeout,
+        const milliseconds answer_time =
+            daemons_.at(to).slow ? long_call : call_time;
+        after(answers || refused ? answer_time : call_timeout,
               [this, from, to, answers, done = std::move(done),
                failed = std::move(failed)] {
                   if (daemons_.at(from).state != condition::runs)
@@ -643,6 +650,42 @@
     }
 }
 
+// Guards against a member that waits for the end of one slow transfer while
+// others could serve it.
+TEST_CASE("a version reaches members that some peers serve slowly",
+          "[watchers]")
+{
+    struct row
+    {
+        const char* name;
+        std::vector<std::string> domains;
+        std::size_t first_slow;
+        std::size_t slow;
+    };
+    const row rows[] = {
+        {"the watchers", {"d0", "d1", "d2"}, 0, 2},
+        {"the standbys", {"d0", "d1", "d2"}, 2, 2},
+        {"those behind", {"d0", "d1", "d2"}, 4, 2},
+        {"a failure domain", {"d1"}, 0, 8},
+    };
+    for (const row& test_case : rows) {
+        INFO(test_case.name);
+        fleet members(3, 8);
+        for (const std::string& domain : test_case.domains) {
+            const auto order = members.first_members(
+                domain, test_case.first_slow + test_case.slow);
+            for (std::size_t place = test_case.first_slow; place < order.size();
+                 ++place)
+                members.slow_down(order[place]);
+        }
+        for (int version = 0; version < 40; ++version) {
+            members.write();
+            members.run(in_force_bound + 100ms);
+        }
+        CHECK(members.late() == std::set<std::string>());
+    }
+}
+
 TEST_CASE("how often the store is asked depends on nothing but time",
           "[watchers]")
 {
