Fetch the newest of several newer versions

Cause: a member asked a random peer with any newer version, also if it had heard of a later one elsewhere. The older document costs a build, too. Evidence: unit_rollout, "of several newer versions the newest is fetched": 28 of 80 assertions failed before, none now. Change: peers that are behind the newest version heard of come after those that have it.

--- a/lib/rollout/pulls.cpp
+++ b/lib/rollout/pulls.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <tuple>
 
 namespace galenarudder::rollout {
 
@@ -27,8 +28,9 @@
 } // namespace
 
 /// Returns a random peer that has a newer version and is not being asked. Peers
-/// that were slow come last, and those in a failure domain that is being asked
-/// come behind others, since the members of a domain are often slow together.
+/// that were slow come last, and behind others those that are behind the newest
+/// version and those in a failure domain that is being asked, since the members
+/// of a domain are often slow together.
 std::optional<support::member_id> rollout::state::next_pull_peer(time_point now)
 {
     if (highest_seen_version <= current_id.version)
@@ -39,13 +41,13 @@
         if (asked != peers.end())
             asked_domains.insert(asked->second.domain);
     }
-    using preference = std::pair<bool, bool>;
+    using preference = std::tuple<bool, bool, bool>;
     std::map<preference, std::vector<support::member_id>> newer_peers;
     for (const auto& [id, peer] : peers) {
         if (!peer.accepts_transfers || peer.version <= current_id.version ||
             std::ranges::find(pull_peers, id) != pull_peers.end())
             continue;
-        newer_peers[{now < peer.slow_until,
+        newer_peers[{now < peer.slow_until, peer.version < highest_seen_version,
                      asked_domains.contains(peer.domain)}]
             .push_back(id);
     }
--- a/unittests/rollout/rollout_test.cpp
+++ b/unittests/rollout/rollout_test.cpp
@@ -255,6 +255,35 @@
     CHECK(daemon.counters().reversions_adopted == 0);
 }
 
+// Guards against a member that joins with a version that was replaced before it
+// started, since it asks a peer that is behind.
+TEST_CASE("of several newer versions the newest is fetched", "[rollout]")
+{
+    struct row
+    {
+        const char* name;
+        std::uint64_t held;
+    };
+    const row rows[] = {{"a member that joins", 0}, {"one that is behind", 3}};
+    for (const row& test_case : rows) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            INFO(test_case.name << ", seed " << seed);
+            rollout::rollout daemon("a", "d", seed);
+            if (test_case.held != 0)
+                (void)daemon.on_document(document_text(test_case.held, "held"),
+                                         start);
+            for (const auto& [peer, version] :
+                 {std::pair("b", 8), std::pair("c", 13), std::pair("e", 11)})
+                daemon.on_member(record_of(peer, "d", version), start);
+            const auto pulls = actions_of_type<rollout::pull_from_peer>(
+                daemon.on_tick(start + 200ms));
+            // A standby's check of a watcher may follow.
+            REQUIRE_FALSE(pulls.empty());
+            CHECK(pulls.front().peer == "c");
+        }
+    }
+}
+
 TEST_CASE("a change of another era is taken whatever its number", "[rollout]")
 {
     struct row
